--- /dev/null
+++ b/decision/types.go
@@ -0,0 +1,229 @@
+package decision
+
+import (
+	"time"
+
+	"bergamotpin.example/bergamotpin/outcome"
+)
+
+// RequestID identifies a request over all instances.
+type RequestID [16]byte
+
+// Ticket is what the core knows of a request. All durations count from the
+// tick at which the ticket is applied, so that clocks need not agree.
+type Ticket struct {
+	ID           RequestID     `cbor:"1,keyasint"`
+	Model        string        `cbor:"2,keyasint"`
+	Class        string        `cbor:"3,keyasint"`
+	Organisation string        `cbor:"4,keyasint"`
+	Waited       time.Duration `cbor:"5,keyasint,omitempty"` // time since the caller's request came
+	Deadline     time.Duration `cbor:"6,keyasint,omitempty"` // time left, zero for none
+	PromptTokens int           `cbor:"7,keyasint,omitempty"`
+	MaxTokens    int           `cbor:"8,keyasint,omitempty"` // caller's bound, zero for unknown
+	Prefix       uint64        `cbor:"9,keyasint,omitempty"` // digest of the prompt's prefix
+	PrefixTokens int           `cbor:"10,keyasint,omitempty"`
+	Idempotent   bool          `cbor:"11,keyasint,omitempty"`
+	// Delivered counts the answer's tokens that the caller already has.
+	Delivered int `cbor:"12,keyasint,omitempty"`
+	// Attempt is the number of the last attempt, zero before the first.
+	Attempt uint32 `cbor:"13,keyasint,omitempty"`
+	// Referred marks a ticket that came from another data centre's pool.
+	Referred bool `cbor:"14,keyasint,omitempty"`
+	// Server is set when the request already runs: the ticket is then a claim
+	// on that server's capacity, sent after the scheduler changed.
+	Server string `cbor:"15,keyasint,omitempty"`
+}
+
+// Class is a service class as the core sees it.
+type Class struct {
+	Name          string
+	Tier          int
+	FirstToken    time.Duration
+	BetweenTokens time.Duration
+	WholeAnswer   time.Duration
+	Floor         float64
+	MaxWait       time.Duration
+}
+
+// Organisation carries an organisation's share within a class.
+type Organisation struct {
+	Name   string
+	Weight float64
+}
+
+// Server is a backend server of the pool.
+type Server struct {
+	Name  string
+	Slots int
+	Drain bool
+}
+
+// Config replaces the core's tables of classes, organisations and servers.
+type Config struct {
+	Classes       []Class
+	Organisations []Organisation
+	Servers       []Server
+}
+
+// FirstToken reports that an attempt's first token came.
+type FirstToken struct {
+	ID      RequestID     `cbor:"1,keyasint"`
+	Attempt uint32        `cbor:"2,keyasint"`
+	After   time.Duration `cbor:"3,keyasint"` // since the attempt was sent
+}
+
+// Progress reports tokens of an attempt since the last report.
+type Progress struct {
+	ID      RequestID `cbor:"1,keyasint"`
+	Attempt uint32    `cbor:"2,keyasint"`
+	Tokens  int       `cbor:"3,keyasint"`
+	// Gap is the mean time between those tokens.
+	Gap time.Duration `cbor:"4,keyasint"`
+}
+
+// End reports that an attempt completed.
+type End struct {
+	ID           RequestID `cbor:"1,keyasint"`
+	Attempt      uint32    `cbor:"2,keyasint"`
+	PromptTokens int       `cbor:"3,keyasint,omitempty"`
+	Tokens       int       `cbor:"4,keyasint,omitempty"`
+	CachedTokens int       `cbor:"5,keyasint,omitempty"`
+}
+
+// Failure reports that an attempt failed.
+type Failure struct {
+	ID      RequestID      `cbor:"1,keyasint"`
+	Attempt uint32         `cbor:"2,keyasint"`
+	Reason  outcome.Reason `cbor:"3,keyasint"`
+	// NotStarted says that the server did not start: nothing was sent, or the
+	// server stated it.
+	NotStarted bool `cbor:"4,keyasint,omitempty"`
+	// Delivered counts all tokens of the answer that the caller has.
+	Delivered int `cbor:"5,keyasint,omitempty"`
+}
+
+// Withdrawal says that the caller left or that its entry instance ended it.
+type Withdrawal struct {
+	ID RequestID `cbor:"1,keyasint"`
+}
+
+// Report is a server's own account of its load, Age old.
+type Report struct {
+	Server  string        `cbor:"1,keyasint"`
+	Running int           `cbor:"2,keyasint"`
+	Waiting int           `cbor:"3,keyasint"`
+	KVUsed  float64       `cbor:"4,keyasint"`
+	Age     time.Duration `cbor:"5,keyasint"`
+}
+
+// CacheHint says that a server holds or lost a prompt prefix. It may be late
+// or missing.
+type CacheHint struct {
+	Server  string `cbor:"1,keyasint"`
+	Prefix  uint64 `cbor:"2,keyasint"`
+	Tokens  int    `cbor:"3,keyasint"`
+	Evicted bool   `cbor:"4,keyasint,omitempty"`
+}
+
+// Pressure is another data centre's digest of the same model's pool.
+type Pressure struct {
+	DataCentre string `cbor:"1,keyasint"`
+	// Free counts slots that its own queue does not need.
+	Free int `cbor:"2,keyasint"`
+	// Lifetime is for how long the digest may be used.
+	Lifetime time.Duration `cbor:"3,keyasint"`
+}
+
+// Input collects the events of one tick. They apply in the order of the
+// fields. The caller owns the slices and may reuse them after Tick.
+type Input struct {
+	Config      *Config // nil if unchanged
+	Reports     []Report
+	CacheHints  []CacheHint
+	Pressures   []Pressure
+	FirstTokens []FirstToken
+	Progress    []Progress
+	Ends        []End
+	Failures    []Failure
+	Withdrawals []Withdrawal
+	Tickets     []Ticket
+}
+
+// Grant lets a request run on a server.
+type Grant struct {
+	ID      RequestID
+	Server  string
+	Attempt uint32
+	// Priority is for the engine, 0 first.
+	Priority int
+	// Continue says that the answer goes on after the delivered tokens.
+	Continue bool
+	// Reason is why this is not the first attempt, or ReasonNone.
+	Reason outcome.Reason
+}
+
+// Refusal is a final answer. Final is Refused if the request was not run, and
+// Unknown if it may have run.
+type Refusal struct {
+	ID         RequestID
+	Final      outcome.Final
+	Reason     outcome.Reason
+	RetryAfter time.Duration
+}
+
+// Preemption stops a running attempt in favour of a higher tier. The request
+// waits again and is granted or refused later.
+type Preemption struct {
+	ID      RequestID
+	Server  string
+	Attempt uint32
+}
+
+// Referral sends a waiting ticket to the same model's pool in another data
+// centre. The core forgets the ticket.
+type Referral struct {
+	ID         RequestID
+	DataCentre string
+}
+
+// Output collects the decisions of one tick. The caller owns the slices; Tick
+// truncates and refills them.
+type Output struct {
+	Grants      []Grant
+	Refusals    []Refusal
+	Preemptions []Preemption
+	Referrals   []Referral
+}
+
+// Reset truncates the slices and keeps their memory.
+func (o *Output) Reset() {
+	o.Grants = o.Grants[:0]
+	o.Refusals = o.Refusals[:0]
+	o.Preemptions = o.Preemptions[:0]
+	o.Referrals = o.Referrals[:0]
+}
+
+// Reset truncates the slices and keeps their memory.
+func (in *Input) Reset() {
+	in.Config = nil
+	in.Reports = in.Reports[:0]
+	in.CacheHints = in.CacheHints[:0]
+	in.Pressures = in.Pressures[:0]
+	in.FirstTokens = in.FirstTokens[:0]
+	in.Progress = in.Progress[:0]
+	in.Ends = in.Ends[:0]
+	in.Failures = in.Failures[:0]
+	in.Withdrawals = in.Withdrawals[:0]
+	in.Tickets = in.Tickets[:0]
+}
+
+// Options sets a core's parameters. The zero value of a field takes its
+// default.
+type Options struct {
+	// Seed feeds the jitter of times to return.
+	Seed uint64
+	// MaxQueue bounds the waiting requests of the pool.
+	MaxQueue int
+	// MaxAttempts bounds the attempts of one request.
+	MaxAttempts int
+}
--- /dev/null
+++ b/scheduler/scheduler.go
@@ -0,0 +1,59 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"bergamotpin.example/bergamotpin/decision"
+	"bergamotpin.example/bergamotpin/outcome"
+)
+
+// VerdictKind tells verdicts apart.
+type VerdictKind uint8
+
+// The kinds of verdicts.
+const (
+	// Granted lets the attempt run on Server.
+	Granted VerdictKind = iota + 1
+	// Refused ends the request with Final and Reason.
+	Refused
+	// Preempted stops the running attempt; another verdict follows.
+	Preempted
+)
+
+// Verdict is one decision about one ticket.
+type Verdict struct {
+	Kind     VerdictKind
+	Server   string
+	Attempt  uint32
+	Priority int
+	// Continue says that the answer goes on after the delivered tokens.
+	Continue   bool
+	Final      outcome.Final
+	Reason     outcome.Reason
+	RetryAfter time.Duration
+}
+
+// Session is one request's tie to its scheduler. Reports never block. Methods
+// are safe for concurrent use.
+type Session interface {
+	// Verdicts yields decisions in order. It is not closed.
+	Verdicts() <-chan Verdict
+	// FirstToken reports the time from sending the attempt to its first token.
+	FirstToken(attempt uint32, after time.Duration)
+	// Progress reports tokens since the last report and their mean gap.
+	Progress(attempt uint32, tokens int, gap time.Duration)
+	// Fail reports a failed attempt; a verdict follows.
+	Fail(f decision.Failure)
+	// End reports the completed attempt and closes the session.
+	End(e decision.End)
+	// Withdraw closes the session because the caller left.
+	Withdraw()
+}
+
+// Scheduler takes tickets. It is safe for concurrent use.
+type Scheduler interface {
+	// Submit queues the ticket. It returns at once; decisions come through the
+	// session.
+	Submit(ctx context.Context, t decision.Ticket) Session
+}
