Run the decision core in the process

Cause: the thin path needs a scheduler behind the agreed interface. Ruled out: a mutex around the core with a tick per call (a tick costs more than an event, and batches are what the core is made for). Before: only the interface. After: one loop a pool gathers events and ticks at events and at intervals while sessions are open. Conclusion: the entry path can be built on it; the remote scheduler comes on top of the same sessions.

--- /dev/null
+++ b/scheduler/local.go
@@ -0,0 +1,126 @@
+package scheduler
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"bergamotpin.example/bergamotpin/config"
+	"bergamotpin.example/bergamotpin/decision"
+)
+
+// DefaultTick is the time between two ticks of a pool that has work.
+const DefaultTick = 5 * time.Millisecond
+
+// LocalOptions sets up a Local. The zero value of a field takes its default.
+type LocalOptions struct {
+	// DataCentre selects the backend servers that the pools hold.
+	DataCentre string
+	Tick       time.Duration
+	Core       decision.Options
+}
+
+// Local schedules pools in this process, one decision core a model. It is safe
+// for concurrent use.
+type Local struct {
+	opts LocalOptions
+
+	mu       sync.Mutex
+	snapshot *config.Snapshot
+	pools    map[string]*pool
+	closed   bool
+	done     chan struct{}
+	running  sync.WaitGroup
+}
+
+// NewLocal returns a scheduler without configuration. Close ends it.
+func NewLocal(opts LocalOptions) *Local {
+	if opts.Tick == 0 {
+		opts.Tick = DefaultTick
+	}
+	return &Local{
+		opts:     opts,
+		snapshot: &config.Snapshot{},
+		pools:    make(map[string]*pool),
+		done:     make(chan struct{}),
+	}
+}
+
+// Close stops every pool and returns after their goroutines ended. Open
+// sessions get no further verdict.
+func (l *Local) Close() {
+	l.mu.Lock()
+	if l.closed {
+		l.mu.Unlock()
+		return
+	}
+	l.closed = true
+	close(l.done)
+	l.mu.Unlock()
+	l.running.Wait()
+}
+
+// Configure hands a snapshot to every pool. It takes effect at each pool's
+// next tick.
+func (l *Local) Configure(s *config.Snapshot) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.snapshot = s
+	for model, p := range l.pools {
+		p.add(func(in *decision.Input) { in.Config = poolConfig(s, l.opts.DataCentre, model) })
+	}
+}
+
+// Submit queues the ticket at its model's pool.
+func (l *Local) Submit(_ context.Context, t decision.Ticket) Session {
+	p := l.pool(t.Model)
+	return p.submit(t)
+}
+
+// Observe adds events to a model's pool: load reports, cache hints and
+// pressures.
+func (l *Local) Observe(model string, add func(in *decision.Input)) {
+	l.pool(model).add(add)
+}
+
+func (l *Local) pool(model string) *pool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p, ok := l.pools[model]; ok {
+		return p
+	}
+	p := newPool(decision.New(l.opts.Core), l.opts.Tick)
+	p.next.Config = poolConfig(l.snapshot, l.opts.DataCentre, model)
+	l.pools[model] = p
+	if !l.closed {
+		l.running.Go(func() { p.run(l.done) })
+	}
+	return p
+}
+
+// poolConfig picks what one pool needs from the configuration.
+func poolConfig(s *config.Snapshot, dataCentre, model string) *decision.Config {
+	cfg := &decision.Config{}
+	for _, c := range s.Classes {
+		cfg.Classes = append(cfg.Classes, decision.Class{
+			Name:          c.Name,
+			Tier:          c.Spec.Tier,
+			FirstToken:    c.Spec.FirstToken.Std(),
+			BetweenTokens: c.Spec.BetweenTokens.Std(),
+			WholeAnswer:   c.Spec.WholeAnswer.Std(),
+			Floor:         c.Spec.Floor,
+			MaxWait:       c.Spec.MaxWait.Std(),
+		})
+	}
+	for _, o := range s.Organisations {
+		cfg.Organisations = append(cfg.Organisations, decision.Organisation{Name: o.Name, Weight: o.Spec.Weight})
+	}
+	for _, b := range s.BackendServers {
+		if b.Spec.DataCentre != dataCentre || !serves(b.Spec.Models, model) {
+			continue
+		}
+		cfg.Servers = append(cfg.Servers, decision.Server{Name: b.Name, Slots: b.Spec.Slots, Drain: b.Spec.Drain})
+	}
+	sortConfig(cfg)
+	return cfg
+}
