--- a/engine/stream.go
+++ b/engine/stream.go
@@ -93,7 +93,8 @@
 
 // Frames yields the frames in order, each once: doubled frames and frames of
 // an older position are dropped. It ends without an error after the frame that
-// ends the answer, and with ErrCut if the connection ends before it.
+// ends the answer, and with ErrCut if the connection ends before it or a frame
+// is missing.
 func (s *Stream) Frames() iter.Seq2[Frame, error] {
 	return func(yield func(Frame, error) bool) {
 		cfg := &sse.ReadConfig{MaxEventSize: maxFrameBytes}
@@ -105,8 +106,12 @@
 			if ev.Data == doneData {
 				return
 			}
-			frame, fresh := s.next(ev)
-			if fresh && !yield(frame, nil) {
+			frame, order := s.next(ev)
+			if order == frameLost {
+				yield(Frame{}, errors.Wrap(ErrCut, "a frame is missing"))
+				return
+			}
+			if order == frameFresh && !yield(frame, nil) {
 				return
 			}
 		}
@@ -114,15 +119,27 @@
 	}
 }
 
-// next numbers an event and reports whether it is new.
-func (s *Stream) next(ev sse.Event) (Frame, bool) {
+// frameOrder says how a frame follows the last one.
+type frameOrder uint8
+
+const (
+	frameFresh frameOrder = iota
+	frameRepeated
+	frameLost
+)
+
+// next numbers an event and says how it follows the last one.
+func (s *Stream) next(ev sse.Event) (Frame, frameOrder) {
 	seq, err := strconv.ParseUint(ev.LastEventID, 10, 64)
 	if err != nil {
-		return Frame{Data: ev.Data}, true
+		return Frame{Data: ev.Data}, frameFresh
 	}
 	if seq <= s.last {
-		return Frame{}, false
+		return Frame{}, frameRepeated
+	}
+	if seq > s.last+1 {
+		return Frame{}, frameLost
 	}
 	s.last = seq
-	return Frame{Seq: seq, Data: ev.Data}, true
+	return Frame{Seq: seq, Data: ev.Data}, frameFresh
 }
