--- a/engineapi/messages.go
+++ b/engineapi/messages.go
@@ -91,6 +91,8 @@
 	Frozen bool `json:"frozen"`
 	// DoubleFrames sends each frame twice.
 	DoubleFrames bool `json:"doubleFrames"`
+	// LateFrames sends each frame again after the one that follows it.
+	LateFrames bool `json:"lateFrames"`
 	// NoReports stops the load reports.
 	NoReports bool `json:"noReports"`
 }
