--- /dev/null
+++ b/standin/engine/engine_test.go
@@ -0,0 +1,77 @@
+package engine
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bergamotpin.example/bergamotpin/engineapi"
+	"bergamotpin.example/bergamotpin/standin/answer"
+)
+
+// prompt returns a completion's body.
+func prompt(text, more string) string {
+	return fmt.Sprintf(`{"model":"m","messages":[{"role":"user","content":%q}]%s}`, text, more)
+}
+
+// digest returns the digest of prompt's message.
+func digest(text string) answer.Digest {
+	content := []byte(fmt.Sprintf("%q", text))
+	return answer.DigestOf([]engineapi.Message{{Role: "user", Content: content}})
+}
+
+func complete(e *Server, attempt, body string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest("POST", engineapi.PathCompletions, strings.NewReader(body))
+	r.Header.Set(engineapi.HeaderAttempt, attempt)
+	w := httptest.NewRecorder()
+	e.ServeHTTP(w, r)
+	return w
+}
+
+func TestStreamsTheWholeAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := New(Options{})
+		defer e.Close()
+		w := complete(e, "a", prompt("hello", `,"stream":true,"stream_options":{"include_usage":true},"metadata":{"answer_tokens":"3"}`))
+		got := w.Body.String()
+		for id := range 3 {
+			want := fmt.Sprintf("%q", digest("hello").Token(id))
+			if !strings.Contains(got, want) {
+				t.Errorf("token %d is missing in %s", id, got)
+			}
+		}
+		for _, want := range []string{"id: 1\n", `"finish_reason":"stop"`, `"completion_tokens":3`, "id: 6\ndata: [DONE]"} {
+			if !strings.Contains(got, want) {
+				t.Errorf("%s is missing in %s", want, got)
+			}
+		}
+		if c := e.Counters(); c.ComputedTokens != 3 || c.DeliveredTokens != 3 || c.Completed != 1 || c.Held != 0 {
+			t.Errorf("counters %+v", c)
+		}
+	})
+}
+
+func TestLargerBatchesAreSlower(t *testing.T) {
+	elapsed := func(requests int) (took time.Duration) {
+		synctest.Test(t, func(t *testing.T) {
+			e := New(Options{})
+			defer e.Close()
+			start := time.Now()
+			for i := range requests {
+				go complete(e, fmt.Sprint(i), prompt("x", `,"metadata":{"answer_tokens":"50"}`))
+			}
+			synctest.Wait()
+			for e.Counters().Completed < int64(requests) {
+				time.Sleep(time.Millisecond)
+			}
+			took = time.Since(start)
+		})
+		return took
+	}
+	if one, eight := elapsed(1), elapsed(8); eight <= one || eight > 2*one {
+		t.Errorf("one alone took %v, eight together %v", one, eight)
+	}
+}
--- /dev/null
+++ b/standin/engine/handlers.go
@@ -0,0 +1,231 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"bergamotpin.example/bergamotpin/engineapi"
+	"bergamotpin.example/bergamotpin/standin/reply"
+)
+
+// maxControlBytes bounds the body of a call that is no completion.
+const maxControlBytes = 64 << 10
+
+// errorBody is the OpenAI protocol's form of an error.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+}
+
+// RunCount tells how often an attempt entered the batch.
+type RunCount struct {
+	Attempt string `json:"attempt"`
+	Runs    int    `json:"runs"`
+}
+
+// refuse answers for a request that did not begin.
+func refuse(w http.ResponseWriter, status int, message string) {
+	w.Header().Set(engineapi.HeaderNotStarted, "true")
+	fail(w, status, message)
+}
+
+// fail answers with an error that does not say whether anything began.
+func fail(w http.ResponseWriter, status int, message string) {
+	reply.JSON(w, status, errorBody{Error: errorDetail{Message: message, Type: http.StatusText(status)}})
+}
+
+// unfrozen holds a call while the engine is frozen.
+func (e *Server) unfrozen(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		for {
+			faults, switched := e.faultsAndSwitch()
+			if !faults.Frozen {
+				next(w, r)
+				return
+			}
+			select {
+			case <-switched:
+			case <-r.Context().Done():
+				return
+			case <-e.ctx.Done():
+				return
+			}
+		}
+	}
+}
+
+func (e *Server) handleCompletion(w http.ResponseWriter, r *http.Request) {
+	body, err := reply.Body(r, maxBodyBytes)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	j, err := parseJob(r.Header, body)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	s, ok := e.accept(w, j)
+	if !ok {
+		return
+	}
+	c := &connection{engine: e, stream: s, w: w, r: r}
+	if j.stream {
+		c.serve()
+		return
+	}
+	c.answerWhole()
+}
+
+// accept queues the job, or answers why not.
+func (e *Server) accept(w http.ResponseWriter, j *job) (*stream, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.streams[j.attempt] != nil || e.runs[j.attempt] > 0 {
+		e.counters.Repeated++
+		fail(w, http.StatusConflict, "the attempt id is known")
+		return nil, false
+	}
+	status, message := e.admissible(j)
+	if status != http.StatusOK {
+		e.counters.Refused++
+		w.Header().Set("Retry-After", "1")
+		refuse(w, status, message)
+		return nil, false
+	}
+	return e.enqueue(j), true
+}
+
+// admissible returns the status and message of a refusal, or status OK. The
+// caller holds the lock.
+func (e *Server) admissible(j *job) (int, string) {
+	switch {
+	case e.ctx.Err() != nil:
+		return http.StatusServiceUnavailable, "closed"
+	case e.draining:
+		return http.StatusServiceUnavailable, "draining"
+	case len(e.orders.state.Models) > 0 && !slices.Contains(e.orders.state.Models, j.model):
+		return http.StatusNotFound, "the model is not loaded"
+	case len(e.waiting) >= e.opts.MaxWaiting:
+		return http.StatusServiceUnavailable, "the queue is full"
+	}
+	return http.StatusOK, ""
+}
+
+func (e *Server) handleResume(w http.ResponseWriter, r *http.Request) {
+	after, ok := lastEventID(r)
+	if !ok {
+		fail(w, http.StatusBadRequest, "Last-Event-ID: a number from 0 is needed")
+		return
+	}
+	e.mu.Lock()
+	s := e.streams[r.PathValue("attempt")]
+	if s != nil {
+		e.counters.Resumed++
+	}
+	e.mu.Unlock()
+	if s == nil {
+		fail(w, http.StatusNotFound, "no such stream")
+		return
+	}
+	c := &connection{engine: e, stream: s, w: w, r: r, sent: after}
+	c.serve()
+}
+
+// handleCancel cancels a stream. HeaderNotStarted says if it had not begun.
+func (e *Server) handleCancel(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.streams[r.PathValue("attempt")]
+	if s == nil {
+		fail(w, http.StatusNotFound, "no such stream")
+		return
+	}
+	e.drop(s)
+	if !s.started {
+		w.Header().Set(engineapi.HeaderNotStarted, "true")
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Server) handleLoad(w http.ResponseWriter, _ *http.Request) {
+	if e.Faults().NoReports {
+		fail(w, http.StatusServiceUnavailable, "no reports")
+		return
+	}
+	reply.JSON(w, http.StatusOK, e.report())
+}
+
+// report returns the load as it was ReportLag ago.
+func (e *Server) report() engineapi.LoadReport {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	at := time.Now().Add(-e.opts.ReportLag)
+	report, _, ok := e.load.At(at)
+	if ok {
+		report.SampledAt = at
+	}
+	return report
+}
+
+// handleCache answers with the events that are visible now and ends.
+func (e *Server) handleCache(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		from = 0
+	}
+	e.mu.Lock()
+	events := e.cache.since(time.Now(), from)
+	e.mu.Unlock()
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	out := json.NewEncoder(w)
+	for _, event := range events {
+		if out.Encode(event) != nil {
+			return
+		}
+	}
+}
+
+func (e *Server) handleDrain(w http.ResponseWriter, _ *http.Request) {
+	e.setDraining(true)
+	reply.JSON(w, http.StatusOK, e.Counters())
+}
+
+func (e *Server) handleUndrain(w http.ResponseWriter, _ *http.Request) {
+	e.setDraining(false)
+	reply.JSON(w, http.StatusOK, e.Counters())
+}
+
+func (e *Server) handleHealth(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusOK)
+}
+
+func (e *Server) handleFaults(w http.ResponseWriter, _ *http.Request) {
+	reply.JSON(w, http.StatusOK, e.Faults())
+}
+
+func (e *Server) handleSetFaults(w http.ResponseWriter, r *http.Request) {
+	var f engineapi.EngineFaults
+	if err := reply.Decode(r, maxControlBytes, &f); err != nil {
+		fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	e.SetFaults(f)
+	reply.JSON(w, http.StatusOK, f)
+}
+
+func (e *Server) handleCounters(w http.ResponseWriter, _ *http.Request) {
+	reply.JSON(w, http.StatusOK, e.Counters())
+}
+
+func (e *Server) handleRuns(w http.ResponseWriter, r *http.Request) {
+	attempt := r.PathValue("attempt")
+	reply.JSON(w, http.StatusOK, RunCount{Attempt: attempt, Runs: e.Runs(attempt)})
+}
--- /dev/null
+++ b/standin/platform/objects.go
@@ -0,0 +1,134 @@
+package platform
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/go-faster/errors"
+
+	"bergamotpin.example/bergamotpin/api"
+	"bergamotpin.example/bergamotpin/standin/reply"
+)
+
+// currentRevision returns the version of the last write.
+func (s *store) currentRevision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
+func keyOf(r *http.Request) objectKey {
+	return objectKey{api.Kind(r.PathValue("kind")), r.PathValue("name")}
+}
+
+func (s *Server) handleList(w http.ResponseWriter, r *http.Request) {
+	kind := api.Kind(r.PathValue("kind"))
+	reply.JSON(w, http.StatusOK, s.store.list(kind, s.Faults().StaleReads.Std()))
+}
+
+func (s *Server) handleGet(w http.ResponseWriter, r *http.Request) {
+	obj, err := s.store.get(keyOf(r), s.Faults().StaleReads.Std())
+	if err != nil {
+		failStore(w, obj, err)
+		return
+	}
+	reply.JSON(w, http.StatusOK, obj)
+}
+
+func (s *Server) handleCreate(w http.ResponseWriter, r *http.Request) {
+	obj, ok := readObject(w, r)
+	if !ok {
+		return
+	}
+	stored, err := s.store.create(obj)
+	if err != nil {
+		failStore(w, stored, err)
+		return
+	}
+	s.confirm(w, http.StatusCreated, stored)
+}
+
+func (s *Server) handleUpdate(w http.ResponseWriter, r *http.Request) {
+	version, ok := readVersion(w, r)
+	if !ok {
+		return
+	}
+	obj, ok := readObject(w, r)
+	if !ok {
+		return
+	}
+	stored, err := s.store.update(obj, version)
+	if err != nil {
+		failStore(w, stored, err)
+		return
+	}
+	s.confirm(w, http.StatusOK, stored)
+}
+
+func (s *Server) handleDelete(w http.ResponseWriter, r *http.Request) {
+	version, ok := readVersion(w, r)
+	if !ok {
+		return
+	}
+	gone, err := s.store.remove(keyOf(r), version)
+	if err != nil {
+		failStore(w, gone, err)
+		return
+	}
+	s.confirm(w, http.StatusOK, gone)
+}
+
+// readVersion reads the expected version. If it is missing it answers and
+// reports false.
+func readVersion(w http.ResponseWriter, r *http.Request) (int64, bool) {
+	version, err := strconv.ParseInt(r.URL.Query().Get("version"), 10, 64)
+	if err != nil {
+		fail(w, http.StatusBadRequest, api.CodeInvalid, "version: a number is needed")
+		return 0, false
+	}
+	return version, true
+}
+
+// readObject reads the object in the body. The path gives its kind and name.
+// If the body is invalid it answers and reports false.
+func readObject(w http.ResponseWriter, r *http.Request) (api.Object, bool) {
+	body, err := reply.Body(r, api.MaxObjectBytes)
+	if errors.Is(err, reply.ErrTooLarge) {
+		fail(w, http.StatusRequestEntityTooLarge, api.CodeInvalid, "object over its bound")
+		return api.Object{}, false
+	}
+	if err != nil {
+		return api.Object{}, false
+	}
+	var obj api.Object
+	if err := json.Unmarshal(body, &obj); err != nil {
+		fail(w, http.StatusBadRequest, api.CodeInvalid, err.Error())
+		return api.Object{}, false
+	}
+	key := keyOf(r)
+	if obj.Kind == "" {
+		obj.Kind = key.kind
+	}
+	if obj.Name == "" {
+		obj.Name = key.name
+	}
+	if obj.Kind != key.kind || obj.Name != key.name {
+		fail(w, http.StatusBadRequest, api.CodeInvalid, "kind or name differs from the path")
+		return api.Object{}, false
+	}
+	return obj, true
+}
+
+// failStore answers for an error of the store. A conflict carries the current
+// object.
+func failStore(w http.ResponseWriter, current api.Object, err error) {
+	switch {
+	case errors.Is(err, errConflict):
+		reply.JSON(w, http.StatusConflict, api.Error{Code: api.CodeConflict, Message: err.Error(), Current: &current})
+	case errors.Is(err, errCompacted):
+		fail(w, http.StatusGone, api.CodeCompacted, err.Error())
+	default:
+		fail(w, http.StatusNotFound, api.CodeNotFound, err.Error())
+	}
+}
