--- /dev/null
+++ b/operators/errors.go
@@ -0,0 +1,50 @@
+package operators
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/go-faster/errors"
+
+	"bergamotpin.example/bergamotpin/api"
+	"bergamotpin.example/bergamotpin/objects"
+)
+
+// writeFailure maps the platform's errors to answers.
+func writeFailure(w http.ResponseWriter, err error) {
+	var conflict *objects.ConflictError
+	var limited *objects.RateLimitedError
+	switch {
+	case errors.As(err, &conflict):
+		writeError(w, http.StatusConflict, api.Error{Code: api.CodeConflict, Message: "the resource was changed meanwhile", Current: conflict.Current})
+	case errors.Is(err, objects.ErrNotFound):
+		writeError(w, http.StatusNotFound, api.Error{Code: api.CodeNotFound, Message: "no such resource"})
+	case errors.Is(err, objects.ErrCompacted):
+		writeError(w, http.StatusGone, api.Error{Code: api.CodeCompacted, Message: "the version is too old to watch from"})
+	case errors.As(err, &limited):
+		w.Header().Set("Retry-After", "1")
+		writeError(w, http.StatusTooManyRequests, api.Error{Code: api.CodeRateLimited, Message: "the platform takes no more calls now"})
+	case errors.Is(err, objects.ErrUncertain):
+		writeError(w, http.StatusBadGateway, api.Error{Code: "uncertain", Message: "the platform did not answer: the write may have taken effect, read it before writing again"})
+	default:
+		w.Header().Set("Retry-After", "5")
+		writeError(w, http.StatusServiceUnavailable, api.Error{Code: api.CodeUnavailable, Message: err.Error()})
+	}
+}
+
+func writeError(w http.ResponseWriter, status int, e api.Error) { writeJSON(w, status, e) }
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A failed write means that the operator left.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func writeText(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	// A failed write means that the operator left.
+	_, _ = io.WriteString(w, text)
+}
--- /dev/null
+++ b/operators/operators.go
@@ -0,0 +1,197 @@
+package operators
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"bergamotpin.example/bergamotpin/api"
+	"bergamotpin.example/bergamotpin/routing"
+)
+
+// Objects is what the operators' API needs of the platform.
+type Objects interface {
+	Get(ctx context.Context, kind api.Kind, name string) (api.Object, error)
+	List(ctx context.Context, kind api.Kind) (api.List, error)
+	Create(ctx context.Context, obj api.Object) (api.Object, error)
+	Update(ctx context.Context, obj api.Object) (api.Object, error)
+	Delete(ctx context.Context, kind api.Kind, name string, version int64) error
+	Watch(ctx context.Context, kinds []api.Kind, from int64, handle func(api.WatchEvent) error) error
+}
+
+// Options sets up the operators' API. All fields but TokenHash are required.
+type Options struct {
+	Objects Objects
+	Metrics http.Handler
+	Ready   func() bool
+	// TokenHash is the SHA-256 sum of the token in hexadecimal, or "" for none.
+	TokenHash string
+}
+
+type server struct{ Options }
+
+// Handler returns the operators' API.
+func Handler(opts Options) http.Handler {
+	s := server{opts}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", s.health)
+	mux.HandleFunc("GET /readyz", s.ready)
+	mux.Handle("GET /metrics", opts.Metrics)
+	mux.HandleFunc("GET /api/watch", s.guard(s.watch))
+	mux.HandleFunc("GET /api/{kind}", s.guard(s.list))
+	mux.HandleFunc("GET /api/{kind}/{name}", s.guard(s.get))
+	mux.HandleFunc("PUT /api/{kind}/{name}", s.guard(s.put))
+	mux.HandleFunc("DELETE /api/{kind}/{name}", s.guard(s.remove))
+	return mux
+}
+
+func (s server) health(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "ok\n") }
+
+func (s server) ready(w http.ResponseWriter, _ *http.Request) {
+	if !s.Ready() {
+		writeText(w, http.StatusServiceUnavailable, "not ready\n")
+		return
+	}
+	writeText(w, http.StatusOK, "ready\n")
+}
+
+// guard lets a request through that carries the operators' token.
+func (s server) guard(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if s.TokenHash != "" && subtle.ConstantTimeCompare([]byte(routing.HashKey(token)), []byte(s.TokenHash)) != 1 {
+			writeError(w, http.StatusUnauthorized, api.Error{Code: "unauthorised", Message: "the operators' token is missing or wrong"})
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (s server) list(w http.ResponseWriter, r *http.Request) {
+	kind, ok := pathKind(w, r)
+	if !ok {
+		return
+	}
+	list, err := s.Objects.List(r.Context(), kind)
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+func (s server) get(w http.ResponseWriter, r *http.Request) {
+	kind, ok := pathKind(w, r)
+	if !ok {
+		return
+	}
+	obj, err := s.Objects.Get(r.Context(), kind, r.PathValue("name"))
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, obj)
+}
+
+// put checks a resource and writes it.
+func (s server) put(w http.ResponseWriter, r *http.Request) {
+	obj, ok := readObject(w, r)
+	if !ok {
+		return
+	}
+	if err := api.Validate(obj); err != nil {
+		writeError(w, http.StatusUnprocessableEntity, api.Error{Code: api.CodeInvalid, Message: err.Error()})
+		return
+	}
+	if r.URL.Query().Get("dryRun") == "true" {
+		writeJSON(w, http.StatusOK, obj)
+		return
+	}
+	written, err := s.write(r.Context(), obj)
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, written)
+}
+
+func (s server) remove(w http.ResponseWriter, r *http.Request) {
+	kind, ok := pathKind(w, r)
+	if !ok {
+		return
+	}
+	version, ok := queryVersion(w, r, "version")
+	if !ok {
+		return
+	}
+	if err := s.delete(r.Context(), kind, r.PathValue("name"), version); err != nil {
+		writeFailure(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// watch passes the platform's events on, one a line.
+func (s server) watch(w http.ResponseWriter, r *http.Request) {
+	from, ok := queryVersion(w, r, "from")
+	if !ok {
+		return
+	}
+	control := http.NewResponseController(w)
+	out := json.NewEncoder(w)
+	begun := false
+	err := s.Objects.Watch(r.Context(), api.ConfigKinds, from, func(e api.WatchEvent) error {
+		begun = true
+		if err := out.Encode(e); err != nil {
+			return err
+		}
+		return control.Flush()
+	})
+	if !begun && err != nil && r.Context().Err() == nil {
+		writeFailure(w, err)
+	}
+}
+
+func readObject(w http.ResponseWriter, r *http.Request) (api.Object, bool) {
+	kind, ok := pathKind(w, r)
+	if !ok {
+		return api.Object{}, false
+	}
+	version, ok := queryVersion(w, r, "version")
+	if !ok {
+		return api.Object{}, false
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, api.MaxObjectBytes))
+	if err != nil {
+		writeError(w, http.StatusRequestEntityTooLarge, api.Error{Code: api.CodeInvalid, Message: "the spec can't be read: " + err.Error()})
+		return api.Object{}, false
+	}
+	return api.Object{Kind: kind, Name: r.PathValue("name"), Version: version, Spec: body}, true
+}
+
+func pathKind(w http.ResponseWriter, r *http.Request) (api.Kind, bool) {
+	kind := api.Kind(r.PathValue("kind"))
+	if slices.Contains(api.ConfigKinds, kind) {
+		return kind, true
+	}
+	writeError(w, http.StatusNotFound, api.Error{Code: api.CodeNotFound, Message: "no such kind: " + string(kind)})
+	return "", false
+}
+
+func queryVersion(w http.ResponseWriter, r *http.Request, name string) (int64, bool) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return 0, true
+	}
+	version, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || version < 0 {
+		writeError(w, http.StatusBadRequest, api.Error{Code: api.CodeInvalid, Message: name + " is not a version"})
+		return 0, false
+	}
+	return version, true
+}
