--- /dev/null
+++ b/config/watcher.go
@@ -0,0 +1,121 @@
+package config
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotpin.example/bergamotpin/api"
+	"bergamotpin.example/bergamotpin/objects"
+)
+
+const (
+	watchBackoffMin = 100 * time.Millisecond
+	watchBackoffMax = 10 * time.Second
+	// chosenPoll is how often a watcher asks whether it is still chosen.
+	chosenPoll = time.Second
+)
+
+// Platform is what a Watcher needs of the object API.
+type Platform interface {
+	List(ctx context.Context, kind api.Kind) (api.List, error)
+	Watch(ctx context.Context, kinds []api.Kind, from int64, handle func(api.WatchEvent) error) error
+}
+
+// Watcher feeds a store from the platform while it is chosen. It lists only if
+// the store is not complete up to any version or the platform no longer keeps
+// that version; else it watches from there.
+type Watcher struct {
+	Store    *Store
+	Platform Platform
+	// Chosen reports whether this instance watches.
+	Chosen func() bool
+	// Changed is called for each resource that a list or an event changed.
+	Changed func(Key)
+	Rand    *rand.Rand
+
+	relist bool
+}
+
+// Run watches until ctx ends. It backs off with jitter after each failure.
+func (w *Watcher) Run(ctx context.Context) {
+	backoff := watchBackoffMin
+	for ctx.Err() == nil {
+		if !w.Chosen() {
+			sleep(ctx, chosenPoll)
+			continue
+		}
+		before := w.Store.Complete()
+		w.runOnce(ctx)
+		if w.Store.Complete() > before {
+			backoff = watchBackoffMin
+		}
+		sleep(ctx, jitter(w.Rand, backoff))
+		backoff = min(2*backoff, watchBackoffMax)
+	}
+}
+
+// runOnce lists if it has to, and watches until the watch ends.
+func (w *Watcher) runOnce(ctx context.Context) {
+	if w.relist || w.Store.Complete() == 0 {
+		if err := w.List(ctx); err != nil {
+			return
+		}
+		w.relist = false
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go w.cancelUnlessChosen(ctx, cancel)
+	err := w.Platform.Watch(ctx, api.ConfigKinds, w.Store.Complete(), w.handle)
+	w.relist = errors.Is(err, objects.ErrCompacted)
+}
+
+func (w *Watcher) cancelUnlessChosen(ctx context.Context, cancel context.CancelFunc) {
+	for ctx.Err() == nil {
+		if !w.Chosen() {
+			cancel()
+			return
+		}
+		sleep(ctx, chosenPoll)
+	}
+}
+
+func (w *Watcher) handle(event api.WatchEvent) error {
+	if w.Store.Apply(event) != Unchanged {
+		w.Changed(Key{event.Object.Kind, event.Object.Name})
+	}
+	return nil
+}
+
+// List takes one list of each kind of configuration into the store, or none.
+func (w *Watcher) List(ctx context.Context) error {
+	lists := make(map[api.Kind]api.List, len(api.ConfigKinds))
+	for _, kind := range api.ConfigKinds {
+		list, err := w.Platform.List(ctx, kind)
+		if err != nil {
+			return err
+		}
+		lists[kind] = list
+	}
+	for _, key := range w.Store.ApplyLists(lists) {
+		w.Changed(key)
+	}
+	return nil
+}
+
+// jitter returns a duration from half of d to d.
+func jitter(r *rand.Rand, d time.Duration) time.Duration {
+	return d/2 + time.Duration(r.Int64N(int64(d/2)+1))
+}
+
+// sleep returns after d or at the end of ctx, whichever is first.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
