--- a/cmd/bergamotpin/main.go
+++ b/cmd/bergamotpin/main.go
@@ -2,16 +2,85 @@
 package main
 
 import (
+	"context"
+	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/go-faster/errors"
 )
 
 // version is the program's version as `bergamotpin version` prints it.
 const version = "0.1.0"
 
+// Exit codes.
+const (
+	exitFailed  = 1 // the command ran and failed
+	exitUsage   = 2 // the command line, settings or a resource file is at fault
+	exitRefused = 3 // a write met a conflict
+)
+
+// exitError carries the exit code of a failed command.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+
+func (e *exitError) Unwrap() error { return e.err }
+
+// command is one subcommand: its name, and what it does.
+type command struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
 func main() {
 	app := kingpin.New("bergamotpin", "Routes language-model traffic with service levels and priorities.")
-	app.Version(version)
-	kingpin.MustParse(app.Parse(os.Args[1:]))
+	app.UsageWriter(os.Stdout)
+	app.HelpFlag.Short('h')
+	commands := []command{
+		serveCommand(app),
+		checkCommand(app),
+		standinPlatformCommand(app),
+		standinEngineCommand(app),
+		standinServiceCommand(app),
+		versionCommand(app),
+	}
+	chosen, err := app.Parse(os.Args[1:])
+	if err != nil {
+		fail(&exitError{exitUsage, err})
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	for _, c := range commands {
+		if c.name != chosen {
+			continue
+		}
+		if err := c.run(ctx); err != nil {
+			stop()
+			fail(err)
+		}
+	}
+}
+
+// fail prints the error as one line and ends the process.
+func fail(err error) {
+	fmt.Fprintln(os.Stderr, err)
+	var exit *exitError
+	if errors.As(err, &exit) {
+		os.Exit(exit.code)
+	}
+	os.Exit(exitFailed)
+}
+
+func versionCommand(app *kingpin.Application) command {
+	cmd := app.Command("version", "Print the version.")
+	return command{cmd.FullCommand(), func(context.Context) error {
+		fmt.Println("bergamotpin", version)
+		return nil
+	}}
 }
--- /dev/null
+++ b/cmd/bergamotpin/serve.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"bergamotpin.example/bergamotpin/instance"
+	"bergamotpin.example/bergamotpin/settings"
+)
+
+func serveCommand(app *kingpin.Application) command {
+	cmd := app.Command("serve", "Run an entry instance until it is told to stop.")
+	path := cmd.Flag("config", "Settings file.").Short('c').Required().String()
+	return command{cmd.FullCommand(), func(ctx context.Context) error {
+		s, err := loadSettings(*path)
+		if err != nil {
+			return err
+		}
+		i, err := instance.Start(instance.Options{Settings: s, Log: newLog(s.Log)})
+		if err != nil {
+			return err
+		}
+		return i.Run(ctx)
+	}}
+}
+
+func checkCommand(app *kingpin.Application) command {
+	cmd := app.Command("check", "Check a settings file and, with -f, resource files. Nothing is started or written.")
+	path := cmd.Flag("config", "Settings file.").Short('c').Required().String()
+	return command{cmd.FullCommand(), func(context.Context) error {
+		if _, err := loadSettings(*path); err != nil {
+			return err
+		}
+		fmt.Println("ok")
+		return nil
+	}}
+}
+
+func loadSettings(path string) (settings.Settings, error) {
+	s, err := settings.Load(path)
+	if err != nil {
+		return s, &exitError{exitUsage, err}
+	}
+	return s, nil
+}
+
+// newLog returns the log that the settings ask for. They have passed.
+func newLog(s settings.Log) *slog.Logger {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(s.Level)); err != nil {
+		panic("checked log level does not parse: " + err.Error())
+	}
+	opts := &slog.HandlerOptions{Level: level}
+	if s.Format == "json" {
+		return slog.New(slog.NewJSONHandler(os.Stderr, opts))
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, opts))
+}
--- /dev/null
+++ b/cmd/bergamotpin/standin.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/go-faster/errors"
+
+	"bergamotpin.example/bergamotpin/settings"
+	"bergamotpin.example/bergamotpin/standin/engine"
+	"bergamotpin.example/bergamotpin/standin/platform"
+	"bergamotpin.example/bergamotpin/standin/service"
+)
+
+// standinGroup returns the parent of the stand-in commands.
+func standinGroup(app *kingpin.Application) *kingpin.CmdClause {
+	if cmd := app.GetCommand("standin"); cmd != nil {
+		return cmd
+	}
+	return app.Command("standin", "Run a stand-in of an outside system on loopback, for trials and tests.")
+}
+
+func standinPlatformCommand(app *kingpin.Application) command {
+	cmd := standinGroup(app).Command("platform", "The platform's object API.")
+	listen := listenFlag(cmd, "127.0.0.1:9000")
+	seed := cmd.Flag("seed", "Seed of the faults.").Default("1").Uint64()
+	return command{cmd.FullCommand(), func(ctx context.Context) error {
+		server := platform.New(platform.Options{Seed: *seed})
+		defer server.Close()
+		return serveHandler(ctx, *listen, server)
+	}}
+}
+
+func standinEngineCommand(app *kingpin.Application) command {
+	cmd := standinGroup(app).Command("engine", "A model engine.")
+	listen := listenFlag(cmd, "127.0.0.1:9100")
+	models := cmd.Flag("model", "Model version to serve. Repeat for several; none serves any.").Strings()
+	tokenTime := cmd.Flag("token-time", "Time of a step with one request.").Default("10ms").Duration()
+	fencing := cmd.Flag("checks-fencing", "Refuse orders with an old fencing number.").Bool()
+	seed := cmd.Flag("seed", "Seed of the faults.").Default("1").Uint64()
+	return command{cmd.FullCommand(), func(ctx context.Context) error {
+		server := engine.New(engine.Options{
+			Models: *models, TokenTime: *tokenTime, ChecksFencing: *fencing, Seed: *seed,
+		})
+		defer server.Close()
+		return serveHandler(ctx, *listen, server)
+	}}
+}
+
+func standinServiceCommand(app *kingpin.Application) command {
+	cmd := standinGroup(app).Command("service", "A plain service whose calls may not be repeated.")
+	listen := listenFlag(cmd, "127.0.0.1:9200")
+	name := cmd.Flag("name", "Name in the answers.").Default("service").String()
+	seed := cmd.Flag("seed", "Seed of the faults.").Default("1").Uint64()
+	return command{cmd.FullCommand(), func(ctx context.Context) error {
+		server := service.New(service.Options{Name: *name, Seed: *seed})
+		defer server.Close()
+		return serveHandler(ctx, *listen, server)
+	}}
+}
+
+func listenFlag(cmd *kingpin.CmdClause, address string) *string {
+	return cmd.Flag("listen", "Loopback IP number and port.").Default(address).String()
+}
+
+// shutdownTimeout bounds how long a stand-in finishes open requests.
+const shutdownTimeout = 2 * time.Second
+
+// serveHandler serves on a loopback address until ctx ends.
+func serveHandler(ctx context.Context, address string, h http.Handler) error {
+	bound, err := settings.ParseAddress(address)
+	if err != nil {
+		return &exitError{exitUsage, errors.Wrap(err, "--listen")}
+	}
+	if !bound.Addr().IsLoopback() {
+		return &exitError{exitUsage, errors.New("--listen: stand-ins serve on loopback only")}
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	fmt.Println("serving on", listener.Addr())
+	server := &http.Server{Handler: h}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	stop, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if server.Shutdown(stop) != nil {
+		return server.Close()
+	}
+	return nil
+}
--- a/engine/client.go
+++ b/engine/client.go
@@ -9,8 +9,6 @@
 	"strconv"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"bergamotpin.example/bergamotpin/engineapi"
 	"bergamotpin.example/bergamotpin/outcome"
 )
@@ -157,5 +155,5 @@
 	if err != nil {
 		return err
 	}
-	return errors.Wrap(resp.Body.Close(), "cancel")
+	return resp.Body.Close()
 }
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -86,7 +86,7 @@
 }
 
 // Close ends the connection's use of the stream.
-func (s *Stream) Close() error { return errors.Wrap(s.resp.Body.Close(), "close stream") }
+func (s *Stream) Close() error { return s.resp.Body.Close() }
 
 // Last returns the number of the last frame that Frames yielded.
 func (s *Stream) Last() uint64 { return s.last }
--- /dev/null
+++ b/instance/instance.go
@@ -0,0 +1,252 @@
+package instance
+
+import (
+	"context"
+	"hash/fnv"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotpin.example/bergamotpin/config"
+	"bergamotpin.example/bergamotpin/engine"
+	"bergamotpin.example/bergamotpin/metrics"
+	"bergamotpin.example/bergamotpin/objects"
+	"bergamotpin.example/bergamotpin/observe"
+	"bergamotpin.example/bergamotpin/operators"
+	"bergamotpin.example/bergamotpin/peer"
+	"bergamotpin.example/bergamotpin/proxy"
+	"bergamotpin.example/bergamotpin/routing"
+	"bergamotpin.example/bergamotpin/scheduler"
+	"bergamotpin.example/bergamotpin/settings"
+)
+
+const (
+	// headerSlack is added to the header limit for net/http's own bound, so
+	// that the proxy answers a header just above the limit itself.
+	headerSlack = 64 << 10
+	// headerTimeout bounds the time in which a header arrives.
+	headerTimeout = 10 * time.Second
+	// answerBytes bounds an answer that is taken whole.
+	answerBytes = 32 << 20
+)
+
+// Options sets up an instance.
+type Options struct {
+	Settings settings.Settings
+	Log      *slog.Logger
+	// Identity is used between instances in place of the files that the
+	// settings name. Nil reads the files.
+	Identity *peer.Identity
+}
+
+// Instance is one entry instance.
+type Instance struct {
+	opts    Options
+	log     *slog.Logger
+	metrics *metrics.Metrics
+	objects *objects.Client
+	store   *config.Store
+	agent   *config.Agent
+	local   *scheduler.Local
+	engine  *engine.Client
+	proxy   *proxy.Proxy
+	poller  *observe.Poller
+
+	transport closingTransport
+	callers   net.Listener
+	operators net.Listener
+
+	index   atomic.Pointer[routing.Index]
+	leaving atomic.Bool
+}
+
+// closingTransport is a transport that holds resources.
+type closingTransport interface {
+	peer.Transport
+	Close() error
+}
+
+// Start listens on the addresses of the settings. The instance serves once Run
+// is called.
+func Start(opts Options) (*Instance, error) {
+	if opts.Log == nil {
+		opts.Log = slog.New(slog.DiscardHandler)
+	}
+	i := &Instance{opts: opts, log: opts.Log}
+	if err := i.listen(); err != nil {
+		i.closeListeners()
+		return nil, err
+	}
+	i.assemble()
+	return i, nil
+}
+
+// Callers returns the address on which callers are served.
+func (i *Instance) Callers() netip.AddrPort { return boundAddress(i.callers) }
+
+// Operators returns the address on which operators are served.
+func (i *Instance) Operators() netip.AddrPort { return boundAddress(i.operators) }
+
+// Peers returns the address at which other instances reach this one.
+func (i *Instance) Peers() netip.AddrPort { return i.transport.Local() }
+
+func boundAddress(l net.Listener) netip.AddrPort {
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// assemble builds the parts. Nothing runs yet.
+func (i *Instance) assemble() {
+	s := i.opts.Settings
+	i.metrics = metrics.New(s.Instance.Name, s.Instance.DataCentre)
+	i.objects = objects.New(objects.Options{
+		Base:        "http://" + s.Platform.Address,
+		CallTimeout: s.Platform.CallTimeout.Std(),
+	})
+	i.store = config.NewStore()
+	i.index.Store(routing.NewIndex(i.store.Snapshot()))
+	i.agent = config.NewAgent(config.Options{
+		Store:      i.store,
+		Platform:   i.objects,
+		Transport:  i.transport,
+		DataCentre: s.Instance.DataCentre,
+		Peers:      i.configPeers,
+		Watches:    i.watchesPlatform,
+		Seed:       seedOf(s.Instance.Name),
+		Log:        i.log,
+	})
+	i.local = scheduler.NewLocal(scheduler.LocalOptions{DataCentre: s.Instance.DataCentre})
+	i.engine = engine.NewClient(nil)
+	i.poller = observe.NewPoller(observe.Options{Engine: i.engine, Targets: i.pollTargets, Sink: i.local})
+	i.proxy = proxy.New(proxy.Options{
+		Index:     i.index.Load,
+		Scheduler: i.local,
+		Engine:    i.engine,
+		Metrics:   i.metrics,
+		Limits: proxy.Limits{
+			BodyBytes:    s.Limits.BodyBytes,
+			AnswerBytes:  answerBytes,
+			HeaderBytes:  s.Limits.HeaderBytes,
+			BodyTimeout:  s.Limits.BodyTimeout.Std(),
+			StallTimeout: s.Limits.StallTimeout.Std(),
+		},
+		Ready:   i.store.Ready,
+		Leaving: i.leaving.Load,
+	})
+}
+
+// ready tells the balancer whether to send requests here.
+func (i *Instance) ready() bool { return i.store.Ready() && !i.leaving.Load() }
+
+func seedOf(name string) uint64 {
+	h := fnv.New64a()
+	// A hash's Write never fails.
+	_, _ = h.Write([]byte(name))
+	return h.Sum64()
+}
+
+// Run serves until ctx ends and then leaves gracefully. It returns an error if
+// a listener failed.
+func (i *Instance) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	tasks.Go(func() { i.agent.Run(background) })
+	tasks.Go(func() { i.followConfig(background) })
+	tasks.Go(func() { i.poller.Run(background) })
+
+	callers := i.callersServer()
+	operatorsServer := &http.Server{Handler: i.operatorsHandler(), ReadHeaderTimeout: headerTimeout}
+	failed := make(chan error, 2)
+	tasks.Go(func() { failed <- callers.Serve(i.callers) })
+	tasks.Go(func() { failed <- operatorsServer.Serve(i.operators) })
+	i.log.Info("serving", "callers", i.Callers(), "operators", i.Operators())
+
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	i.leave(callers)
+	_ = operatorsServer.Close()
+	stop()
+	tasks.Wait()
+	i.close()
+	if err != nil {
+		return errors.Wrap(err, "serve")
+	}
+	return nil
+}
+
+// leave refuses new requests and waits for the open ones.
+func (i *Instance) leave(callers *http.Server) {
+	i.leaving.Store(true)
+	i.log.Info("leaving")
+	ctx, cancel := context.WithTimeout(context.Background(), i.opts.Settings.Limits.DrainTimeout.Std())
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		i.log.Warn("open requests were cut at the drain timeout", "error", err)
+		_ = callers.Close()
+	}
+	i.proxy.Wait()
+}
+
+func (i *Instance) close() {
+	i.local.Close()
+	i.engine.Close()
+	_ = i.transport.Close()
+	_ = i.metrics.Close()
+	i.log.Info("left")
+}
+
+func (i *Instance) callersServer() *http.Server {
+	return &http.Server{
+		Handler:           i.proxy.Handler(),
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    i.opts.Settings.Limits.HeaderBytes + headerSlack,
+	}
+}
+
+func (i *Instance) operatorsHandler() http.Handler {
+	return operators.Handler(operators.Options{
+		Objects:   i.objects,
+		Metrics:   i.metrics.Handler(),
+		Ready:     i.ready,
+		TokenHash: i.opts.Settings.Operators.TokenHash,
+	})
+}
+
+// followConfig hands each new snapshot to the parts that use it.
+func (i *Instance) followConfig(ctx context.Context) {
+	for {
+		changed := i.store.Changed()
+		s := i.store.Snapshot()
+		i.local.Configure(s)
+		i.index.Store(routing.NewIndex(s))
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// pollTargets lists the backend servers of the own data centre.
+func (i *Instance) pollTargets() []observe.Target {
+	var targets []observe.Target
+	for _, b := range i.store.Snapshot().BackendServers {
+		if b.Spec.Service || b.Spec.DataCentre != i.opts.Settings.Instance.DataCentre {
+			continue
+		}
+		targets = append(targets, observe.Target{Server: b.Name, Address: b.Spec.Address, Models: b.Spec.Models})
+	}
+	return targets
+}
+
+func (i *Instance) configPeers() []config.Peer { return nil }
+
+func (i *Instance) watchesPlatform() bool { return true }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -11,7 +11,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
@@ -68,7 +67,7 @@
 func (m *Metrics) Handler() http.Handler { return m.reporter.HTTPHandler() }
 
 // Close stops the reports.
-func (m *Metrics) Close() error { return errors.Wrap(m.closer.Close(), "close metrics") }
+func (m *Metrics) Close() error { return m.closer.Close() }
 
 // Scope returns the scope for further counters.
 func (m *Metrics) Scope() tally.Scope { return m.scope }
--- a/observe/poller.go
+++ b/observe/poller.go
@@ -154,7 +154,7 @@
 	p.mu.Lock()
 	p.next[t.Server] = from
 	p.mu.Unlock()
-	return hints, errors.Wrap(lines.Err(), "cache events")
+	return hints, lines.Err()
 }
 
 func (p *Poller) get(ctx context.Context, t Target, path string) (*http.Response, error) {
