--- /dev/null
+++ b/load/preset.go
@@ -0,0 +1,167 @@
+package load
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"bergamotpin.example/bergamotpin/api"
+)
+
+// Fleet is the number of backend servers that a preset is made for.
+type Fleet struct {
+	DataCentres int
+	Engines     int
+	Services    int
+}
+
+// Fleets of today.
+var (
+	FleetCovorulDrept = Fleet{DataCentres: 4, Engines: 18, Services: 4}
+	FleetAgendaAndina = Fleet{DataCentres: 4, Engines: 9, Services: 4}
+)
+
+// Shares of ten organisations, a few of them large.
+var organisationShares = [...]float64{0.3, 0.2, 0.15, 0.05, 0.05, 0.05, 0.05, 0.05, 0.05, 0.05}
+
+// CovorulDrept is the rug appraisers' steady day with an auction that opens at
+// the time auction: provenance requests then come at five times their rate for
+// ten seconds. Negative means no auction.
+func CovorulDrept(auction time.Duration) Workload {
+	provenance := Class{
+		Name: "provenance",
+		Spec: api.ServiceClassSpec{
+			Tier: 1, Floor: 0.1,
+			FirstToken: seconds(1.5), BetweenTokens: seconds(0.1), WholeAnswer: seconds(30), MaxWait: seconds(10),
+		},
+		Route: "histories", RouteSpec: modelRoute("histories-v1"),
+		Rate: 6, Prompt: Lengths{Median: 300, Sigma: 0.6, Max: 4000}, Answer: Lengths{Median: 160, Sigma: 0.7, Max: 1500},
+		Prefixes: 12, PrefixTokens: 800, MaxTokens: 2000,
+		LeaveEarly: 0.02, LeaveAfter: 3 * time.Second, ComeBack: 0.7,
+	}
+	if auction >= 0 {
+		provenance.Bursts = []Burst{{At: auction, For: 10 * time.Second, Times: 5}}
+	}
+	lookup := Class{
+		Name: "lookup",
+		Spec: api.ServiceClassSpec{
+			Tier: 0, Floor: 0.05, Default: true,
+			FirstToken: seconds(0.5), BetweenTokens: seconds(0.1), WholeAnswer: seconds(10), MaxWait: seconds(3),
+		},
+		Route: "histories", RouteSpec: modelRoute("histories-v1"),
+		Rate: 10, Prompt: Lengths{Median: 60, Sigma: 0.5, Max: 500}, Answer: Lengths{Median: 40, Sigma: 0.5, Max: 200},
+		Prefixes: 4, PrefixTokens: 300, MaxTokens: 300, Unary: 0.2,
+		LeaveEarly: 0.01, LeaveAfter: time.Second, ComeBack: 0.5,
+	}
+	review := Class{
+		Name:  "review",
+		Spec:  api.ServiceClassSpec{Tier: 2, Floor: 0.1, FirstToken: seconds(30), MaxWait: seconds(60)},
+		Route: "histories", RouteSpec: modelRoute("histories-v1"),
+		Rate: 1, Prompt: Lengths{Median: 3000, Sigma: 0.6, Max: 16_000}, Answer: Lengths{Median: 500, Sigma: 1, Max: 6000},
+		Prefixes: 6, PrefixTokens: 2000,
+		LeaveEarly: 0.02, LeaveAfter: 10 * time.Second, ComeBack: 0.9,
+	}
+	certificate := Class{
+		Name:  "certificate",
+		Spec:  api.ServiceClassSpec{Tier: 0, WholeAnswer: seconds(2), MaxWait: seconds(2)},
+		Route: "certificates", RouteSpec: serviceRoute("certificates-v1"),
+		Rate: 2, Prompt: Lengths{Median: 100, Sigma: 0.3, Max: 500}, ComeBack: 0.9, Repeat: 0.1,
+	}
+	return Workload{
+		Name:          "covorul-drept",
+		Classes:       []Class{lookup, provenance, review, certificate},
+		Organisations: organisations("appraiser"),
+	}
+}
+
+// AgendaAndina is the diary printers' mix of the three peaks: summaries at
+// night, orders at dawn, suggestions at weekends, and teachers' drafts.
+func AgendaAndina() Workload {
+	draft := Class{
+		Name: "draft",
+		Spec: api.ServiceClassSpec{
+			Tier: 1, Floor: 0.1, Default: true,
+			FirstToken: seconds(1), BetweenTokens: seconds(0.1), WholeAnswer: seconds(20), MaxWait: seconds(5),
+		},
+		Route: "diaries", RouteSpec: modelRoute("diaries-v1"),
+		Rate: 3, Prompt: Lengths{Median: 150, Sigma: 0.5, Max: 2000}, Answer: Lengths{Median: 120, Sigma: 0.6, Max: 800},
+		Prefixes: 8, PrefixTokens: 500, MaxTokens: 1000,
+		LeaveEarly: 0.02, LeaveAfter: 2 * time.Second, ComeBack: 0.6,
+	}
+	summary := Class{
+		Name:  "summary",
+		Spec:  api.ServiceClassSpec{Tier: 2, Floor: 0.1, FirstToken: seconds(10), WholeAnswer: seconds(120), MaxWait: seconds(30)},
+		Route: "diaries", RouteSpec: modelRoute("diaries-v1"),
+		Rate: 4, Prompt: Lengths{Median: 900, Sigma: 0.7, Max: 8000}, Answer: Lengths{Median: 180, Sigma: 1, Max: 4000},
+		Prefixes: 8, PrefixTokens: 500, MaxTokens: 4000, Unary: 0.3,
+		LeaveEarly: 0.01, LeaveAfter: 5 * time.Second, ComeBack: 0.9,
+	}
+	suggestion := Class{
+		Name:  "suggestion",
+		Spec:  api.ServiceClassSpec{Tier: 3, Floor: 0.05, FirstToken: seconds(5), WholeAnswer: seconds(60), MaxWait: seconds(60)},
+		Route: "diaries", RouteSpec: modelRoute("diaries-v1"),
+		Rate: 3, Prompt: Lengths{Median: 80, Sigma: 0.4, Max: 500}, Answer: Lengths{Median: 90, Sigma: 0.6, Max: 600},
+		Prefixes: 3, PrefixTokens: 400, MaxTokens: 600,
+		LeaveEarly: 0.05, LeaveAfter: 3 * time.Second, ComeBack: 0.5,
+	}
+	order := Class{
+		Name:  "order",
+		Spec:  api.ServiceClassSpec{Tier: 0, WholeAnswer: seconds(2), MaxWait: seconds(2)},
+		Route: "orders", RouteSpec: serviceRoute("orders-v1"),
+		Rate: 2, Prompt: Lengths{Median: 100, Sigma: 0.3, Max: 500}, ComeBack: 0.9, Repeat: 0.1,
+	}
+	return Workload{
+		Name:          "agenda-andina",
+		Classes:       []Class{draft, summary, suggestion, order},
+		Organisations: organisations("school"),
+	}
+}
+
+func seconds(s float64) api.Duration { return api.Duration(s * float64(time.Second)) }
+
+func modelRoute(model string) api.RouteSpec {
+	return api.RouteSpec{Versions: []api.RouteVersion{{Model: model, Weight: 1}}, Idempotent: true}
+}
+
+func serviceRoute(service string) api.RouteSpec {
+	return api.RouteSpec{
+		Versions:   []api.RouteVersion{{Model: service, Weight: 1}},
+		Service:    true,
+		RequireKey: true,
+	}
+}
+
+// organisations returns the organisations named after a prefix.
+func organisations(prefix string) []Organisation {
+	var out []Organisation
+	for i, share := range organisationShares {
+		name := fmt.Sprintf("%s-%02d", prefix, i+1)
+		out = append(out, Organisation{Name: name, Key: "key-" + name, Share: share})
+	}
+	return out
+}
+
+// Objects returns the service classes, organisations and routes that the
+// workload needs, for the operators to create.
+func (w Workload) Objects() []api.Object {
+	var out []api.Object
+	routes := make(map[string]bool)
+	for _, class := range w.Classes {
+		out = append(out, object(api.KindServiceClass, class.Name, class.Spec))
+		if !routes[class.Route] {
+			routes[class.Route] = true
+			out = append(out, object(api.KindRoute, class.Route, class.RouteSpec))
+		}
+	}
+	for _, o := range w.Organisations {
+		sum := sha256.Sum256([]byte(o.Key))
+		spec := api.OrganisationSpec{KeyHashes: []string{hex.EncodeToString(sum[:])}}
+		out = append(out, object(api.KindOrganisation, o.Name, spec))
+	}
+	return out
+}
+
+func object(kind api.Kind, name string, spec any) api.Object {
+	return api.Object{Kind: kind, Name: name, Spec: mustJSON(spec)}
+}
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,217 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Report is the result of a run.
+type Report struct {
+	Workload string  `json:"workload"`
+	Seconds  float64 `json:"seconds"` // from the first arrival to the last answer
+	Requests int     `json:"requests"`
+	// Completed, Refused, Unknown and Abandoned add up to Requests. A refused
+	// request was not run; an abandoned one's caller left.
+	Completed int `json:"completed"`
+	Refused   int `json:"refused"`
+	Unknown   int `json:"unknown"`
+	Abandoned int `json:"abandoned"`
+	// Skipped counts arrivals that were not sent because too many were open.
+	Skipped int `json:"skipped"`
+	// Repeats counts the calls sent a second time with the same key.
+	Repeats int `json:"repeats"`
+	// Violations counts all breaches, ByViolation each kind.
+	Violations  int               `json:"violations"`
+	ByViolation map[Violation]int `json:"byViolation,omitempty"`
+	Classes     []ClassReport     `json:"classes"`
+}
+
+// ClassReport is the result of one class.
+type ClassReport struct {
+	Class     string         `json:"class"`
+	Route     string         `json:"route"`
+	Requests  int            `json:"requests"`
+	Completed int            `json:"completed"`
+	Refused   int            `json:"refused"`
+	Unknown   int            `json:"unknown"`
+	Abandoned int            `json:"abandoned"`
+	Refusals  map[string]int `json:"refusals,omitempty"` // by reason
+	Unknowns  map[string]int `json:"unknowns,omitempty"` // by reason
+	// Attainment is the share of requests that completed and met all targets,
+	// of all whose callers stayed.
+	Attainment float64 `json:"attainment"`
+	// AttainmentOfAdmitted leaves out the refused ones.
+	AttainmentOfAdmitted float64        `json:"attainmentOfAdmitted"`
+	Targets              []TargetReport `json:"targets"`
+	ComeBack             ComeBackReport `json:"comeBack"`
+	// Tokens counts what callers received, GoodTokens that of answers that met
+	// all targets.
+	Tokens     int       `json:"tokens"`
+	GoodTokens int       `json:"goodTokens"`
+	FirstToken Quantiles `json:"firstToken"`
+	Between    Quantiles `json:"betweenTokens"`
+	Whole      Quantiles `json:"wholeAnswer"`
+}
+
+// TargetReport tells how many completed requests met one target.
+type TargetReport struct {
+	Target string  `json:"target"`
+	Millis float64 `json:"ms"`
+	Met    int     `json:"met"`
+	Of     int     `json:"of"`
+	Share  float64 `json:"share"`
+}
+
+// ComeBackReport tells how callers fared who came back when told to.
+type ComeBackReport struct {
+	Returned int `json:"returned"`
+	// Admitted counts those that were not refused again.
+	Admitted int     `json:"admitted"`
+	Share    float64 `json:"share"`
+}
+
+// Quantiles describes a distribution in milliseconds.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50"`
+	P90   float64 `json:"p90"`
+	P99   float64 `json:"p99"`
+	P999  float64 `json:"p999"`
+	Max   float64 `json:"max"`
+}
+
+// report returns the run's result.
+func (l *ledger) report() Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := Report{
+		Workload:    l.workload,
+		Seconds:     time.Since(l.start).Seconds(),
+		Skipped:     l.skipped,
+		Repeats:     l.repeats,
+		ByViolation: l.violations,
+	}
+	for _, count := range l.violations {
+		out.Violations += count
+	}
+	for _, t := range l.tallies {
+		class := t.report()
+		out.Requests += class.Requests
+		out.Completed += class.Completed
+		out.Refused += class.Refused
+		out.Unknown += class.Unknown
+		out.Abandoned += class.Abandoned
+		out.Classes = append(out.Classes, class)
+	}
+	return out
+}
+
+func (t *tally) report() ClassReport {
+	out := ClassReport{
+		Class:                t.class.Name,
+		Route:                t.class.Route,
+		Requests:             t.requests,
+		Completed:            t.completed,
+		Refused:              t.refused,
+		Unknown:              t.unknown,
+		Abandoned:            t.abandoned,
+		Refusals:             t.refusals,
+		Unknowns:             t.unknowns,
+		Attainment:           share(t.attained, t.completed+t.refused+t.unknown),
+		AttainmentOfAdmitted: share(t.attained, t.completed+t.unknown),
+		ComeBack:             ComeBackReport{Returned: t.returned, Admitted: t.admitted, Share: share(t.admitted, t.returned)},
+		Tokens:               t.tokens,
+		GoodTokens:           t.goodTokens,
+		FirstToken:           quantiles(t.firstToken),
+		Between:              quantiles(t.between),
+		Whole:                quantiles(t.whole),
+	}
+	for kind, target := range targetsOf(t.class.Spec) {
+		if target > 0 {
+			out.Targets = append(out.Targets, t.targets[kind].report(targetNames[kind], target))
+		}
+	}
+	return out
+}
+
+func (t targetTally) report(name string, target time.Duration) TargetReport {
+	return TargetReport{
+		Target: name,
+		Millis: float64(target) / float64(time.Millisecond),
+		Met:    t.met,
+		Of:     t.of,
+		Share:  share(t.met, t.of),
+	}
+}
+
+// share returns part over whole, and 1 of nothing.
+func share(part, whole int) float64 {
+	if whole == 0 {
+		return 1
+	}
+	return float64(part) / float64(whole)
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	at := func(percent float64) float64 { return millis(h.ValueAtPercentile(percent)) }
+	return Quantiles{
+		Count: h.TotalCount(),
+		P50:   at(50),
+		P90:   at(90),
+		P99:   at(99),
+		P999:  at(99.9),
+		Max:   millis(h.Max()),
+	}
+}
+
+// millis turns microseconds into milliseconds.
+func millis(micros int64) float64 { return float64(micros) / 1000 }
+
+// WriteText writes the report as a table with one line a class.
+func (r Report) WriteText(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "class\trequests\tcompleted\trefused\tunknown\tabandoned\tattained\tof admitted\tback admitted\tfirst p50\tp99 ms\tbetween p50\tp99 ms\twhole p50\tp99 ms\t")
+	for _, c := range r.Classes {
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%.4f\t%.4f\t%d/%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t\n",
+			c.Class, c.Requests, c.Completed, c.Refused, c.Unknown, c.Abandoned,
+			c.Attainment, c.AttainmentOfAdmitted, c.ComeBack.Admitted, c.ComeBack.Returned,
+			c.FirstToken.P50, c.FirstToken.P99, c.Between.P50, c.Between.P99, c.Whole.P50, c.Whole.P99)
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	return r.writeReasons(w)
+}
+
+// writeReasons writes the totals and the reasons.
+func (r Report) writeReasons(w io.Writer) error {
+	var out strings.Builder
+	for _, c := range r.Classes {
+		writeCounts(&out, c.Class+" refused", c.Refusals)
+		writeCounts(&out, c.Class+" unknown", c.Unknowns)
+	}
+	writeCounts(&out, "violations", r.ByViolation)
+	fmt.Fprintf(&out, "%s: %d requests in %.1f s: %d completed, %d refused, %d unknown, %d abandoned, %d skipped, %d violations\n",
+		r.Workload, r.Requests, r.Seconds, r.Completed, r.Refused, r.Unknown, r.Abandoned, r.Skipped, r.Violations)
+	_, err := io.WriteString(w, out.String())
+	return err
+}
+
+// writeCounts writes one line, or nothing if there are no counts.
+func writeCounts[K ~string](out *strings.Builder, title string, counts map[K]int) {
+	if len(counts) == 0 {
+		return
+	}
+	fmt.Fprintf(out, "%s:", title)
+	for _, key := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Fprintf(out, " %s %d", string(key), counts[key])
+	}
+	out.WriteByte('\n')
+}
--- a/standin/answer/answer.go
+++ b/standin/answer/answer.go
@@ -16,6 +16,10 @@
 // Digest identifies a prompt.
 type Digest uint64
 
+// MetadataTokens is the key in a request's metadata that sets the length of
+// its answer in tokens.
+const MetadataTokens = "answer_tokens"
+
 // TokenBytes is the length of each token's text.
 const TokenBytes = 5
 
--- a/standin/engine/options.go
+++ b/standin/engine/options.go
@@ -5,10 +5,6 @@
 // HeaderAnswerTokens sets the length of the answer, for tests.
 const HeaderAnswerTokens = "Standin-Answer-Tokens"
 
-// MetadataAnswerTokens is the key in a request's metadata that sets the length
-// of the answer.
-const MetadataAnswerTokens = "answer_tokens"
-
 // PathCounters is the stand-in's own path.
 const PathCounters = "/counters"
 
--- a/standin/engine/request.go
+++ b/standin/engine/request.go
@@ -131,7 +131,7 @@
 func answerTokens(header http.Header, req chatRequest, digest answer.Digest) (int, error) {
 	text := header.Get(HeaderAnswerTokens)
 	if text == "" {
-		text = req.Metadata[MetadataAnswerTokens]
+		text = req.Metadata[answer.MetadataTokens]
 	}
 	if text == "" {
 		return digest.Length(req.Seed), nil
