Add the demo: the whole system in one process

Ruled out: one metrics registry for the process: two instances in it panicked at start (metrics test, seen failing first). Before: none.

--- /dev/null
+++ b/cmd/bergamotpin/demo.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/go-faster/errors"
+
+	"bergamotpin.example/bergamotpin/demo"
+	"bergamotpin.example/bergamotpin/load"
+	"bergamotpin.example/bergamotpin/settings"
+)
+
+// demoInstances is the number of entry instances, as each user has them.
+const demoInstances = 7
+
+// demoFlags are the flags of the demo command.
+type demoFlags struct {
+	duration time.Duration
+	seed     uint64
+	json     bool
+	workload string
+	verbose  bool
+}
+
+func demoCommand(app *kingpin.Application) command {
+	cmd := app.Command("demo", "Run the whole system in this process on loopback. Without --for it stays up until interrupted.")
+	f := &demoFlags{}
+	cmd.Flag("for", "How long requests arrive.").DurationVar(&f.duration)
+	cmd.Flag("seed", "Seed of all draws.").Default("1").Uint64Var(&f.seed)
+	cmd.Flag("json", "Print the report as one line of JSON.").BoolVar(&f.json)
+	cmd.Flag("workload", "Whose workload and fleet: covor or andina.").Default("covor").EnumVar(&f.workload, "covor", "andina")
+	cmd.Flag("verbose", "Show the instances' logs.").BoolVar(&f.verbose)
+	return command{cmd.FullCommand(), f.run}
+}
+
+func (f *demoFlags) options() demo.Options {
+	opts := demo.Options{
+		Workload:  load.CovorulDrept(f.duration / 3),
+		Fleet:     load.FleetCovorulDrept,
+		Instances: demoInstances,
+		Seed:      f.seed,
+	}
+	if f.workload == "andina" {
+		opts.Workload = load.AgendaAndina()
+		opts.Fleet = load.FleetAgendaAndina
+	}
+	if f.verbose {
+		opts.Log = newLog(settings.Default().Log)
+	}
+	return opts
+}
+
+func (f *demoFlags) run(ctx context.Context) error {
+	d, err := demo.Start(ctx, f.options())
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	if f.duration == 0 {
+		return f.stay(ctx, d)
+	}
+	report, err := d.Load(ctx, f.duration, progressLine())
+	if err != nil {
+		return err
+	}
+	if err := f.print(report); err != nil {
+		return err
+	}
+	if report.Violations > 0 {
+		return errors.Errorf("%d violations", report.Violations)
+	}
+	return nil
+}
+
+func (f *demoFlags) print(report load.Report) error {
+	if !f.json {
+		return report.WriteText(os.Stdout)
+	}
+	return json.NewEncoder(os.Stdout).Encode(report)
+}
+
+// stay prints how to use the running system and waits.
+func (f *demoFlags) stay(ctx context.Context, d *demo.Demo) error {
+	workload := f.options().Workload
+	key := workload.Organisations[0].Key
+	fmt.Println("callers:  ", d.Callers())
+	fmt.Println("operators:", d.Operators())
+	fmt.Println("key:      ", key)
+	fmt.Println("try:")
+	fmt.Printf("curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":\"%s\",\"stream\":true,\"max_tokens\":20,\"messages\":[{\"role\":\"user\",\"content\":\"What is a scoarta?\"}]}'\n",
+		d.Callers()[0], key, workload.Classes[0].Route)
+	<-ctx.Done()
+	return nil
+}
+
+// progressLine returns a function that rewrites one line on a terminal, or nil
+// where standard error is none.
+func progressLine() func(load.Progress) {
+	info, err := os.Stderr.Stat()
+	if err != nil || info.Mode()&os.ModeCharDevice == 0 {
+		return nil
+	}
+	return func(p load.Progress) { writeProgress(os.Stderr, p) }
+}
+
+func writeProgress(w io.Writer, p load.Progress) {
+	// A progress line that can't be shown is no failure.
+	_, _ = fmt.Fprintf(w, "\r%5.0fs  requests %d  open %d  completed %d  refused %d  unknown %d  violations %d ",
+		p.Elapsed.Seconds(), p.Requests, p.Open, p.Completed, p.Refused, p.Unknown, p.Violations)
+}
--- a/cmd/bergamotpin/main.go
+++ b/cmd/bergamotpin/main.go
@@ -48,6 +48,7 @@
 		standinPlatformCommand(app),
 		standinEngineCommand(app),
 		standinServiceCommand(app),
+		demoCommand(app),
 		versionCommand(app),
 	}
 	chosen, err := app.Parse(os.Args[1:])
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	promclient "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
@@ -36,7 +37,8 @@
 
 // New starts the metrics of one instance. Close ends them.
 func New(instance, dataCentre string) *Metrics {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := promclient.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         "bergamotpin",
 		Tags:           map[string]string{"instance": instance, "data_centre": dataCentre},
