Build the decision core: tables, systems, auditor

Cause: the package held a stub that granted in order of arrival. Ruled out: refusing before placing (refuses beside free slots); sorting all waiting rows each tick (n log n at each tick without need; heaps by class and organisation cost log n per change). Before: first come first served, no refusal.

--- /dev/null
+++ b/decision/configure.go
@@ -0,0 +1,119 @@
+package decision
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"bergamotpin.example/bergamotpin/outcome"
+)
+
+// configure replaces the tables of classes, organisations and servers. Rows
+// keep their indexes, and what was learnt stays. A row that is no longer
+// configured is marked as gone: its running requests go on.
+func (c *Core) configure(cfg *Config, out *Output) {
+	c.configureClasses(cfg.Classes)
+	c.configureOrganisations(cfg.Organisations)
+	c.configureServers(cfg.Servers)
+	c.refuseGoneClasses(out)
+}
+
+func (c *Core) configureClasses(all []Class) {
+	for i := range c.classes {
+		c.classes[i].gone = true
+	}
+	for _, spec := range all {
+		i, ok := c.classIndex[spec.Name]
+		if !ok {
+			i = int32(len(c.classes))
+			c.classes = append(c.classes, class{budget: retryBurst})
+			c.classIndex[spec.Name] = i
+		}
+		cl := &c.classes[i]
+		cl.Class = spec
+		cl.gone = false
+	}
+	c.byTier = c.byTier[:0]
+	for i := range c.classes {
+		c.byTier = append(c.byTier, int32(i))
+	}
+	slices.SortStableFunc(c.byTier, func(a, b int32) int {
+		return cmp.Compare(c.classes[a].Tier, c.classes[b].Tier)
+	})
+}
+
+func (c *Core) configureOrganisations(all []Organisation) {
+	for i := range c.orgs {
+		c.orgs[i].Weight = 1
+	}
+	for _, spec := range all {
+		i := c.organisation(spec.Name)
+		c.orgs[i].Weight = spec.Weight
+		if spec.Weight <= 0 || math.IsNaN(spec.Weight) || math.IsInf(spec.Weight, 0) {
+			c.orgs[i].Weight = 1
+		}
+	}
+}
+
+// organisation returns the row of an organisation, and adds it with weight 1 if
+// it is not configured.
+func (c *Core) organisation(name string) int32 {
+	if i, ok := c.orgIndex[name]; ok {
+		return i
+	}
+	i := int32(len(c.orgs))
+	c.orgs = append(c.orgs, organisation{Organisation{Name: name, Weight: 1}})
+	c.orgIndex[name] = i
+	return i
+}
+
+func (c *Core) configureServers(all []Server) {
+	for i := range c.servers {
+		c.servers[i].gone = true
+	}
+	for _, spec := range all {
+		i := c.server(spec.Name)
+		s := &c.servers[i]
+		if s.Slots != spec.Slots {
+			s.ceiling = float64(max(spec.Slots, 1))
+		}
+		s.Server = spec
+		s.gone = false
+	}
+	c.recount()
+}
+
+// server returns the row of a server, and adds it as gone if it is not
+// configured.
+func (c *Core) server(name string) int32 {
+	if i, ok := c.serverIndex[name]; ok {
+		return i
+	}
+	i := int32(len(c.servers))
+	c.servers = append(c.servers, server{Server: Server{Name: name}, gone: true, ceiling: 1})
+	c.serverIndex[name] = i
+	return i
+}
+
+// recount sums limits and requests in flight over the servers that take work.
+func (c *Core) recount() {
+	c.capacity, c.busy = 0, 0
+	for i := range c.servers {
+		s := &c.servers[i]
+		if s.takesWork() {
+			c.capacity += s.limit()
+			c.busy += s.inFlight
+		}
+	}
+}
+
+func (c *Core) refuseGoneClasses(out *Output) {
+	for i := range c.classes {
+		cl := &c.classes[i]
+		for cl.gone && cl.waiting > 0 {
+			head, _ := c.earliest(cl)
+			c.remove(head.row)
+			c.refuse(head.row, outcome.UnknownClass, out)
+		}
+	}
+}
--- a/decision/doc.go
+++ b/decision/doc.go
@@ -8,15 +8,27 @@
 //
 // Entities stand in tables (requests, backend servers, classes,
 // organisations). Systems run over them in a fixed order each tick: apply
-// events, expire, observe, limit, order, admit, place, refer, finish.
+// events, expire, observe, limit, order and place, preempt, admit and refer,
+// finish. Placement comes before admission, so that nothing is refused while a
+// slot that it may use is free.
 //
 // Guarantees, whatever the order, loss or repetition of events:
 //
-//   - A request is refused or preempted at a tick only if no request of a lower
-//     tier is left waiting, or is admitted outside its class's floor, at that
-//     tick.
+//   - A request is refused for capacity, evicted or preempted at a tick only if
+//     no request of a lower tier is left waiting, or is admitted outside its
+//     class's floor, at that tick.
 //   - A request that may have started is not granted again unless it is
-//     idempotent, and is never finished as Refused.
+//     idempotent, and is never finished as Refused. A ticket with an attempt
+//     number, delivered tokens or a server counts as one that may have started.
 //   - A server that drains is not granted to.
-//   - Each ticket gets exactly one final answer.
+//   - Each ticket gets exactly one final answer: its End, its Withdrawal, a
+//     Refusal, or a Referral, after which the other data centre answers. A
+//     Referral is undone by the same ticket with Referred set.
+//   - A lost End holds a slot for Options.RunningLife at most. FirstToken,
+//     Progress and a repeated claim refresh it.
+//
+// An ended request is remembered for two minutes. A ticket that is repeated
+// later than that counts as new.
+//
+// Auditor checks these guarantees from the inputs and outputs alone.
 package decision
--- /dev/null
+++ b/decision/observe.go
@@ -0,0 +1,142 @@
+package decision
+
+import (
+	"time"
+
+	"bergamotpin.example/bergamotpin/outcome"
+)
+
+// lateShare is the part of a class's first-token target that a server may use
+// up by itself.
+const lateShare = 0.5
+
+// lateFloor is the shortest time to the first token that counts as late.
+const lateFloor = 100 * time.Millisecond
+
+func (c *Core) observeFirstToken(r *request, after time.Duration) {
+	s := &c.servers[r.server]
+	c.trust(s)
+	tokens := max(r.uncached, 1) + s.pending
+	s.prefill.add(seconds(after)/float64(tokens), 1)
+	c.pool.prefill.add(seconds(after)/float64(tokens), 1)
+	s.window.firsts++
+	target := c.classes[r.class].FirstToken
+	if target > 0 && after > max(time.Duration(float64(target)*lateShare), lateFloor) {
+		s.window.late++
+	}
+}
+
+func (c *Core) observeGap(r *request, e *Progress) {
+	s := &c.servers[r.server]
+	if e.Gap <= 0 {
+		return
+	}
+	gap, n := seconds(e.Gap), float64(e.Tokens)
+	s.gap.add(gap, n)
+	c.pool.gap.add(gap, n)
+	s.window.gapTime += gap * n
+	s.window.gaps += n
+	bound := seconds(c.classes[r.class].BetweenTokens)
+	if bound > 0 && (s.window.gapBound == 0 || bound < s.window.gapBound) {
+		s.window.gapBound = bound
+	}
+}
+
+func (c *Core) observeEnd(r *request, e *End) {
+	cl := &c.classes[r.class]
+	c.trust(&c.servers[r.server])
+	tokens := clampTokens(e.Tokens)
+	if tokens > 0 {
+		cl.lengths.add(tokens)
+	}
+	hold := seconds(c.now - r.granted)
+	cl.hold.add(hold, 1)
+	c.pool.hold.add(hold, 1)
+	used := max(clampTokens(e.PromptTokens)-clampTokens(e.CachedTokens), 0) + tokens
+	c.settle(r, used)
+	if r.ticket.Prefix != 0 && e.CachedTokens == 0 && e.PromptTokens > 0 {
+		return
+	}
+	c.noteGrant(r, r.server)
+}
+
+func (c *Core) observeFailure(r *request, f *Failure) {
+	s := &c.servers[r.server]
+	c.settle(r, r.uncached)
+	if f.Reason == outcome.ServerRefused {
+		s.window.refused++
+		return
+	}
+	s.failures++
+}
+
+// trust ends a server's run of failures.
+func (c *Core) trust(s *server) {
+	s.failures = 0
+	if s.aside && s.probing {
+		c.bringBack(s)
+	}
+}
+
+// Sizes of a server's history of its requests in flight.
+const (
+	historyLength = 32
+	historyStep   = 100 * time.Millisecond
+)
+
+// flightHistory remembers how many requests a server had in flight, so that a
+// report can be compared with the count of its time.
+type flightHistory struct {
+	counts [historyLength]int32
+	last   time.Duration
+	head   int
+}
+
+func (h *flightHistory) add(now time.Duration, count int) {
+	if now-h.last < historyStep {
+		return
+	}
+	h.last = now
+	h.head = (h.head + 1) % historyLength
+	h.counts[h.head] = int32(count)
+}
+
+// around returns the highest count near the given age.
+func (h *flightHistory) around(age time.Duration, current int) int {
+	steps := int(age / historyStep)
+	most := current
+	for k := 0; k <= min(steps+1, historyLength-1); k++ {
+		most = max(most, int(h.counts[(h.head-k+historyLength)%historyLength]))
+	}
+	return most
+}
+
+// observe is the system that keeps the servers' histories.
+func (c *Core) observe() {
+	for i := range c.servers {
+		s := &c.servers[i]
+		s.history.add(c.now, s.inFlight)
+		if s.foreign > 0 && c.now-s.heardAt > reportLife {
+			s.foreign = 0
+		}
+	}
+}
+
+const (
+	// reportLife is for how long a report counts.
+	reportLife = 3 * time.Second
+	// foreignWeight smooths the count of others' requests.
+	foreignWeight = 0.5
+)
+
+// correct compares a report with the own count of its time. What the server
+// runs beyond that comes from others.
+func (c *Core) correct(s *server, rep *Report) {
+	if rep.Age > reportLife {
+		return
+	}
+	own := s.history.around(rep.Age, s.inFlight)
+	extra := max(rep.Running+rep.Waiting-own, 0)
+	s.foreign += (float64(min(extra, s.Slots)) - s.foreign) * foreignWeight
+	s.heardAt = c.now
+}
--- /dev/null
+++ b/decision/options.go
@@ -0,0 +1,28 @@
+package decision
+
+import "time"
+
+// Defaults of Options.
+const (
+	defaultMaxQueue    = 16384
+	defaultMaxAttempts = 3
+	defaultRunningLife = 5 * time.Minute
+	defaultMinFloor    = 0.01
+)
+
+// withDefaults replaces zero values.
+func (o Options) withDefaults() Options {
+	if o.MaxQueue <= 0 {
+		o.MaxQueue = defaultMaxQueue
+	}
+	if o.MaxAttempts <= 0 {
+		o.MaxAttempts = defaultMaxAttempts
+	}
+	if o.RunningLife <= 0 {
+		o.RunningLife = defaultRunningLife
+	}
+	if o.MinFloor <= 0 {
+		o.MinFloor = defaultMinFloor
+	}
+	return o
+}
--- /dev/null
+++ b/decision/order.go
@@ -0,0 +1,93 @@
+package decision
+
+import "time"
+
+// floorShare returns the slots that are reserved for a class.
+func (c *Core) floorShare(cl *class) float64 {
+	share := max(cl.Floor, c.opts.MinFloor)
+	return min(share, 1) * float64(c.capacity)
+}
+
+// belowFloor reports whether the class may take a slot from its floor. A share
+// below one slot is given in time: one request, then a pause.
+func (c *Core) belowFloor(cl *class) bool {
+	if cl.running+1 <= int(c.floorShare(cl)) {
+		return true
+	}
+	return cl.running == 0 && c.now >= cl.nextFloor
+}
+
+// next returns the class that the next free slot goes to, and whether the slot
+// comes from the class's floor. Floors come first, then the highest tier, then
+// the least slack.
+func (c *Core) next() (best *class, floor bool) {
+	for _, k := range c.byTier {
+		cl := &c.classes[k]
+		if cl.waiting > 0 && c.belowFloor(cl) {
+			return cl, true
+		}
+	}
+	return c.nextByTier(), false
+}
+
+// nextByTier returns the class of the highest tier that waits, the least slack
+// first. Tiers below one that was refused at this tick get nothing.
+func (c *Core) nextByTier() *class {
+	var best *class
+	var slack time.Duration
+	for _, k := range c.byTier {
+		cl := &c.classes[k]
+		if cl.Tier > c.shed || best != nil && cl.Tier > best.Tier {
+			break
+		}
+		if cl.waiting == 0 {
+			continue
+		}
+		head, _ := c.earliest(cl)
+		if best == nil || head.startBy < slack {
+			best, slack = cl, head.startBy
+		}
+	}
+	return best
+}
+
+// nextRow returns the class's row to serve next: the least slack of the
+// organisation with the least service over its weight. Resumed requests go
+// first.
+func (c *Core) nextRow(cl *class) int32 {
+	if len(cl.queues[resumeLane].heap) > 0 {
+		return cl.queues[resumeLane].heap[0].row
+	}
+	best := cl.active[0]
+	for _, o := range cl.active[1:] {
+		v, b := cl.queues[o].virtual, cl.queues[best].virtual
+		if v < b || v == b && o < best {
+			best = o
+		}
+	}
+	return cl.queues[best].heap[0].row
+}
+
+// charge counts a granted request's expected tokens against its organisation.
+func (c *Core) charge(r *request) {
+	cl := &c.classes[r.class]
+	q := cl.laneAt(laneOf(r.org))
+	if r.lane != resumeLane {
+		cl.virtual = max(cl.virtual, q.virtual)
+	}
+	answer := cl.lengths.quantile(feasibleQuantile)
+	if answer == 0 {
+		answer = defaultLength
+	}
+	r.charged = float64(r.uncached + answer)
+	q.virtual += r.charged / c.orgs[r.org].Weight
+}
+
+// settle corrects the charge by what was used.
+func (c *Core) settle(r *request, used int) {
+	cl := &c.classes[r.class]
+	if r.charged == 0 {
+		return
+	}
+	cl.laneAt(laneOf(r.org)).virtual += (float64(used) - r.charged) / c.orgs[r.org].Weight
+}
--- a/decision/types.go
+++ b/decision/types.go
@@ -160,6 +160,8 @@
 	Continue bool
 	// Reason is why this is not the first attempt, or ReasonNone.
 	Reason outcome.Reason
+	// Floor says that the slot comes from the class's floor.
+	Floor bool
 }
 
 // Refusal is a final answer. Final is Refused if the request was not run, and
@@ -226,4 +228,14 @@
 	MaxQueue int
 	// MaxAttempts bounds the attempts of one request.
 	MaxAttempts int
+	// RunningLife is how long a running request keeps its slot without a first
+	// token, progress or a repeated claim. Past it the request ends as Unknown,
+	// so that a lost End does not hold a slot for ever. Progress without tokens
+	// refreshes it.
+	RunningLife time.Duration
+	// MinFloor is the floor of a class that is configured with a lower one, so
+	// that every class is served at last.
+	MinFloor float64
+	// Explain is how many explain records are kept. Zero switches them off.
+	Explain int
 }
