Issue throwaway identities as PEM text

Cause: the test of separate processes needs certificate files. Ruled out: running openssl (no process starts another outside tests). Before: identities in memory only. After: IssuePEM. Conclusion: the process test reads them as settings name them.

--- /dev/null
+++ b/peer/pem.go
@@ -0,0 +1,38 @@
+package peer
+
+import (
+	"crypto/ecdsa"
+	"crypto/x509"
+	"encoding/pem"
+	"net/netip"
+
+	"github.com/go-faster/errors"
+)
+
+// PEM is an identity as the text of the files that settings name.
+type PEM struct {
+	Authority   []byte
+	Certificate []byte
+	Key         []byte
+}
+
+// IssuePEM returns an identity for an instance at ip as PEM text.
+func (a *Authority) IssuePEM(ip netip.Addr) (PEM, error) {
+	id, err := a.Issue(ip)
+	if err != nil {
+		return PEM{}, err
+	}
+	key, err := x509.MarshalECPrivateKey(id.Certificate.PrivateKey.(*ecdsa.PrivateKey))
+	if err != nil {
+		return PEM{}, errors.Wrap(err, "encode key")
+	}
+	return PEM{
+		Authority:   encodePEM("CERTIFICATE", a.certificate.Raw),
+		Certificate: encodePEM("CERTIFICATE", id.Certificate.Certificate[0]),
+		Key:         encodePEM("EC PRIVATE KEY", key),
+	}, nil
+}
+
+func encodePEM(kind string, content []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: content})
+}
