--- a/engine/client.go
+++ b/engine/client.go
@@ -127,18 +127,19 @@
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, errorBodyBytes))
-	if NotStarted(resp) {
-		return &SendError{Reason: outcome.ServerRefused, NotStarted: true, Status: resp.StatusCode, Err: err}
-	}
 	if isAnswer(resp.StatusCode) {
 		return &AnswerError{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}
 	}
+	if TurnedAway(resp) {
+		return &SendError{Reason: outcome.ServerRefused, NotStarted: true, Status: resp.StatusCode, Err: err}
+	}
 	return &SendError{Reason: outcome.ServerError, Status: resp.StatusCode, Err: err}
 }
 
-// NotStarted tells whether the server stated that it ran nothing.
-func NotStarted(resp *http.Response) bool {
-	return resp.Header.Get(engineapi.HeaderNotStarted) == "true"
+// TurnedAway tells whether the server stated that it ran nothing and that the
+// request itself is not at fault: another server may take it.
+func TurnedAway(resp *http.Response) bool {
+	return resp.Header.Get(engineapi.HeaderNotStarted) == "true" && !isAnswer(resp.StatusCode)
 }
 
 // isAnswer tells a verdict on the request from a failure of the server.
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -63,7 +63,7 @@
 	}
 	defer resp.Body.Close()
 	session.FirstToken(v.Attempt, time.Since(sent))
-	if engine.NotStarted(resp) {
+	if engine.TurnedAway(resp) {
 		return result{failure: x.failure(v, outcome.ServerRefused, true)}
 	}
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, x.proxy.Limits.AnswerBytes+1))
