--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -93,11 +93,11 @@
 	}
 }
 
-// since returns the visible events whose number is above from.
+// since returns the visible events from that number on.
 func (c *prefixCache) since(now time.Time, from uint64) []engineapi.CacheEvent {
 	var out []engineapi.CacheEvent
 	for _, p := range c.events {
-		if p.event.Seq > from && !p.at.After(now) {
+		if p.event.Seq >= from && !p.at.After(now) {
 			out = append(out, p.event)
 		}
 	}
--- a/standin/engine/handlers.go
+++ b/standin/engine/handlers.go
@@ -175,7 +175,8 @@
 	return report
 }
 
-// handleCache answers with the events that are visible now and ends.
+// handleCache answers with the events that are visible now, from the number
+// that the caller names, and ends.
 func (e *Server) handleCache(w http.ResponseWriter, r *http.Request) {
 	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
 	if err != nil {
