bench: drive the decision core in virtual time

Ruled out: a goroutine per instance (not deterministic); the best possible without tiers (it would ask for shedding the highest tier). Run: go test ./bench passes; no baseline exceeds the best possible.

--- /dev/null
+++ b/bench/report.go
@@ -0,0 +1,69 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/go-faster/errors"
+)
+
+// WriteJSON writes the results as one JSON array.
+func WriteJSON(w io.Writer, results []Result) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(results); err != nil {
+		return errors.Wrap(err, "encode results")
+	}
+	return nil
+}
+
+// WriteText writes the results as two tables: one line a run, and one line a
+// class of a run.
+func WriteText(w io.Writer, results []Result) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	writeRuns(tw, results)
+	fmt.Fprintln(tw)
+	writeClasses(tw, results)
+	if err := tw.Flush(); err != nil {
+		return errors.Wrap(err, "write tables")
+	}
+	return nil
+}
+
+func writeRuns(w io.Writer, results []Result) {
+	fmt.Fprintln(w, "workload\tpolicy\tgoodput\twasted\tinversions\treturned admitted\trefusal ticks\tpreempted\tviolations")
+	for i := range results {
+		r := &results[i]
+		fmt.Fprintf(w, "%s\t%s\t%.3f\t%.4f\t%d\t%d of %d\t%d\t%d\t%s\n",
+			r.Workload, r.Policy, r.Goodput, r.Wasted, r.Inversions,
+			r.ReturnedAdmitted, r.Returned, r.RefusalTicks, r.Preemptions, joinCounts(r.Violations))
+	}
+}
+
+func writeClasses(w io.Writer, results []Result) {
+	fmt.Fprintln(w, "workload\tpolicy\tclass\ttier\trequests\tadmitted\tattained\tof admitted\tfirst\tbetween\twhole\tfirst p50\tfirst p99\tlongest wait\tfairness\tretries\tnot completed")
+	for i := range results {
+		r := &results[i]
+		for _, c := range r.Classes {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%.4f\t%.4f\t%.4f\t%.4f\t%.4f\t%.2fs\t%.2fs\t%.2fs\t%.3f\t%d\t%s\n",
+				r.Workload, r.Policy, c.Class, c.Tier, c.Requests, c.Admitted,
+				c.Attainment, c.OfAdmitted, c.FirstToken, c.BetweenTokens, c.WholeAnswer,
+				c.FirstTokenP50.Seconds(), c.FirstTokenP99.Seconds(), c.LongestWait.Seconds(),
+				c.Fairness, c.Retries, joinCounts(c.Refusals))
+		}
+	}
+}
+
+func joinCounts(counts []Count) string {
+	if len(counts) == 0 {
+		return "-"
+	}
+	parts := make([]string, len(counts))
+	for i, c := range counts {
+		parts[i] = fmt.Sprintf("%s=%d", c.Name, c.Count)
+	}
+	return strings.Join(parts, ",")
+}
--- /dev/null
+++ b/bench/run_test.go
@@ -0,0 +1,85 @@
+package bench
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const testSeed = 1
+
+// TestPrint prints the tables of the workloads that BENCH names.
+func TestPrint(t *testing.T) {
+	names := os.Getenv("BENCH")
+	if names == "" {
+		t.Skip("set BENCH to a comma-separated list of workloads, or to all")
+	}
+	var results []Result
+	for _, w := range Workloads() {
+		if names != "all" && !strings.Contains(names, w.Name) {
+			continue
+		}
+		for _, p := range Policies() {
+			began := time.Now()
+			results = append(results, Run(w, p, testSeed))
+			t.Log(w.Name, p.Name, time.Since(began))
+		}
+	}
+	if err := WriteText(os.Stdout, results); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// short cuts a workload's arrivals and its faults at the given time.
+func short(w Workload, duration time.Duration) Workload {
+	w.Duration = min(w.Duration, duration)
+	return w
+}
+
+func TestRunIsDeterministic(t *testing.T) {
+	w := Faults()
+	for _, p := range Policies() {
+		first := Run(w, p, testSeed)
+		second := Run(w, p, testSeed)
+		if diff := cmp.Diff(first, second); diff != "" {
+			t.Errorf("%s: same seed, other result:\n%s", p.Name, diff)
+		}
+	}
+}
+
+func TestSeedsDiffer(t *testing.T) {
+	w := short(CovorAuction(), 20*time.Second)
+	first := Run(w, RoundRobin(), 1)
+	second := Run(w, RoundRobin(), 2)
+	second.Seed = first.Seed
+	if cmp.Equal(first, second) {
+		t.Error("two seeds gave the same result")
+	}
+}
+
+// TestNoBaselineBeatsTheBestPossible checks the bound against the driver.
+func TestNoBaselineBeatsTheBestPossible(t *testing.T) {
+	for _, w := range Workloads() {
+		w = short(w, 75*time.Second)
+		for _, p := range []Policy{RoundRobin(), LeastReported(), PowerOfTwo()} {
+			r := Run(w, p, testSeed)
+			if r.Goodput > 1 {
+				t.Errorf("%s %s: goodput %v of the best possible", w.Name, p.Name, r.Goodput)
+			}
+		}
+	}
+}
+
+// TestBaselinesKeepPromises checks that what the driver counts as a broken
+// promise isn't made by the driver itself.
+func TestBaselinesKeepPromises(t *testing.T) {
+	for _, p := range []Policy{RoundRobin(), LeastReported(), PowerOfTwo()} {
+		r := Run(Faults(), p, testSeed)
+		if len(r.Violations) > 0 {
+			t.Errorf("%s: %v", p.Name, r.Violations)
+		}
+	}
+}
