--- a/bench/entry.go
+++ b/bench/entry.go
@@ -206,7 +206,7 @@
 	}
 	jitter := time.Duration(d.rng.Int64N(int64(returnJitter)))
 	at := d.now + networkDelay + retryAfter + jitter
-	if at >= d.w.Duration+d.w.Drain {
+	if at >= d.w.lastReturn() {
 		d.totals.beyondRun++
 		return
 	}
--- a/bench/request.go
+++ b/bench/request.go
@@ -44,7 +44,7 @@
 	sent    time.Duration
 	// everGranted says that at least one grant came.
 	everGranted bool
-	// maySpend says that a byte went to an engine that did not state that it
+	// mayHaveRun says that a byte went to an engine that did not state that it
 	// had not started.
 	mayHaveRun bool
 	firstAt    time.Duration
@@ -66,15 +66,16 @@
 	instanceOffset = 15
 )
 
+// newID returns the identifier of the request at index, never all zero.
 func newID(index int) decision.RequestID {
 	var id decision.RequestID
-	binary.BigEndian.PutUint64(id[:idIndexBytes], uint64(index))
+	binary.BigEndian.PutUint64(id[:idIndexBytes], uint64(index)+1)
 	id[instanceOffset] = byte(index % instances)
 	return id
 }
 
 func indexOf(id decision.RequestID) int32 {
-	return int32(binary.BigEndian.Uint64(id[:idIndexBytes]))
+	return int32(binary.BigEndian.Uint64(id[:idIndexBytes]) - 1)
 }
 
 func instanceOf(id decision.RequestID) int {
--- a/bench/run_test.go
+++ b/bench/run_test.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -18,19 +19,33 @@
 		t.Skip("set BENCH to a comma-separated list of workloads, or to all")
 	}
 	var results []Result
+	var verdicts []Verdict
 	for _, w := range Workloads() {
 		if names != "all" && !strings.Contains(names, w.Name) {
 			continue
 		}
-		for _, p := range Policies() {
-			began := time.Now()
-			results = append(results, Run(w, p, testSeed))
-			t.Log(w.Name, p.Name, time.Since(began))
-		}
+		runs := runAll(t, w)
+		results = append(results, runs...)
+		verdicts = append(verdicts, Judge(w, runs[0], runs[1:])...)
 	}
 	if err := WriteText(os.Stdout, results); err != nil {
 		t.Fatal(err)
 	}
+	for _, v := range verdicts {
+		fmt.Println(v)
+	}
+}
+
+// runAll plays a workload through every policy, the core first.
+func runAll(t *testing.T, w Workload) []Result {
+	t.Helper()
+	var runs []Result
+	for _, p := range Policies() {
+		began := time.Now()
+		runs = append(runs, Run(w, p, testSeed))
+		t.Log(w.Name, p.Name, time.Since(began))
+	}
+	return runs
 }
 
 // short cuts a workload's arrivals and its faults at the given time.
--- a/bench/workload.go
+++ b/bench/workload.go
@@ -15,8 +15,8 @@
 	Duration time.Duration
 	// GoodputUntil ends the window of the goodput figure. Zero means Duration.
 	GoodputUntil time.Duration
-	// Drain is the time after Duration in which requests may still end and
-	// refused callers may still come back.
+	// Drain is the time after Duration in which requests may still end. Refused
+	// callers may come back in it, up to the longest deadline before its end.
 	Drain         time.Duration
 	Engines       []EngineSpec
 	Classes       []ClassLoad
@@ -25,6 +25,18 @@
 	// ReturnShare is the probability that a refused caller comes back at the
 	// time that it was told.
 	ReturnShare float64
+	// Targets are the bounds that Judge holds a run against.
+	Targets Targets
+}
+
+// lastReturn is the time after which no caller comes back, so that each has
+// its answer or its deadline before the run's end.
+func (w *Workload) lastReturn() time.Duration {
+	longest := time.Duration(0)
+	for _, c := range w.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return w.Duration + w.Drain - longest
 }
 
 // OrganisationLoad is an organisation and its share of the arrivals.
--- a/bench/workloads.go
+++ b/bench/workloads.go
@@ -66,6 +66,7 @@
 		Class: decision.Class{
 			Name: "provenance", Tier: 0, FirstToken: time.Second,
 			BetweenTokens: 100 * time.Millisecond, WholeAnswer: 60 * time.Second,
+			MaxWait: 2 * time.Second,
 		},
 		Idempotent: true, Deadline: 90 * time.Second,
 		Prompt:   Lengths{Median: 900, Sigma: 0.4, Max: 3000},
@@ -80,6 +81,7 @@
 		Class: decision.Class{
 			Name: "certificate", Tier: 0, FirstToken: 2 * time.Second,
 			BetweenTokens: 100 * time.Millisecond, WholeAnswer: 60 * time.Second,
+			MaxWait: 4 * time.Second,
 		},
 		Deadline: 90 * time.Second,
 		Prompt:   Lengths{Median: 500, Sigma: 0.3, Max: 1500},
@@ -122,8 +124,9 @@
 	const opens, closes = 60 * time.Second, 120 * time.Second
 	return Workload{
 		Name:     "covor-auction",
-		Duration: 180 * time.Second, Drain: 420 * time.Second,
+		Duration: 180 * time.Second, Drain: 600 * time.Second,
 		Engines: fleet, Organisations: organisations(), ReturnShare: returnShare,
+		Targets: Targets{Urgent: minUrgent, Goodput: minGoodput, Wasted: maxWasted},
 		Classes: []ClassLoad{
 			withRates(provenance(), fleet, step{0, 0.1}, step{opens, 0.5}, step{closes, 0.1}),
 			withRates(certificate(), fleet, step{0, 0.02}),
@@ -178,8 +181,9 @@
 	const dawn, weekend = 60 * time.Second, 120 * time.Second
 	return Workload{
 		Name:     "andina-peaks",
-		Duration: 180 * time.Second, Drain: 300 * time.Second,
+		Duration: 180 * time.Second, Drain: 360 * time.Second,
 		Engines: fleet, Organisations: organisations(), ReturnShare: returnShare,
+		Targets: Targets{Urgent: minUrgent, Goodput: minGoodput, Wasted: maxWasted},
 		Classes: []ClassLoad{
 			withRates(order(), fleet, step{0, 0.05}, step{dawn, 0.7}, step{weekend, 0.05}),
 			withRates(summary(), fleet, step{0, 0.85}, step{dawn, 0.3}, step{weekend, 0.2}),
@@ -195,9 +199,10 @@
 	const begins, ends = 10 * time.Second, 70 * time.Second
 	return Workload{
 		Name:     "low-burst",
-		Duration: 300 * time.Second, Drain: 300 * time.Second,
-		GoodputUntil: ends + 5*time.Second,
+		Duration: 300 * time.Second, Drain: 540 * time.Second,
+		GoodputUntil: ends,
 		Engines:      fleet, Organisations: organisations(), ReturnShare: returnShare,
+		Targets: Targets{Urgent: minUrgent, Goodput: minGoodput, Wasted: maxWasted},
 		Classes: []ClassLoad{
 			withRates(order(), fleet, step{0, 0.3}),
 			withRates(summary(), fleet, step{0, 0.2}),
@@ -213,8 +218,9 @@
 	const begins, ends = 10 * time.Second, 610 * time.Second
 	return Workload{
 		Name:     "top-overload",
-		Duration: ends, Drain: 300 * time.Second,
+		Duration: ends, Drain: 360 * time.Second,
 		Engines: fleet, Organisations: organisations(), ReturnShare: returnShare,
+		Targets: Targets{UrgentAdmitted: minUrgentAdmitted, Wasted: maxWasted, EveryClassServed: true},
 		Classes: []ClassLoad{
 			withRates(provenance(), fleet, step{0, 0.2}, step{begins, 1.5}),
 			withRates(summary(), fleet, step{0, 0.1}),
@@ -229,8 +235,9 @@
 	fleet := engines(covorEngines, false)
 	return Workload{
 		Name:     "faults",
-		Duration: 120 * time.Second, Drain: 420 * time.Second,
+		Duration: 120 * time.Second, Drain: 600 * time.Second,
 		Engines: fleet, Organisations: organisations(), ReturnShare: returnShare,
+		Targets: Targets{Urgent: minUrgent, Wasted: maxWastedCrash},
 		Classes: []ClassLoad{
 			withRates(provenance(), fleet, step{0, 0.25}),
 			withRates(certificate(), fleet, step{0, 0.05}),
