Probe a failing server ever more rarely; count a spent retry budget as shed

Cause: in the faults workload a crashed engine refuses at once, and each failed probe was followed by the next at the next tick. Ruled out: a longer failure run before setting aside (it was set aside; the probing never waited).

--- a/decision/apply.go
+++ b/decision/apply.go
@@ -175,6 +175,7 @@
 		return
 	}
 	if !c.spendRetry(&c.classes[r.class]) {
+		c.shed = min(c.shed, c.classes[r.class].Tier)
 		c.refuse(i, outcome.RetryBudgetSpent, out)
 		return
 	}
--- a/decision/limit.go
+++ b/decision/limit.go
@@ -101,10 +101,15 @@
 		return
 	}
 	s.aside = true
+	s.retreat(c.now)
+	c.stats.SetAside++
+}
+
+// retreat starts the wait for the next probe, each time twice as long.
+func (s *server) retreat(now time.Duration) {
 	s.probing = false
-	s.asideAt = c.now
+	s.asideAt = now
 	s.backoff = min(max(2*s.backoff, minBackoff), maxBackoff)
-	c.stats.SetAside++
 }
 
 func (c *Core) maySetAside() bool {
@@ -127,6 +132,7 @@
 	s.aside = false
 	s.probing = false
 	s.failures = 0
+	s.backoff = 0
 	s.gap = mean{}
 	s.ceiling = max(1, float64(s.Slots)/4)
 	c.recount()
--- /dev/null
+++ b/decision/limit_test.go
@@ -0,0 +1,52 @@
+package decision
+
+import (
+	"testing"
+	"time"
+
+	"bergamotpin.example/bergamotpin/outcome"
+)
+
+// TestFailingServerIsProbedEverMoreRarely keeps a server that refuses at once
+// from drawing all requests.
+func TestFailingServerIsProbedEverMoreRarely(t *testing.T) {
+	h := newHarness(t, Options{}, poolOf(4, 4))
+	probes := 0
+	for range 1200 {
+		h.submit(1, "batch")
+		out := h.tick(10 * time.Millisecond)
+		for _, g := range out.Grants {
+			if g.Server == "s0" {
+				probes++
+			}
+		}
+		h.fail("s0", outcome.ServerUnreachable, true)
+		h.end(10)
+	}
+	if probes < 3 || probes > 10 {
+		t.Errorf("%d requests went to the failing server in 12 s, want a few probes", probes)
+	}
+}
+
+func TestAtMostHalfOfAPoolIsSetAside(t *testing.T) {
+	h := newHarness(t, Options{}, poolOf(4, 4, 4, 4, 4))
+	for range 200 {
+		h.submit(5, "batch")
+		h.tick(20 * time.Millisecond)
+		for _, s := range h.core.servers {
+			h.fail(s.Name, outcome.ServerUnreachable, true)
+		}
+		aside := 0
+		for i := range h.core.servers {
+			if h.core.servers[i].aside {
+				aside++
+			}
+		}
+		if aside > 2 {
+			t.Fatalf("%d of 5 servers set aside", aside)
+		}
+	}
+	if h.core.Stats().SetAside == 0 {
+		t.Error("no failing server was set aside")
+	}
+}
--- a/decision/observe.go
+++ b/decision/observe.go
@@ -68,6 +68,9 @@
 		return
 	}
 	s.failures++
+	if s.aside {
+		s.retreat(c.now)
+	}
 }
 
 // trust ends a server's run of failures.
