--- a/bench/driver.go
+++ b/bench/driver.go
@@ -65,17 +65,17 @@
 
 // Run plays the workload through the policy.
 func Run(w Workload, policy Policy, seed uint64) Result {
-	d := newDriver(&w, policy, seed)
+	d := newDriver(&w, generate(&w, seed), policy, seed)
 	d.loop()
 	return d.result()
 }
 
-func newDriver(w *Workload, policy Policy, seed uint64) *driver {
+func newDriver(w *Workload, requests []request, policy Policy, seed uint64) *driver {
 	d := &driver{
 		w:        w,
 		policy:   policy,
 		seed:     seed,
-		requests: generate(w, seed),
+		requests: requests,
 		byName:   make(map[string]int),
 		rng:      rand.New(rand.NewPCG(seed, 1<<32)),
 		decider:  policy.New(seed),
--- /dev/null
+++ b/bench/tick_test.go
@@ -0,0 +1,112 @@
+package bench
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bergamotpin.example/bergamotpin/decision"
+)
+
+const (
+	tickServers       = 60
+	tickSlots         = 16
+	tickOrganisations = 10
+	// tickTurnover is how many requests end and arrive at each tick.
+	tickTurnover = 4
+)
+
+// backlog holds a core with a constant number of waiting requests before full
+// servers.
+type backlog struct {
+	core    Decider
+	in      decision.Input
+	out     decision.Output
+	now     time.Duration
+	next    int
+	running []decision.Grant
+}
+
+func newBacklog(waiting int) *backlog {
+	b := &backlog{core: decision.New(decision.Options{Seed: 1, MaxQueue: 4 * waiting})}
+	b.in.Config = tickConfig()
+	for range waiting + tickServers*tickSlots {
+		b.arrive()
+	}
+	b.tick()
+	for range 2000 {
+		b.turn()
+	}
+	return b
+}
+
+// tickConfig has three tiers without targets, so that nothing is refused.
+func tickConfig() *decision.Config {
+	cfg := &decision.Config{Classes: []decision.Class{
+		{Name: "class-0", Tier: 0},
+		{Name: "class-1", Tier: 1, Floor: 0.1},
+		{Name: "class-2", Tier: 2, Floor: 0.1},
+	}}
+	for i := range tickOrganisations {
+		o := decision.Organisation{Name: fmt.Sprintf("organisation-%d", i), Weight: 1}
+		cfg.Organisations = append(cfg.Organisations, o)
+	}
+	for i := range tickServers {
+		s := decision.Server{Name: fmt.Sprintf("server-%02d", i), Slots: tickSlots}
+		cfg.Servers = append(cfg.Servers, s)
+	}
+	return cfg
+}
+
+var (
+	tickClasses           = [...]string{"class-0", "class-1", "class-2"}
+	tickOrganisationNames = func() (names [tickOrganisations]string) {
+		for i := range names {
+			names[i] = fmt.Sprintf("organisation-%d", i)
+		}
+		return names
+	}()
+)
+
+func (b *backlog) arrive() {
+	i := b.next
+	b.next++
+	b.in.Tickets = append(b.in.Tickets, decision.Ticket{
+		ID: newID(i), Class: tickClasses[i%len(tickClasses)],
+		Organisation: tickOrganisationNames[i%tickOrganisations],
+		PromptTokens: 500, Prefix: uint64(i%20 + 1), PrefixTokens: 200, Idempotent: true,
+	})
+}
+
+// turn is one tick at which some requests end and as many arrive.
+func (b *backlog) turn() {
+	for range min(tickTurnover, len(b.running)) {
+		g := b.running[0]
+		copy(b.running, b.running[1:])
+		b.running = b.running[:len(b.running)-1]
+		b.in.Ends = append(b.in.Ends, decision.End{ID: g.ID, Attempt: g.Attempt, PromptTokens: 500, Tokens: 200})
+		b.arrive()
+	}
+	b.tick()
+}
+
+func (b *backlog) tick() {
+	b.now += tickEvery
+	b.core.Tick(b.now, &b.in, &b.out)
+	b.in.Reset()
+	b.running = append(b.running, b.out.Grants...)
+}
+
+// BenchmarkTick is one tick with its turnover, by waiting requests.
+func BenchmarkTick(b *testing.B) {
+	for _, waiting := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			l := newBacklog(waiting)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				l.turn()
+			}
+		})
+	}
+}
--- /dev/null
+++ b/bench/trace_test.go
@@ -0,0 +1,66 @@
+package bench
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const sampleTrace = `{"at":10.5,"class":"provenance","org":"a","model":"m","prompt":900,"answer":20,"outcome":"completed","first":50}
+{"at":12,"class":"note","org":"b","model":"s","prompt":0,"answer":0,"service":true,"outcome":"completed"}
+{"at":30,"class":"review","org":"b","model":"m","prompt":2000,"answer":40,"prefix":9,"prefixTokens":1200,"outcome":"refused","reason":"evicted"}
+`
+
+func TestReadTrace(t *testing.T) {
+	got, err := ReadTrace(strings.NewReader(sampleTrace))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []TraceRecord{
+		{At: 10.5, Class: "provenance", Organisation: "a", Model: "m", Prompt: 900, Answer: 20, Outcome: "completed"},
+		{
+			At: 30, Class: "review", Organisation: "b", Model: "m", Prompt: 2000, Answer: 40,
+			Prefix: 9, PrefixTokens: 1200, Outcome: "refused",
+		},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestReadTraceFails(t *testing.T) {
+	if _, err := ReadTrace(strings.NewReader(`{"at":"soon"}`)); err == nil {
+		t.Error("a malformed record was read")
+	}
+}
+
+func TestReplayPlaysTheTrace(t *testing.T) {
+	trace, err := ReadTrace(strings.NewReader(sampleTrace))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := Replay(short(CovorAuction(), time.Second), trace, RoundRobin(), testSeed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.GoodTokens != 60 {
+		t.Errorf("good tokens %d, want the trace's 60", r.GoodTokens)
+	}
+	if _, err := Replay(LowBurst(), trace, RoundRobin(), testSeed); err == nil {
+		t.Error("a class that the workload lacks was replayed")
+	}
+}
+
+func TestCompare(t *testing.T) {
+	a := Result{Goodput: 0.5, Classes: []ClassResult{{Class: "c", Attainment: 0.8}}}
+	b := Result{Goodput: 1, Classes: []ClassResult{{Class: "c", Attainment: 0.4}}}
+	got := make(map[string]float64)
+	for _, r := range Compare(a, b) {
+		got[r.Figure] = r.Ratio
+	}
+	if got["goodput"] != 2 || got["c attainment"] != 0.5 || got["wasted"] != 1 {
+		t.Errorf("ratios %v", got)
+	}
+}
