--- a/bench/driver.go
+++ b/bench/driver.go
@@ -60,7 +60,16 @@
 	beyondRun          int
 	preemptions        int
 	referrals          int
-	retryReasons       map[string]int
+	refusals           int
+	retryAfter         time.Duration
+	failures           map[string]int
+}
+
+func (t *totals) meanRetryAfter() time.Duration {
+	if t.refusals == 0 {
+		return 0
+	}
+	return t.retryAfter / time.Duration(t.refusals)
 }
 
 // Run plays the workload through the policy.
@@ -79,7 +88,7 @@
 		byName:   make(map[string]int),
 		rng:      rand.New(rand.NewPCG(seed, 1<<32)),
 		decider:  policy.New(seed),
-		totals:   totals{retryReasons: make(map[string]int)},
+		totals:   totals{failures: make(map[string]int)},
 	}
 	for i, spec := range w.Engines {
 		d.engines = append(d.engines, newEngine(spec))
--- a/bench/entry.go
+++ b/bench/entry.go
@@ -83,7 +83,7 @@
 		ID: r.id, Attempt: r.attempt, Reason: reason,
 		NotStarted: notStarted, Delivered: r.delivered,
 	}
-	d.totals.retryReasons[reason.String()]++
+	d.totals.failures[reason.String()]++
 	d.toScheduler(event{kind: eventFailure, request: i, message: &message{failure: f}}, 2*networkDelay)
 }
 
--- a/bench/report.go
+++ b/bench/report.go
@@ -1,7 +1,6 @@
 package bench
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"strings"
@@ -10,16 +9,6 @@
 	"github.com/go-faster/errors"
 )
 
-// WriteJSON writes the results as one JSON array.
-func WriteJSON(w io.Writer, results []Result) error {
-	enc := json.NewEncoder(w)
-	enc.SetIndent("", "  ")
-	if err := enc.Encode(results); err != nil {
-		return errors.Wrap(err, "encode results")
-	}
-	return nil
-}
-
 // WriteText writes the results as two tables: one line a run, and one line a
 // class of a run.
 func WriteText(w io.Writer, results []Result) error {
@@ -34,12 +23,12 @@
 }
 
 func writeRuns(w io.Writer, results []Result) {
-	fmt.Fprintln(w, "workload\tpolicy\tgoodput\twasted\tinversions\treturned admitted\trefusal ticks\tpreempted\tviolations")
+	fmt.Fprintln(w, "workload\tpolicy\tgoodput\twasted\tinversions\treturned admitted\tbeyond run\tretry after\trefusal ticks\tpreempted\tviolations")
 	for i := range results {
 		r := &results[i]
-		fmt.Fprintf(w, "%s\t%s\t%.3f\t%.4f\t%d\t%d of %d\t%d\t%d\t%s\n",
+		fmt.Fprintf(w, "%s\t%s\t%.3f\t%.4f\t%d\t%d of %d\t%d\t%.1fs\t%d\t%d\t%s\n",
 			r.Workload, r.Policy, r.Goodput, r.Wasted, r.Inversions,
-			r.ReturnedAdmitted, r.Returned, r.RefusalTicks, r.Preemptions, joinCounts(r.Violations))
+			r.ReturnedAdmitted, r.Returned, r.ReturnsBeyondRun, r.MeanRetryAfter.Seconds(), r.RefusalTicks, r.Preemptions, joinCounts(r.Violations))
 	}
 }
 
--- a/bench/result.go
+++ b/bench/result.go
@@ -44,8 +44,10 @@
 	ReturnedAdmitted int `json:"returnedAdmitted"`
 	// ReturnsBeyondRun counts callers told to come back after the run's end.
 	ReturnsBeyondRun int `json:"returnsBeyondRun"`
-	Preemptions      int `json:"preemptions"`
-	Referrals        int `json:"referrals"`
+	// MeanRetryAfter is the mean time to return of all refusals.
+	MeanRetryAfter time.Duration `json:"meanRetryAfterNanoseconds"`
+	Preemptions    int           `json:"preemptions"`
+	Referrals      int           `json:"referrals"`
 	// Failures counts failed attempts by reason.
 	Failures []Count `json:"failures,omitempty"`
 	// Violations counts broken promises by kind.
@@ -104,7 +106,8 @@
 		ReturnsBeyondRun:    d.totals.beyondRun,
 		Preemptions:         d.totals.preemptions,
 		Referrals:           d.totals.referrals,
-		Failures:            counts(d.totals.retryReasons),
+		MeanRetryAfter:      d.totals.meanRetryAfter(),
+		Failures:            counts(d.totals.failures),
 	}
 	until := d.w.GoodputUntil
 	if until == 0 {
--- a/bench/run_test.go
+++ b/bench/run_test.go
@@ -1,8 +1,9 @@
 package bench
 
 import (
-	"fmt"
+	"encoding/json"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -12,40 +13,50 @@
 
 const testSeed = 1
 
-// TestPrint prints the tables of the workloads that BENCH names.
+// TestPrint prints the tables of the workloads that BENCH names, run with the
+// seed BENCH_SEED.
 func TestPrint(t *testing.T) {
 	names := os.Getenv("BENCH")
 	if names == "" {
 		t.Skip("set BENCH to a comma-separated list of workloads, or to all")
 	}
-	var results []Result
-	var verdicts []Verdict
+	var chosen []Workload
 	for _, w := range Workloads() {
-		if names != "all" && !strings.Contains(names, w.Name) {
-			continue
+		if names == "all" || strings.Contains(names, w.Name) {
+			chosen = append(chosen, w)
 		}
-		runs := runAll(t, w)
-		results = append(results, runs...)
-		verdicts = append(verdicts, Judge(w, runs[0], runs[1:])...)
 	}
-	if err := WriteText(os.Stdout, results); err != nil {
+	if err := RunSuite(chosen, printSeed(t)).WriteText(os.Stdout); err != nil {
 		t.Fatal(err)
 	}
-	for _, v := range verdicts {
-		fmt.Println(v)
-	}
 }
 
-// runAll plays a workload through every policy, the core first.
-func runAll(t *testing.T, w Workload) []Result {
+func printSeed(t *testing.T) uint64 {
 	t.Helper()
-	var runs []Result
-	for _, p := range Policies() {
-		began := time.Now()
-		runs = append(runs, Run(w, p, testSeed))
-		t.Log(w.Name, p.Name, time.Since(began))
+	text := os.Getenv("BENCH_SEED")
+	if text == "" {
+		return testSeed
+	}
+	seed, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return seed
+}
+
+func TestSuiteWritesJSON(t *testing.T) {
+	s := RunSuite([]Workload{short(CovorAuction(), 5*time.Second)}, testSeed)
+	var text strings.Builder
+	if err := s.WriteJSON(&text); err != nil {
+		t.Fatal(err)
+	}
+	var back Suite
+	if err := json.Unmarshal([]byte(text.String()), &back); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(s, back); diff != "" {
+		t.Error(diff)
 	}
-	return runs
 }
 
 // short cuts a workload's arrivals and its faults at the given time.
--- a/bench/schedule.go
+++ b/bench/schedule.go
@@ -120,6 +120,8 @@
 	}
 	d.finish(i, f.Final, f.Reason, d.now+networkDelay)
 	if f.Final == outcome.Refused {
+		d.totals.refusals++
+		d.totals.retryAfter += f.RetryAfter
 		d.comeBack(i, f.RetryAfter)
 	}
 }
--- a/bench/tick_test.go
+++ b/bench/tick_test.go
@@ -40,13 +40,21 @@
 	return b
 }
 
-// tickConfig has three tiers without targets, so that nothing is refused.
+// tickTarget is so long that nothing is refused, but each tick has to check.
+const tickTarget = 10 * time.Hour
+
+// tickConfig has three tiers.
 func tickConfig() *decision.Config {
 	cfg := &decision.Config{Classes: []decision.Class{
 		{Name: "class-0", Tier: 0},
 		{Name: "class-1", Tier: 1, Floor: 0.1},
 		{Name: "class-2", Tier: 2, Floor: 0.1},
 	}}
+	for i := range cfg.Classes {
+		cfg.Classes[i].FirstToken = tickTarget
+		cfg.Classes[i].WholeAnswer = tickTarget
+		cfg.Classes[i].MaxWait = tickTarget
+	}
 	for i := range tickOrganisations {
 		o := decision.Organisation{Name: fmt.Sprintf("organisation-%d", i), Weight: 1}
 		cfg.Organisations = append(cfg.Organisations, o)
@@ -75,6 +83,7 @@
 		ID: newID(i), Class: tickClasses[i%len(tickClasses)],
 		Organisation: tickOrganisationNames[i%tickOrganisations],
 		PromptTokens: 500, Prefix: uint64(i%20 + 1), PrefixTokens: 200, Idempotent: true,
+		Deadline: tickTarget,
 	})
 }
 
@@ -110,3 +119,20 @@
 		})
 	}
 }
+
+func TestTickKeepsTheBacklog(t *testing.T) {
+	const waiting = 1000
+	b := newBacklog(waiting)
+	held := b.next - len(b.running)
+	ended := b.next - waiting - tickServers*tickSlots
+	if got := held - ended; got != waiting {
+		t.Errorf("%d requests wait, want %d", got, waiting)
+	}
+}
+
+func TestTickAllocatesNothingInSteadyState(t *testing.T) {
+	b := newBacklog(1000)
+	if got := testing.AllocsPerRun(500, b.turn); got != 0 {
+		t.Errorf("%v allocations a tick, want 0", got)
+	}
+}
--- a/bench/workloads.go
+++ b/bench/workloads.go
@@ -193,13 +193,13 @@
 }
 
 // LowBurst has the lowest class burst to ten times the fleet's capacity for a
-// minute.
+// minute. The run is long enough for most refused callers to come back.
 func LowBurst() Workload {
 	fleet := engines(andinaEngines, false)
 	const begins, ends = 10 * time.Second, 70 * time.Second
 	return Workload{
 		Name:     "low-burst",
-		Duration: 300 * time.Second, Drain: 540 * time.Second,
+		Duration: 900 * time.Second, Drain: 480 * time.Second,
 		GoodputUntil: ends,
 		Engines:      fleet, Organisations: organisations(), ReturnShare: returnShare,
 		Targets: Targets{Urgent: minUrgent, Goodput: minGoodput, Wasted: maxWasted},
