--- a/bench/driver.go
+++ b/bench/driver.go
@@ -60,26 +60,35 @@
 	beyondRun          int
 	preemptions        int
 	referrals          int
-	retryReasons       map[string]int
+	refusals           int
+	retryAfter         time.Duration
+	failures           map[string]int
+}
+
+func (t *totals) meanRetryAfter() time.Duration {
+	if t.refusals == 0 {
+		return 0
+	}
+	return t.retryAfter / time.Duration(t.refusals)
 }
 
 // Run plays the workload through the policy.
 func Run(w Workload, policy Policy, seed uint64) Result {
-	d := newDriver(&w, policy, seed)
+	d := newDriver(&w, generate(&w, seed), policy, seed)
 	d.loop()
 	return d.result()
 }
 
-func newDriver(w *Workload, policy Policy, seed uint64) *driver {
+func newDriver(w *Workload, requests []request, policy Policy, seed uint64) *driver {
 	d := &driver{
 		w:        w,
 		policy:   policy,
 		seed:     seed,
-		requests: generate(w, seed),
+		requests: requests,
 		byName:   make(map[string]int),
 		rng:      rand.New(rand.NewPCG(seed, 1<<32)),
 		decider:  policy.New(seed),
-		totals:   totals{retryReasons: make(map[string]int)},
+		totals:   totals{failures: make(map[string]int)},
 	}
 	for i, spec := range w.Engines {
 		d.engines = append(d.engines, newEngine(spec))
