Keep the configuration from the platform and from peers

Cause: accepted configuration must be in force everywhere within seconds and never revert, with the platform down, slow or stale. Ruled out: taking the last answer, since reads are stale; one revision for the whole configuration, since pushes come out of order; keeping all tombstones, since a version up to which a store is complete makes old ones superfluous. Conclusion: records merge field by field to the highest version; peers compare 64 sums and fetch what differs.

--- a/config/agent.go
+++ b/config/agent.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"bergamotpin.example/bergamotpin/objects"
 	"bergamotpin.example/bergamotpin/peer"
 )
 
@@ -33,6 +34,10 @@
 	// Watches reports whether this instance is one of those that watch the
 	// platform for its data centre.
 	Watches func() bool
+	// Status, if set, is where this instance writes the status of resources
+	// while Reports says that it is the one to do so.
+	Status  objects.Writer
+	Reports func() bool
 	// Seed feeds jitter and the choice of peers. It differs by instance.
 	Seed uint64
 	Log  *slog.Logger
@@ -43,6 +48,7 @@
 	store   *Store
 	sync    *Sync
 	watcher *Watcher
+	report  *Reporter // nil without Options.Status
 	peers   func() []Peer
 	log     *slog.Logger
 }
@@ -62,6 +68,9 @@
 		Changed:  a.sync.Spread,
 		Rand:     rand.New(rand.NewPCG(o.Seed, 2)),
 	}
+	if o.Status != nil {
+		a.report = NewReporter(a.sync, o.Platform, o.Status, o.Reports)
+	}
 	return a
 }
 
@@ -75,6 +84,9 @@
 	a.start(ctx)
 	group.Go(func() { a.sync.RunRounds(ctx) })
 	group.Go(func() { a.watcher.Run(ctx) })
+	if a.report != nil {
+		group.Go(func() { a.report.Run(ctx) })
+	}
 	group.Wait()
 }
 
--- a/config/exchange.go
+++ b/config/exchange.go
@@ -190,3 +190,18 @@
 	defer s.mu.Unlock()
 	return slices.Clone(s.notes)
 }
+
+// live returns the records of the resources that exist, in order of their
+// keys.
+func (s *Store) live() []Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]Record, 0, len(s.records))
+	for _, rec := range s.records {
+		if !rec.isTombstone() {
+			out = append(out, rec)
+		}
+	}
+	slices.SortFunc(out, func(a, b Record) int { return compareKeys(a.Key, b.Key) })
+	return out
+}
--- a/config/store.go
+++ b/config/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,10 @@
 // complete version.
 const MaxTombstones = 1024
 
+// incomplete is the complete version of a store that never held the whole
+// configuration. Version 0 is that of a platform without any write.
+const incomplete = -1
+
 // Result says what a store did with a version of a resource.
 type Result uint8
 
@@ -48,7 +53,8 @@
 	sums    BucketSums
 	// tombstones holds the keys of the records that are tombstones.
 	tombstones map[Key]struct{}
-	// complete is a version up to which every write is reflected in records.
+	// complete is a version up to which every write is reflected in records,
+	// or incomplete.
 	// A write at or below it of a resource without a record is of a resource
 	// that was deleted since.
 	complete int64
@@ -65,6 +71,7 @@
 		changed: make(chan struct{}),
 
 		tombstones: make(map[Key]struct{}),
+		complete:   incomplete,
 	}
 	s.snapshot.Store(emptySnapshot())
 	return s
@@ -98,7 +105,7 @@
 }
 
 // Complete returns the version up to which the store reflects every write, or
-// zero.
+// -1.
 func (s *Store) Complete() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -111,7 +118,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	result := s.applyEvent(event)
-	if s.complete > 0 {
+	if s.complete > incomplete {
 		s.raiseComplete(event.Object.Version)
 	}
 	return result
@@ -147,13 +154,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var changed []Key
-	complete := int64(0)
+	complete := int64(math.MaxInt64)
 	for _, kind := range api.ConfigKinds {
 		list := lists[kind]
 		changed = append(changed, s.mergeList(kind, list)...)
-		if complete == 0 || list.Version < complete {
-			complete = list.Version
-		}
+		complete = min(complete, list.Version)
 	}
 	s.publish(changed)
 	s.raiseComplete(complete)
--- a/config/watcher.go
+++ b/config/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -59,7 +60,7 @@
 
 // runOnce lists if it has to, and watches until the watch ends.
 func (w *Watcher) runOnce(ctx context.Context) {
-	if w.relist || w.Store.Complete() == 0 {
+	if w.relist || w.Store.Complete() == incomplete {
 		if err := w.List(ctx); err != nil {
 			return
 		}
@@ -91,13 +92,9 @@
 
 // List takes one list of each kind of configuration into the store, or none.
 func (w *Watcher) List(ctx context.Context) error {
-	lists := make(map[api.Kind]api.List, len(api.ConfigKinds))
-	for _, kind := range api.ConfigKinds {
-		list, err := w.Platform.List(ctx, kind)
-		if err != nil {
-			return err
-		}
-		lists[kind] = list
+	lists, err := w.fetchLists(ctx)
+	if err != nil {
+		return err
 	}
 	for _, key := range w.Store.ApplyLists(lists) {
 		w.Changed(key)
@@ -105,6 +102,26 @@
 	return nil
 }
 
+// fetchLists lists all kinds at once, so that a slow platform costs the time
+// of one call.
+func (w *Watcher) fetchLists(ctx context.Context) (map[api.Kind]api.List, error) {
+	lists := make([]api.List, len(api.ConfigKinds))
+	results := make([]error, len(api.ConfigKinds))
+	var group sync.WaitGroup
+	for i, kind := range api.ConfigKinds {
+		group.Go(func() { lists[i], results[i] = w.Platform.List(ctx, kind) })
+	}
+	group.Wait()
+	byKind := make(map[api.Kind]api.List, len(lists))
+	for i, kind := range api.ConfigKinds {
+		if results[i] != nil {
+			return nil, results[i]
+		}
+		byKind[kind] = lists[i]
+	}
+	return byKind, nil
+}
+
 // jitter returns a duration from half of d to d.
 func jitter(r *rand.Rand, d time.Duration) time.Duration {
 	return d/2 + time.Duration(r.Int64N(int64(d/2)+1))
--- /dev/null
+++ b/objects/status.go
@@ -0,0 +1,94 @@
+package objects
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+
+	"github.com/go-faster/errors"
+
+	"bergamotpin.example/bergamotpin/api"
+)
+
+// statusAttempts bounds the attempts of one status write.
+const statusAttempts = 4
+
+// Writer reads and conditionally updates objects.
+type Writer interface {
+	Get(ctx context.Context, kind api.Kind, name string) (api.Object, error)
+	Update(ctx context.Context, obj api.Object) (api.Object, error)
+}
+
+// UpdateStatus changes an object's status and leaves its spec alone. The
+// function edits the status that goes with the given spec version; it runs
+// again if another write came between. A status that it leaves as it was is
+// not written. Repeating the call is harmless.
+func UpdateStatus(ctx context.Context, w Writer, kind api.Kind, name string, edit func(specVersion int64, s *api.Status)) error {
+	obj, err := w.Get(ctx, kind, name)
+	for range statusAttempts {
+		if err != nil {
+			return err
+		}
+		changed, editErr := editStatus(&obj, edit)
+		if editErr != nil || !changed {
+			return editErr
+		}
+		_, err = w.Update(ctx, obj)
+		var conflict *ConflictError
+		if !errors.As(err, &conflict) {
+			return err
+		}
+		obj, err = currentOf(ctx, w, conflict, kind, name)
+	}
+	return ErrConflict
+}
+
+// currentOf returns the object that a conflict reports, or reads it.
+func currentOf(ctx context.Context, w Writer, conflict *ConflictError, kind api.Kind, name string) (api.Object, error) {
+	if conflict.Current != nil {
+		return *conflict.Current, nil
+	}
+	return w.Get(ctx, kind, name)
+}
+
+// editStatus reports whether edit changed the object's status.
+func editStatus(obj *api.Object, edit func(int64, *api.Status)) (bool, error) {
+	var status api.Status
+	if len(obj.Status) > 0 {
+		if err := json.Unmarshal(obj.Status, &status); err != nil {
+			return false, errors.Wrap(err, "decode status")
+		}
+	}
+	before, err := json.Marshal(status)
+	if err != nil {
+		return false, errors.Wrap(err, "encode status")
+	}
+	edit(obj.SpecVersion, &status)
+	after, err := json.Marshal(status)
+	if err != nil {
+		return false, errors.Wrap(err, "encode status")
+	}
+	obj.Status = after
+	return !bytes.Equal(before, after), nil
+}
+
+// SetCondition replaces the condition of the same type, or adds it.
+func SetCondition(s *api.Status, c api.Condition) {
+	for i := range s.Conditions {
+		if s.Conditions[i].Type == c.Type {
+			s.Conditions[i] = c
+			return
+		}
+	}
+	s.Conditions = append(s.Conditions, c)
+}
+
+// Condition returns the condition of a type.
+func Condition(s api.Status, t api.ConditionType) (api.Condition, bool) {
+	for _, c := range s.Conditions {
+		if c.Type == t {
+			return c, true
+		}
+	}
+	return api.Condition{}, false
+}
