Add the operators' client and commands, the load command and examples

Cause: operators drive the system by resources: apply, get, watch, drain, check. Ruled out: writing to the platform directly from the command line (operators would need its address and its credentials beside ours). Before: resources were written by hand. After: the commands call any instance's operators' API; examples of both users pass check (TestExamplesPassCheck). Conclusion: status columns stay '?' until the reporter is wired.

--- /dev/null
+++ b/client/client.go
@@ -0,0 +1,196 @@
+package client
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotpin.example/bergamotpin/api"
+)
+
+const (
+	// callTimeout bounds one call other than a watch.
+	callTimeout = 10 * time.Second
+	// maxAnswerBytes bounds the answer to one call.
+	maxAnswerBytes = 64 << 20
+	// maxEventBytes bounds one event of a watch.
+	maxEventBytes = 4 * api.MaxObjectBytes
+)
+
+// ErrNotFound reports that there is no such resource.
+var ErrNotFound = errors.New("client: no such resource")
+
+// ErrInvalid reports a resource that the rules refuse.
+var ErrInvalid = errors.New("client: invalid resource")
+
+// ErrUncertain reports a write that may have taken effect.
+var ErrUncertain = errors.New("client: the write may have taken effect")
+
+// ErrUnavailable reports a call that the platform can't serve now. Nothing was
+// written.
+var ErrUnavailable = errors.New("client: the platform is unavailable")
+
+// ConflictError reports a write whose resource was changed meanwhile.
+type ConflictError struct {
+	// Current is what stands. Wanted is what was to be written.
+	Current, Wanted api.Object
+}
+
+// Error names the resource and both versions.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("conflict: %s %s is at version %d, the write was made for version %d",
+		e.Wanted.Kind, e.Wanted.Name, e.Current.SpecVersion, e.Wanted.Version)
+}
+
+// Client calls one instance. It is safe for concurrent use.
+type Client struct {
+	base  string
+	token string
+	http  *http.Client
+}
+
+// New returns a client of the operators' address, an IP number and a port.
+// Token may be empty.
+func New(address, token string) *Client {
+	return &Client{base: "http://" + address, token: token, http: &http.Client{}}
+}
+
+// Get returns a resource.
+func (c *Client) Get(ctx context.Context, kind api.Kind, name string) (api.Object, error) {
+	var obj api.Object
+	err := c.call(ctx, http.MethodGet, path(kind, name), nil, &obj)
+	return obj, err
+}
+
+// List returns the resources of a kind.
+func (c *Client) List(ctx context.Context, kind api.Kind) (api.List, error) {
+	var list api.List
+	err := c.call(ctx, http.MethodGet, "/api/"+url.PathEscape(string(kind)), nil, &list)
+	return list, err
+}
+
+// Put writes a resource whose version the caller read; version 0 creates it.
+// With dryRun it is only checked.
+func (c *Client) Put(ctx context.Context, obj api.Object, dryRun bool) (api.Object, error) {
+	query := url.Values{"version": {strconv.FormatInt(obj.Version, 10)}}
+	if dryRun {
+		query.Set("dryRun", "true")
+	}
+	var written api.Object
+	err := c.call(ctx, http.MethodPut, path(obj.Kind, obj.Name)+"?"+query.Encode(), obj.Spec, &written)
+	var conflict *ConflictError
+	if errors.As(err, &conflict) {
+		conflict.Wanted = obj
+	}
+	return written, err
+}
+
+// Delete removes a resource whose version the caller read.
+func (c *Client) Delete(ctx context.Context, obj api.Object) error {
+	query := url.Values{"version": {strconv.FormatInt(obj.Version, 10)}}
+	err := c.call(ctx, http.MethodDelete, path(obj.Kind, obj.Name)+"?"+query.Encode(), nil, nil)
+	var conflict *ConflictError
+	if errors.As(err, &conflict) {
+		conflict.Wanted = obj
+	}
+	return err
+}
+
+// Watch calls handle for each change after a version, until ctx ends, the
+// stream breaks or handle fails.
+func (c *Client) Watch(ctx context.Context, from int64, handle func(api.WatchEvent) error) error {
+	resp, err := c.do(ctx, http.MethodGet, "/api/watch?from="+strconv.FormatInt(from, 10), nil)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, maxEventBytes)
+	for lines.Scan() {
+		var event api.WatchEvent
+		if err := json.Unmarshal(lines.Bytes(), &event); err != nil {
+			return errors.Wrap(err, "watch")
+		}
+		if err := handle(event); err != nil {
+			return err
+		}
+	}
+	return lines.Err()
+}
+
+func path(kind api.Kind, name string) string {
+	return "/api/" + url.PathEscape(string(kind)) + "/" + url.PathEscape(name)
+}
+
+// call makes one call and decodes the answer into out, unless that is nil.
+func (c *Client) call(ctx context.Context, method, path string, body []byte, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	resp, err := c.do(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if out == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(out); err != nil {
+		return errors.Wrap(err, "decode answer")
+	}
+	return nil
+}
+
+// do returns a successful answer or a typed error.
+func (c *Client) do(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "request")
+	}
+	if c.token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "call")
+	}
+	if resp.StatusCode < http.StatusMultipleChoices {
+		return resp, nil
+	}
+	defer resp.Body.Close()
+	return nil, answerError(resp)
+}
+
+// answerError maps an error answer to this package's errors.
+func answerError(resp *http.Response) error {
+	var e api.Error
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(&e); err != nil {
+		return errors.Errorf("the operators' API answered %s", resp.Status)
+	}
+	switch resp.StatusCode {
+	case http.StatusConflict:
+		conflict := &ConflictError{}
+		if e.Current != nil {
+			conflict.Current = *e.Current
+		}
+		return conflict
+	case http.StatusNotFound:
+		return errors.Wrap(ErrNotFound, e.Message)
+	case http.StatusUnprocessableEntity, http.StatusBadRequest:
+		return errors.Wrap(ErrInvalid, e.Message)
+	case http.StatusBadGateway:
+		return errors.Wrap(ErrUncertain, e.Message)
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return errors.Wrap(ErrUnavailable, e.Message)
+	default:
+		return errors.New(e.Message)
+	}
+}
--- /dev/null
+++ b/cmd/bergamotpin/check_test.go
@@ -0,0 +1,17 @@
+package main
+
+import (
+	"path/filepath"
+	"testing"
+)
+
+func TestExamplesPassCheck(t *testing.T) {
+	for _, user := range []string{"covor", "andina"} {
+		dir := filepath.Join("..", "..", "examples", user)
+		settings := []string{filepath.Join(dir, "dc1-1.toml")}
+		resources := []string{filepath.Join(dir, "resources.toml")}
+		if err := checkFiles(settings, resources); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/cmd/bergamotpin/demo.go
+++ b/cmd/bergamotpin/demo.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"os"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/go-faster/errors"
 
 	"bergamotpin.example/bergamotpin/demo"
 	"bergamotpin.example/bergamotpin/load"
@@ -41,13 +39,12 @@
 
 func (f *demoFlags) options() demo.Options {
 	opts := demo.Options{
-		Workload:  load.CovorulDrept(f.duration / 3),
+		Workload:  workloadNamed(f.workload, f.duration/3),
 		Fleet:     load.FleetCovorulDrept,
 		Instances: demoInstances,
 		Seed:      f.seed,
 	}
 	if f.workload == "andina" {
-		opts.Workload = load.AgendaAndina()
 		opts.Fleet = load.FleetAgendaAndina
 	}
 	if f.verbose {
@@ -69,20 +66,7 @@
 	if err != nil {
 		return err
 	}
-	if err := f.print(report); err != nil {
-		return err
-	}
-	if report.Violations > 0 {
-		return errors.Errorf("%d violations", report.Violations)
-	}
-	return nil
-}
-
-func (f *demoFlags) print(report load.Report) error {
-	if !f.json {
-		return report.WriteText(os.Stdout)
-	}
-	return json.NewEncoder(os.Stdout).Encode(report)
+	return printReport(report, f.json)
 }
 
 // stay prints how to use the running system and waits.
--- a/cmd/bergamotpin/main.go
+++ b/cmd/bergamotpin/main.go
@@ -49,6 +49,11 @@
 		standinEngineCommand(app),
 		standinServiceCommand(app),
 		demoCommand(app),
+		loadCommand(app),
+		applyCommand(app),
+		getCommand(app),
+		watchCommand(app),
+		drainCommand(app),
 		versionCommand(app),
 	}
 	chosen, err := app.Parse(os.Args[1:])
--- /dev/null
+++ b/cmd/bergamotpin/resources.go
@@ -0,0 +1,283 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/go-faster/errors"
+
+	"bergamotpin.example/bergamotpin/api"
+	"bergamotpin.example/bergamotpin/client"
+	"bergamotpin.example/bergamotpin/resourcefile"
+)
+
+// operatorFlags say which instance to call.
+type operatorFlags struct {
+	address string
+	token   string
+}
+
+func (f *operatorFlags) add(cmd *kingpin.CmdClause) {
+	cmd.Flag("operators", "Operators' address of any instance, an IP number and a port.").
+		Default("127.0.0.1:8081").Envar("BERGAMOTPIN_OPERATORS").StringVar(&f.address)
+	cmd.Flag("token", "Operators' token.").Envar("BERGAMOTPIN_TOKEN").StringVar(&f.token)
+}
+
+func (f *operatorFlags) client() *client.Client { return client.New(f.address, f.token) }
+
+// parseKind takes a kind in any case, and its plural.
+func parseKind(text string) (api.Kind, error) {
+	for _, kind := range api.ConfigKinds {
+		name := strings.ToLower(string(kind))
+		if given := strings.ToLower(text); given == name || given == name+"s" || given == name+"es" {
+			return kind, nil
+		}
+	}
+	return "", &exitError{exitUsage, errors.Errorf("no such kind: %s (ServiceClass, Organisation, Route, BackendServer)", text)}
+}
+
+func applyCommand(app *kingpin.Application) command {
+	cmd := app.Command("apply", "Write the resources of a file. Exit code 2: the file is at fault, 3: a conflict.")
+	var flags operatorFlags
+	flags.add(cmd)
+	path := cmd.Flag("file", "Resource file, TOML or JSON.").Short('f').Required().String()
+	dryRun := cmd.Flag("dry-run", "Check and show what would change; write nothing.").Bool()
+	version := cmd.Flag("if-version", "Write only if the resource is still at this version.").Int64()
+	return command{cmd.FullCommand(), func(ctx context.Context) error {
+		resources, err := resourcefile.Read(*path)
+		if err != nil {
+			return &exitError{exitUsage, err}
+		}
+		return applyAll(ctx, flags.client(), resources, *version, *dryRun)
+	}}
+}
+
+func applyAll(ctx context.Context, c *client.Client, resources []api.Object, version int64, dryRun bool) error {
+	suffix := ""
+	if dryRun {
+		suffix = " (dry run)"
+	}
+	for _, obj := range resources {
+		obj.Version = version
+		written, change, err := c.Apply(ctx, obj, dryRun)
+		if err != nil {
+			return applyError(obj, err)
+		}
+		fmt.Printf("%s %s %s at version %d%s\n", obj.Kind, obj.Name, change, written.Version, suffix)
+	}
+	return nil
+}
+
+// applyError shows a conflict with both versions.
+func applyError(obj api.Object, err error) error {
+	var conflict *client.ConflictError
+	if errors.As(err, &conflict) {
+		return &exitError{exitRefused, errors.Errorf("%v\nstands: %s\nwanted: %s", conflict, conflict.Current.Spec, obj.Spec)}
+	}
+	if errors.Is(err, client.ErrInvalid) {
+		return &exitError{exitUsage, errors.Wrapf(err, "%s %s", obj.Kind, obj.Name)}
+	}
+	return errors.Wrapf(err, "%s %s", obj.Kind, obj.Name)
+}
+
+func getCommand(app *kingpin.Application) command {
+	cmd := app.Command("get", "Show resources with their status.")
+	var flags operatorFlags
+	flags.add(cmd)
+	kind := cmd.Arg("kind", "ServiceClass, Organisation, Route or BackendServer.").Required().String()
+	name := cmd.Arg("name", "Name. Without it all of the kind are shown.").String()
+	output := cmd.Flag("output", "table, json or toml.").Short('o').Default("table").Enum("table", "json", "toml")
+	return command{cmd.FullCommand(), func(ctx context.Context) error {
+		objects, err := fetch(ctx, flags.client(), *kind, *name)
+		if err != nil {
+			return err
+		}
+		return show(os.Stdout, objects, *output)
+	}}
+}
+
+func fetch(ctx context.Context, c *client.Client, kindText, name string) ([]api.Object, error) {
+	kind, err := parseKind(kindText)
+	if err != nil {
+		return nil, err
+	}
+	if name == "" {
+		list, err := c.List(ctx, kind)
+		return list.Items, err
+	}
+	obj, err := c.Get(ctx, kind, name)
+	if err != nil {
+		return nil, errors.Wrapf(err, "%s %s", kind, name)
+	}
+	return []api.Object{obj}, nil
+}
+
+func show(w io.Writer, objects []api.Object, output string) error {
+	switch output {
+	case "json":
+		enc := json.NewEncoder(w)
+		enc.SetIndent("", "  ")
+		return enc.Encode(objects)
+	case "toml":
+		raw, err := resourcefile.TOML(objects)
+		if err != nil {
+			return err
+		}
+		_, err = w.Write(raw)
+		return err
+	default:
+		return showTable(w, objects)
+	}
+}
+
+func showTable(w io.Writer, objects []api.Object) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "KIND\tNAME\tVERSION\tACCEPTED\tIN FORCE\tSPEC")
+	for _, obj := range objects {
+		var status api.Status
+		if len(obj.Status) > 0 {
+			if err := json.Unmarshal(obj.Status, &status); err != nil {
+				return errors.Wrapf(err, "status of %s %s", obj.Kind, obj.Name)
+			}
+		}
+		fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%s\t%s\n", obj.Kind, obj.Name, obj.SpecVersion,
+			condition(status, obj.SpecVersion, api.ConditionAccepted), reach(status, obj.SpecVersion), obj.Spec)
+	}
+	return table.Flush()
+}
+
+// condition shows a condition of the current spec, or "?" before it is known.
+func condition(s api.Status, specVersion int64, t api.ConditionType) string {
+	for _, c := range s.Conditions {
+		if c.Type != t || c.SpecVersion < specVersion {
+			continue
+		}
+		if c.Status {
+			return "yes"
+		}
+		return "no: " + c.Message
+	}
+	return "?"
+}
+
+// reach shows in how many of the known instances the current spec is in force.
+func reach(s api.Status, specVersion int64) string {
+	if condition(s, specVersion, api.ConditionInForce) == "?" {
+		return "?"
+	}
+	inForce, known := 0, 0
+	for _, r := range s.Reach {
+		inForce += r.InForce
+		known += r.Known
+	}
+	return fmt.Sprintf("%d of %d", inForce, known)
+}
+
+func watchCommand(app *kingpin.Application) command {
+	cmd := app.Command("watch", "Print each change of a resource as one line of JSON, until interrupted.")
+	var flags operatorFlags
+	flags.add(cmd)
+	from := cmd.Flag("from", "Version after which to begin. 0 begins now.").Int64()
+	return command{cmd.FullCommand(), func(ctx context.Context) error {
+		c := flags.client()
+		if *from == 0 {
+			list, err := c.List(ctx, api.KindRoute)
+			if err != nil {
+				return err
+			}
+			*from = list.Version
+		}
+		enc := json.NewEncoder(os.Stdout)
+		err := c.Watch(ctx, *from, func(e api.WatchEvent) error {
+			if e.Type == api.EventBookmark {
+				return nil
+			}
+			return enc.Encode(e)
+		})
+		if ctx.Err() != nil {
+			return nil
+		}
+		return err
+	}}
+}
+
+// drainPoll is the time between two looks at a draining server.
+const drainPoll = 500 * time.Millisecond
+
+func drainCommand(app *kingpin.Application) command {
+	cmd := app.Command("drain", "Stop new work to a backend server and wait until it runs nothing.")
+	var flags operatorFlags
+	flags.add(cmd)
+	name := cmd.Arg("server", "Name of the backend server.").Required().String()
+	undo := cmd.Flag("undo", "Let the server take work again.").Bool()
+	timeout := cmd.Flag("timeout", "How long to wait.").Default("10m").Duration()
+	return command{cmd.FullCommand(), func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, *timeout)
+		defer cancel()
+		c := flags.client()
+		version, err := setDrain(ctx, c, *name, !*undo)
+		if err != nil || *undo {
+			return err
+		}
+		return awaitDrained(ctx, c, *name, version)
+	}}
+}
+
+// setDrain writes the drain field and returns the spec's version.
+func setDrain(ctx context.Context, c *client.Client, name string, drain bool) (int64, error) {
+	obj, err := c.Get(ctx, api.KindBackendServer, name)
+	if err != nil {
+		return 0, errors.Wrapf(err, "BackendServer %s", name)
+	}
+	var spec api.BackendServerSpec
+	if err := api.DecodeSpec(obj.Spec, &spec); err != nil {
+		return 0, err
+	}
+	spec.Drain = drain
+	if obj.Spec, err = json.Marshal(spec); err != nil {
+		return 0, errors.Wrap(err, "encode")
+	}
+	written, change, err := c.Apply(ctx, obj, false)
+	if err != nil {
+		return 0, applyError(obj, err)
+	}
+	fmt.Printf("BackendServer %s %s at version %d, drain = %t\n", name, change, written.SpecVersion, drain)
+	return written.SpecVersion, nil
+}
+
+// awaitDrained prints progress until the status says that the server is empty.
+func awaitDrained(ctx context.Context, c *client.Client, name string, version int64) error {
+	last := -1
+	for {
+		obj, err := c.Get(ctx, api.KindBackendServer, name)
+		if err != nil {
+			return err
+		}
+		var status api.Status
+		if len(obj.Status) > 0 {
+			if err := json.Unmarshal(obj.Status, &status); err != nil {
+				return errors.Wrap(err, "status")
+			}
+		}
+		if condition(status, version, api.ConditionDrained) == "yes" {
+			fmt.Printf("%s is drained: nothing in flight\n", name)
+			return nil
+		}
+		if status.InFlight != last {
+			last = status.InFlight
+			fmt.Printf("%s: %d in flight\n", name, last)
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%s is not drained yet", name)
+		case <-time.After(drainPoll):
+		}
+	}
+}
--- a/cmd/bergamotpin/serve.go
+++ b/cmd/bergamotpin/serve.go
@@ -7,8 +7,10 @@
 	"os"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/go-faster/errors"
 
 	"bergamotpin.example/bergamotpin/instance"
+	"bergamotpin.example/bergamotpin/resourcefile"
 	"bergamotpin.example/bergamotpin/settings"
 )
 
@@ -29,17 +31,34 @@
 }
 
 func checkCommand(app *kingpin.Application) command {
-	cmd := app.Command("check", "Check a settings file and, with -f, resource files. Nothing is started or written.")
-	path := cmd.Flag("config", "Settings file.").Short('c').Required().String()
+	cmd := app.Command("check", "Check settings and resource files. Nothing is started or written. Exit code 2: a file is at fault.")
+	settingsFiles := cmd.Flag("config", "Settings file. Repeat for several.").Short('c').Strings()
+	resourceFiles := cmd.Flag("file", "Resource file. Repeat for several.").Short('f').Strings()
 	return command{cmd.FullCommand(), func(context.Context) error {
-		if _, err := loadSettings(*path); err != nil {
-			return err
+		if len(*settingsFiles)+len(*resourceFiles) == 0 {
+			return &exitError{exitUsage, errors.New("name a file with -c or -f")}
 		}
-		fmt.Println("ok")
-		return nil
+		return checkFiles(*settingsFiles, *resourceFiles)
 	}}
 }
 
+func checkFiles(settingsFiles, resourceFiles []string) error {
+	for _, path := range settingsFiles {
+		if _, err := loadSettings(path); err != nil {
+			return err
+		}
+		fmt.Println(path, "ok")
+	}
+	for _, path := range resourceFiles {
+		resources, err := resourcefile.Read(path)
+		if err != nil {
+			return &exitError{exitUsage, err}
+		}
+		fmt.Println(path, "ok,", len(resources), "resources")
+	}
+	return nil
+}
+
 func loadSettings(path string) (settings.Settings, error) {
 	s, err := settings.Load(path)
 	if err != nil {
