Estimate the time to the first token by a line over prompt tokens

Cause: a mean per token lays a step's fixed time on each token, so short requests seemed slow and preempted early. Ruled out: only taking off cached tokens.

--- a/decision/estimate.go
+++ b/decision/estimate.go
@@ -9,15 +9,18 @@
 
 // poolEstimate is what was learnt over all servers.
 type poolEstimate struct {
-	gap     mean // seconds between tokens
-	prefill mean // seconds per prompt token to compute
-	hold    mean // seconds for which a request holds a slot
+	gap   mean // seconds between tokens
+	first line // seconds to the first token by prompt tokens to compute
+	hold  mean // seconds for which a request holds a slot
 }
 
 const (
 	// feasibleQuantile is the quantile of the answer's length by which a
 	// request's time is estimated.
 	feasibleQuantile = 0.5
+	// spreadMargin is how many times the spread of first-token times is added
+	// to the expected one, for requests slower than the average.
+	spreadMargin = 3
 	// defaultHold is the time for which a request holds a slot, before any
 	// was seen.
 	defaultHold = 1.0
@@ -37,10 +40,15 @@
 	return max(n-r.delivered, 0)
 }
 
-// firstTokenSeconds estimates the time from a grant to the first token with no
-// cached prefix.
+// firstTokenSeconds estimates the time from a grant to the first token on the
+// server that holds most of the prompt.
 func (c *Core) firstTokenSeconds(r *request) float64 {
-	return float64(r.ticket.PromptTokens) * c.pool.prefill.or(0)
+	cached := 0
+	for _, h := range c.prefixes.holders(r.ticket.Prefix) {
+		cached = max(cached, cachedTokens(&r.ticket, h, c.now))
+	}
+	prompt := float64(r.ticket.PromptTokens + r.delivered - cached)
+	return c.pool.first.at(prompt, 0) + spreadMargin*c.pool.first.spread.or(0)
 }
 
 func (c *Core) serviceSeconds(r *request) float64 {
--- a/decision/learn.go
+++ b/decision/learn.go
@@ -45,6 +45,39 @@
 	return m.value
 }
 
+// line is a straight line through samples that forgets old ones.
+type line struct {
+	weight, x, y, xx, xy float64
+	// spread is the mean distance of the samples from the line.
+	spread mean
+}
+
+func (l *line) add(x, y float64) {
+	if l.weight > 0 {
+		l.spread.add(math.Abs(y-l.at(x, y)), 1)
+	}
+	l.weight = min(l.weight+1, meanMemory)
+	step := 1 / l.weight
+	dx, dy := x-l.x, y-l.y
+	l.x += dx * step
+	l.y += dy * step
+	l.xx += (dx*(x-l.x) - l.xx) * step
+	l.xy += (dx*(y-l.y) - l.xy) * step
+}
+
+// at returns the line's value, or d before the first sample. It does not fall
+// with x and is not negative.
+func (l *line) at(x, d float64) float64 {
+	if l.weight == 0 {
+		return d
+	}
+	slope := 0.0
+	if l.xx > 0 {
+		slope = max(l.xy/l.xx, 0)
+	}
+	return max(l.y+slope*(x-l.x), 0)
+}
+
 // rateMemory is the time that a rate remembers.
 const rateMemory = 5 * time.Second
 
--- a/decision/observe.go
+++ b/decision/observe.go
@@ -10,15 +10,20 @@
 // up by itself.
 const lateShare = 0.5
 
+// maxSlowness bounds one sample of a server's slowness.
+const maxSlowness = 10
+
 // lateFloor is the shortest time to the first token that counts as late.
 const lateFloor = 100 * time.Millisecond
 
 func (c *Core) observeFirstToken(r *request, after time.Duration) {
 	s := &c.servers[r.server]
 	c.trust(s)
-	tokens := max(r.uncached, 1) + s.pending
-	s.prefill.add(seconds(after)/float64(tokens), 1)
-	c.pool.prefill.add(seconds(after)/float64(tokens), 1)
+	prompt := float64(r.uncached + r.ahead)
+	if expected := c.pool.first.at(prompt, 0); expected > 0 {
+		s.slowness.add(min(seconds(after)/expected, maxSlowness), 1)
+	}
+	c.pool.first.add(prompt, seconds(after))
 	s.window.firsts++
 	target := c.classes[r.class].FirstToken
 	if target > 0 && after > max(time.Duration(float64(target)*lateShare), lateFloor) {
--- a/decision/place.go
+++ b/decision/place.go
@@ -33,14 +33,14 @@
 		if !c.free(s, r) {
 			continue
 		}
-		score := c.score(s, r, cachedTokens(&r.ticket, holders, int32(k), c.now))
+		score := c.score(s, r, cachedOn(&r.ticket, holders, int32(k), c.now))
 		c.explain.candidate(s.Name, score)
 		if best == none || score < bestScore {
 			best, bestScore = int32(k), score
 		}
 	}
 	if best != none {
-		r.uncached = r.ticket.PromptTokens + r.delivered - cachedTokens(&r.ticket, holders, best, c.now)
+		r.uncached = r.ticket.PromptTokens + r.delivered - cachedOn(&r.ticket, holders, best, c.now)
 	}
 	return best
 }
@@ -64,11 +64,11 @@
 // score is the expected time to the first token in seconds, and a part of the
 // time between tokens, so that a slow or full server loses ties.
 func (c *Core) score(s *server, r *request, cached int) float64 {
-	perToken := s.prefill.or(c.pool.prefill.or(defaultPrefill))
 	prompt := float64(s.pending + r.ticket.PromptTokens + r.delivered - cached)
+	first := c.pool.first.at(prompt, prompt*defaultPrefill) * s.slowness.or(1)
 	gap := s.gap.or(c.pool.gap.or(defaultGap))
 	full := float64(s.load()+1) / float64(s.limit())
-	return prompt*perToken + loadWeight*gap*full
+	return first + loadWeight*gap*full
 }
 
 const (
--- a/decision/prefix.go
+++ b/decision/prefix.go
@@ -112,13 +112,21 @@
 	return e.holders[:e.count]
 }
 
-// cachedTokens returns how many of a ticket's prompt tokens the server is
-// thought to hold.
-func cachedTokens(t *Ticket, holders []holder, server int32, now time.Duration) int {
+// cachedOn returns how many of a ticket's prompt tokens the server is thought
+// to hold.
+func cachedOn(t *Ticket, holders []holder, server int32, now time.Duration) int {
 	for _, h := range holders {
-		if h.server == server && now-h.at < hintLife {
-			return min(int(h.tokens), t.PrefixTokens, t.PromptTokens)
+		if h.server == server {
+			return cachedTokens(t, h, now)
 		}
 	}
 	return 0
 }
+
+// cachedTokens returns how many of a ticket's prompt tokens a holder has.
+func cachedTokens(t *Ticket, h holder, now time.Duration) int {
+	if now-h.at >= hintLife {
+		return 0
+	}
+	return min(int(h.tokens), t.PrefixTokens, t.PromptTokens)
+}
--- a/decision/tables.go
+++ b/decision/tables.go
@@ -49,6 +49,7 @@
 	started   bool // some attempt may have started
 	first     bool // this attempt's first token came
 	uncached  int  // prompt tokens to compute at this attempt
+	ahead     int  // prompt tokens that the server had to compute before
 	charged   float64
 	why       outcome.Reason // for the next grant
 }
@@ -91,7 +92,7 @@
 	window   serverWindow
 	windowAt time.Duration
 	gap      mean // seconds between tokens
-	prefill  mean // seconds per prompt token
+	slowness mean // time to the first token over what the pool's line says
 	pending  int  // prompt tokens of attempts without a first token
 
 	failures int // in a row
@@ -151,6 +152,7 @@
 	srv := &c.servers[s]
 	srv.inFlight++
 	srv.peak = max(srv.peak, srv.inFlight)
+	r.ahead = srv.pending
 	srv.pending += r.uncached
 	if srv.takesWork() {
 		c.busy++
