--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -43,10 +43,9 @@
 	f := &fixture{service: service.New(service.Options{Latency: -1})}
 	servers := map[string]config.Entry[api.BackendServerSpec]{}
 	add := func(name, model string, isService bool, h http.Handler) {
-		s := httptest.NewServer(h)
-		t.Cleanup(s.Close)
+		address := strings.TrimPrefix(newServer(t, h), "http://")
 		servers[name] = config.Entry[api.BackendServerSpec]{Name: name, Spec: api.BackendServerSpec{
-			Address: strings.TrimPrefix(s.URL, "http://"), DataCentre: "dc1", Models: []string{model}, Service: isService, Slots: 4,
+			Address: address, DataCentre: "dc1", Models: []string{model}, Service: isService, Slots: 4,
 		}}
 	}
 	for n := range engines {
@@ -83,7 +82,14 @@
 	}
 }
 
-func (f *fixture) start(t *testing.T) {
+// newServer serves h on loopback and returns its address with the scheme.
+func newServer(t testing.TB, h http.Handler) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return s.URL
+}
+
+func (f *fixture) start(t testing.TB) {
 	t.Helper()
 	index := routing.NewIndex(f.snapshot)
 	f.local = scheduler.NewLocal(scheduler.LocalOptions{DataCentre: "dc1"})
