Tick a pool when its core asks, not every 5 ms

Cause: an open stream kept its pool ticking 200 times a second; reports that decide nothing woke it too. Ruled out: a longer tick (it would delay grants).

--- a/scheduler/local.go
+++ b/scheduler/local.go
@@ -80,7 +80,7 @@
 // Observe adds events to a model's pool: load reports, cache hints and
 // pressures.
 func (l *Local) Observe(model string, add func(in *decision.Input)) {
-	l.pool(model).add(add)
+	l.pool(model).addLater(add)
 }
 
 func (l *Local) pool(model string) *pool {
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -15,6 +15,8 @@
 	core *decision.Core
 	tick time.Duration
 	wake chan struct{}
+	// inform says that events came which can wait for informDelay.
+	inform chan struct{}
 
 	mu       sync.Mutex
 	next     *decision.Input
@@ -24,13 +26,23 @@
 	current *decision.Input
 	out     decision.Output
 	start   time.Time
+	// nextTick is when the timer fires, since start, or 0.
+	nextTick time.Duration
 }
 
+const (
+	// informDelay bounds how long events wait that only inform.
+	informDelay = 50 * time.Millisecond
+	// minPause is the time between two ticks at the least.
+	minPause = time.Millisecond
+)
+
 func newPool(core *decision.Core, tick time.Duration) *pool {
 	return &pool{
 		core:     core,
 		tick:     tick,
 		wake:     make(chan struct{}, 1),
+		inform:   make(chan struct{}, 1),
 		next:     &decision.Input{},
 		current:  &decision.Input{},
 		sessions: make(map[decision.RequestID]*localSession),
@@ -38,13 +50,22 @@
 	}
 }
 
-// add gathers events for the next tick.
+// add gathers events that may change a decision, for a tick at once.
 func (p *pool) add(event func(in *decision.Input)) {
+	p.gather(event, p.wake)
+}
+
+// addLater gathers events that only inform, for a tick within informDelay.
+func (p *pool) addLater(event func(in *decision.Input)) {
+	p.gather(event, p.inform)
+}
+
+func (p *pool) gather(event func(in *decision.Input), signal chan struct{}) {
 	p.mu.Lock()
 	event(p.next)
 	p.mu.Unlock()
 	select {
-	case p.wake <- struct{}{}:
+	case signal <- struct{}{}:
 	default:
 	}
 }
@@ -58,32 +79,60 @@
 	return s
 }
 
-// run ticks at events, and at each interval while sessions are open.
+// run ticks at events, and when the core asks for it.
 func (p *pool) run(done <-chan struct{}) {
-	ticker := time.NewTicker(p.tick)
-	ticker.Stop()
-	ticking := false
+	timer := time.NewTimer(p.tick)
+	defer timer.Stop()
 	for {
 		select {
 		case <-done:
-			ticker.Stop()
 			return
 		case <-p.wake:
-		case <-ticker.C:
-		}
-		busy := p.step()
-		if busy && !ticking {
-			ticker.Reset(p.tick)
+		case <-p.inform:
+			p.due(timer, informDelay)
+			continue
+		case <-timer.C:
 		}
-		if !busy && ticking {
-			ticker.Stop()
+		p.step()
+		p.rearm(timer)
+		if !rest(done) {
+			return
 		}
-		ticking = busy
 	}
 }
 
-// step runs one tick and reports whether sessions are open.
-func (p *pool) step() bool {
+// rest lets events gather for a moment. It reports false at the end.
+func rest(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return false
+	case <-time.After(minPause):
+		return true
+	}
+}
+
+// due brings the next tick forward to within d.
+func (p *pool) due(timer *time.Timer, d time.Duration) {
+	at := time.Since(p.start) + d
+	if p.nextTick == 0 || at < p.nextTick {
+		p.nextTick = at
+		timer.Reset(d)
+	}
+}
+
+// rearm sets the timer to the time that the core asks for.
+func (p *pool) rearm(timer *time.Timer) {
+	p.nextTick = 0
+	timer.Stop()
+	at, needed := p.core.NextWake()
+	if !needed {
+		return
+	}
+	p.due(timer, max(at-time.Since(p.start), p.tick))
+}
+
+// step runs one tick.
+func (p *pool) step() {
 	p.mu.Lock()
 	p.next, p.current = p.current, p.next
 	p.mu.Unlock()
@@ -94,7 +143,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.deliver()
-	return len(p.sessions) > 0
 }
 
 // deliver hands the output to the sessions. The caller holds mu.
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -19,13 +19,13 @@
 func (s *localSession) Verdicts() <-chan Verdict { return s.verdicts }
 
 func (s *localSession) FirstToken(attempt uint32, after time.Duration) {
-	s.pool.add(func(in *decision.Input) {
+	s.pool.addLater(func(in *decision.Input) {
 		in.FirstTokens = append(in.FirstTokens, decision.FirstToken{ID: s.id, Attempt: attempt, After: after})
 	})
 }
 
 func (s *localSession) Progress(attempt uint32, tokens int, gap time.Duration) {
-	s.pool.add(func(in *decision.Input) {
+	s.pool.addLater(func(in *decision.Input) {
 		in.Progress = append(in.Progress, decision.Progress{ID: s.id, Attempt: attempt, Tokens: tokens, Gap: gap})
 	})
 }
