--- a/load/lengths.go
+++ b/load/lengths.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -74,8 +75,7 @@
 
 // Scale returns the workload with all rates multiplied.
 func (w Workload) Scale(factor float64) Workload {
-	classes := make([]Class, len(w.Classes))
-	copy(classes, w.Classes)
+	classes := slices.Clone(w.Classes)
 	for i := range classes {
 		classes[i].Rate *= factor
 	}
@@ -91,8 +91,7 @@
 
 // Shorten returns the workload with all lengths divided, for short runs.
 func (w Workload) Shorten(factor float64) Workload {
-	classes := make([]Class, len(w.Classes))
-	copy(classes, w.Classes)
+	classes := slices.Clone(w.Classes)
 	for i := range classes {
 		c := &classes[i]
 		c.Prompt = c.Prompt.shorten(factor)
--- a/load/preset.go
+++ b/load/preset.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"slices"
 	"time"
 
 	"bergamotpin.example/bergamotpin/api"
@@ -32,21 +33,17 @@
 	provenance := Class{
 		Name: "provenance",
 		Spec: api.ServiceClassSpec{
-			Tier: 1, Floor: 0.1,
-			FirstToken: seconds(1.5), BetweenTokens: seconds(0.1), WholeAnswer: seconds(30), MaxWait: seconds(10),
+			Tier: 0, FirstToken: seconds(1), BetweenTokens: seconds(0.1), WholeAnswer: seconds(60), MaxWait: seconds(5),
 		},
 		Route: "histories", RouteSpec: modelRoute("histories-v1"),
 		Rate: 6, Prompt: Lengths{Median: 300, Sigma: 0.6, Max: 4000}, Answer: Lengths{Median: 160, Sigma: 0.7, Max: 1500},
 		Prefixes: 12, PrefixTokens: 800, MaxTokens: 2000,
 		LeaveEarly: 0.02, LeaveAfter: 3 * time.Second, ComeBack: 0.7,
 	}
-	if auction >= 0 {
-		provenance.Bursts = []Burst{{At: auction, For: 10 * time.Second, Times: 5}}
-	}
 	lookup := Class{
 		Name: "lookup",
 		Spec: api.ServiceClassSpec{
-			Tier: 0, Floor: 0.05, Default: true,
+			Tier: 1, Floor: 0.05, Default: true,
 			FirstToken: seconds(0.5), BetweenTokens: seconds(0.1), WholeAnswer: seconds(10), MaxWait: seconds(3),
 		},
 		Route: "histories", RouteSpec: modelRoute("histories-v1"),
@@ -68,11 +65,15 @@
 		Route: "certificates", RouteSpec: serviceRoute("certificates-v1"),
 		Rate: 2, Prompt: Lengths{Median: 100, Sigma: 0.3, Max: 500}, ComeBack: 0.9, Repeat: 0.1,
 	}
-	return Workload{
+	w := Workload{
 		Name:          "covorul-drept",
 		Classes:       []Class{lookup, provenance, review, certificate},
 		Organisations: organisations("appraiser"),
 	}
+	if auction < 0 {
+		return w
+	}
+	return w.WithBurst(provenance.Name, Burst{At: auction, For: 10 * time.Second, Times: 5})
 }
 
 // AgendaAndina is the diary printers' mix of the three peaks: summaries at
@@ -81,7 +82,7 @@
 	draft := Class{
 		Name: "draft",
 		Spec: api.ServiceClassSpec{
-			Tier: 1, Floor: 0.1, Default: true,
+			Tier: 1, Floor: 0.05, Default: true,
 			FirstToken: seconds(1), BetweenTokens: seconds(0.1), WholeAnswer: seconds(20), MaxWait: seconds(5),
 		},
 		Route: "diaries", RouteSpec: modelRoute("diaries-v1"),
@@ -142,6 +143,19 @@
 	return out
 }
 
+// WithBurst returns the workload with a burst added to the named class. A class
+// that the workload lacks gets none.
+func (w Workload) WithBurst(class string, burst Burst) Workload {
+	classes := slices.Clone(w.Classes)
+	for i := range classes {
+		if classes[i].Name == class {
+			classes[i].Bursts = append(slices.Clone(classes[i].Bursts), burst)
+		}
+	}
+	w.Classes = classes
+	return w
+}
+
 // Objects returns the service classes, organisations and routes that the
 // workload needs, for the operators to create.
 func (w Workload) Objects() []api.Object {
--- a/load/report.go
+++ b/load/report.go
@@ -30,7 +30,9 @@
 	// Violations counts all breaches, ByViolation each kind.
 	Violations  int               `json:"violations"`
 	ByViolation map[Violation]int `json:"byViolation,omitempty"`
-	Classes     []ClassReport     `json:"classes"`
+	// Attainment is each class's, as in Classes.
+	Attainment map[string]float64 `json:"attainment"`
+	Classes    []ClassReport      `json:"classes"`
 }
 
 // ClassReport is the result of one class.
@@ -58,6 +60,8 @@
 	FirstToken Quantiles `json:"firstToken"`
 	Between    Quantiles `json:"betweenTokens"`
 	Whole      Quantiles `json:"wholeAnswer"`
+	// FirstTokenCurve is the distribution in full, for WriteSVG.
+	FirstTokenCurve []CurvePoint `json:"-"`
 }
 
 // TargetReport tells how many completed requests met one target.
@@ -97,6 +101,7 @@
 		Skipped:     l.skipped,
 		Repeats:     l.repeats,
 		ByViolation: l.violations,
+		Attainment:  make(map[string]float64),
 	}
 	for _, count := range l.violations {
 		out.Violations += count
@@ -108,6 +113,7 @@
 		out.Refused += class.Refused
 		out.Unknown += class.Unknown
 		out.Abandoned += class.Abandoned
+		out.Attainment[class.Class] = class.Attainment
 		out.Classes = append(out.Classes, class)
 	}
 	return out
@@ -132,6 +138,7 @@
 		FirstToken:           quantiles(t.firstToken),
 		Between:              quantiles(t.between),
 		Whole:                quantiles(t.whole),
+		FirstTokenCurve:      curve(t.firstToken),
 	}
 	for kind, target := range targetsOf(t.class.Spec) {
 		if target > 0 {
--- /dev/null
+++ b/load/workload_test.go
@@ -0,0 +1,76 @@
+package load
+
+import (
+	"bytes"
+	"encoding/xml"
+	"io"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bergamotpin.example/bergamotpin/api"
+	"bergamotpin.example/bergamotpin/engineapi"
+)
+
+func TestPresetsAreValidResources(t *testing.T) {
+	for _, w := range []Workload{CovorulDrept(0), CovorulDrept(-1), AgendaAndina(), AgendaAndina().Shorten(10)} {
+		for _, obj := range w.Objects() {
+			if err := api.Validate(obj); err != nil {
+				t.Errorf("%s: %s %s: %v", w.Name, obj.Kind, obj.Name, err)
+			}
+		}
+	}
+}
+
+func TestArrivalsFollowTheRateAndItsBursts(t *testing.T) {
+	class := Class{Rate: 20, Bursts: []Burst{{At: 100 * time.Second, For: 100 * time.Second, Times: 5}}}
+	random := rand.New(rand.NewPCG(1, 1))
+	end := 300 * time.Second
+	var counts [3]int
+	for at := class.nextArrival(random, 0, end); at < end; at = class.nextArrival(random, at, end) {
+		counts[at/(100*time.Second)]++
+	}
+	for i, want := range [3]float64{2000, 10_000, 2000} {
+		if got := float64(counts[i]); math.Abs(got-want) > 0.1*want {
+			t.Errorf("%v arrivals in third %d, want about %v", got, i, want)
+		}
+	}
+}
+
+func TestScaleToReachesTheRate(t *testing.T) {
+	if got := CovorulDrept(-1).ScaleTo(5000).AnswerTokensPerSecond(); math.Abs(got-5000) > 1 {
+		t.Errorf("%v tokens a second", got)
+	}
+}
+
+func TestPromptsHaveTheirLengths(t *testing.T) {
+	class := CovorulDrept(-1).Classes[1]
+	class.Prompt = Lengths{Median: 100}
+	w := CovorulDrept(-1)
+	q := newRequest(&class, &w, "id", 0, rand.New(rand.NewPCG(1, 1)))
+	if got, want := q.promptTokens, class.PrefixTokens+100; got != want || q.prefixTokens != class.PrefixTokens {
+		t.Errorf("%d tokens, prefix %d, want %d", got, q.prefixTokens, want)
+	}
+	if got := engineapi.EstimateTokens(len(text("id", 7))); got != 7 {
+		t.Errorf("a text of 7 tokens has %d", got)
+	}
+}
+
+func TestPlotIsWellFormed(t *testing.T) {
+	got := run(t, Options{Workload: small(), Duration: 2 * time.Second, Seed: 1}, nil)
+	var out bytes.Buffer
+	if err := got.WriteSVG(&out); err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Contains(out.Bytes(), []byte(">draft</text>")) || bytes.Contains(out.Bytes(), []byte(">order</text>")) {
+		t.Error("the plot shows the wrong classes")
+	}
+	for in := xml.NewDecoder(&out); ; {
+		if _, err := in.Token(); err == io.EOF {
+			return
+		} else if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
