Leave free slots to the arrivals of the tiers above

Cause: lower tiers filled each free slot, so higher ones waited for a release and preempted. Tests of order seen failing with the reserve, the weights and the floors taken out.

--- a/decision/core.go
+++ b/decision/core.go
@@ -68,6 +68,7 @@
 	c.expire(out)
 	c.observe()
 	c.limit()
+	c.order()
 	c.place(out)
 	c.preempt(out)
 	c.admit(out)
--- a/decision/order.go
+++ b/decision/order.go
@@ -30,6 +30,31 @@
 	return c.nextByTier(), false
 }
 
+const (
+	// reserveTime is the time for which the arrivals of the tiers above find a
+	// free slot, so that they need not preempt.
+	reserveTime = 250 * time.Millisecond
+	// maxReserve is the greatest part of the pool that is left free.
+	maxReserve = 0.125
+)
+
+// order is the system that works out how many free slots each class leaves to
+// the tiers above it.
+func (c *Core) order() {
+	above, same, tier := 0.0, 0.0, noTier
+	for _, k := range c.byTier {
+		cl := &c.classes[k]
+		if cl.Tier != tier {
+			above, same, tier = above+same, 0, cl.Tier
+		}
+		if cl.nextFloor == 0 {
+			c.startFloor(cl)
+		}
+		same += cl.arrivals.perSecond(c.now)
+		cl.reserve = int(min(above*reserveTime.Seconds(), maxReserve*float64(c.capacity)))
+	}
+}
+
 // nextByTier returns the class of the highest tier that waits, the least slack
 // first. Tiers below one that was refused at this tick get nothing.
 func (c *Core) nextByTier() *class {
--- /dev/null
+++ b/decision/order_test.go
@@ -0,0 +1,91 @@
+package decision
+
+import (
+	"testing"
+	"time"
+)
+
+// steady submits n requests of a class each tick and ends what ran.
+func (h *harness) steady(ticks int, dt time.Duration, n int, class string) {
+	for range ticks {
+		h.submit(n, class)
+		h.tick(dt)
+		h.end(10)
+	}
+}
+
+func TestLowerTiersLeaveSlotsToArrivalsAbove(t *testing.T) {
+	h := newHarness(t, Options{}, poolOf(20, 20))
+	h.steady(1000, 10*time.Millisecond, 1, "urgent")
+	h.submit(100, "batch")
+	h.tick(10 * time.Millisecond)
+	if free := h.core.capacity - h.core.busy; free != 5 {
+		t.Errorf("%d slots left free, want an eighth of 40", free)
+	}
+	h.submit(5, "urgent")
+	if out := h.tick(10 * time.Millisecond); len(out.Grants) != 5 || len(out.Preemptions) != 0 {
+		t.Errorf("%d grants, %d preemptions; want 5 and none", len(out.Grants), len(out.Preemptions))
+	}
+}
+
+func TestOrganisationsShareByWeight(t *testing.T) {
+	cfg := poolOf(4)
+	cfg.Organisations = []Organisation{{Name: "large", Weight: 1}, {Name: "small", Weight: 1}, {Name: "heavy", Weight: 2}}
+	h := newHarness(t, Options{}, cfg)
+	for _, name := range []string{"large", "small", "heavy"} {
+		n := 100
+		if name == "large" {
+			n = 1000
+		}
+		h.submit(n, "batch", func(t *Ticket) { t.Organisation = name })
+	}
+	got := make(map[string]int)
+	for range 25 {
+		for _, g := range h.tick(10 * time.Millisecond).Grants {
+			row := &h.core.rows[h.core.byID[g.ID]]
+			got[row.ticket.Organisation]++
+		}
+		h.end(100)
+	}
+	if got["large"] > got["small"]+2 || got["small"] > got["large"]+2 {
+		t.Errorf("grants of equal organisations: %v", got)
+	}
+	if got["heavy"] < 2*got["small"]-4 || got["heavy"] > 2*got["small"]+4 {
+		t.Errorf("an organisation of weight 2 got %v", got)
+	}
+}
+
+func TestFloorIsServedUnderOverloadAbove(t *testing.T) {
+	h := newHarness(t, Options{}, poolOf(10))
+	served := 0
+	for range 500 {
+		h.submit(20, "urgent")
+		h.submit(1, "batch")
+		for _, g := range h.tick(50 * time.Millisecond).Grants {
+			if g.Floor {
+				served++
+			}
+		}
+		h.end(10)
+	}
+	if served < 400 {
+		t.Errorf("%d of 500 requests of the lower tier served from its floor", served)
+	}
+}
+
+func TestHigherTierGoesFirst(t *testing.T) {
+	cfg := poolOf(1)
+	cfg.Classes[1].Floor = 0
+	h := newHarness(t, Options{MinFloor: 1e-9}, cfg)
+	h.submit(1, "urgent")
+	h.tick(time.Millisecond)
+	h.submit(3, "batch")
+	want := h.submit(1, "urgent")
+	h.tick(time.Millisecond)
+	h.running = map[string][]Grant{"s0": h.running["s0"]}
+	h.end(10)
+	out := h.tick(time.Millisecond)
+	if len(out.Grants) != 1 || out.Grants[0].ID != want {
+		t.Errorf("grants %+v, want the urgent request", out.Grants)
+	}
+}
--- a/decision/place.go
+++ b/decision/place.go
@@ -9,7 +9,7 @@
 func (c *Core) place(out *Output) {
 	for c.waiting > 0 {
 		cl, floor := c.next()
-		if cl == nil {
+		if cl == nil || !floor && c.capacity-c.busy <= cl.reserve {
 			return
 		}
 		i := c.nextRow(cl)
--- a/decision/tables.go
+++ b/decision/tables.go
@@ -65,7 +65,10 @@
 	running int
 	// preemptible counts running rows that are idempotent.
 	preemptible int
-	nextFloor   time.Duration // when a floor below one slot allows the next grant
+	// reserve is the number of free slots that the class leaves to the tiers
+	// above it.
+	reserve   int
+	nextFloor time.Duration // when a floor below one slot allows the next grant
 
 	lengths  histogram // answer lengths in tokens
 	hold     mean      // seconds for which a request holds a slot
