Book the times to return, and serve first who comes back then

Cause: refused callers were told times at a quarter of the class's slots up to a cap of 5 min, at which the rest came back as one herd and met the same queue. A refusal is remembered by a fingerprint of its prompt, organisation and class, so callers need say nothing new.

--- a/decision/admit.go
+++ b/decision/admit.go
@@ -1,10 +1,6 @@
 package decision
 
-import (
-	"time"
-
-	"bergamotpin.example/bergamotpin/outcome"
-)
+import "bergamotpin.example/bergamotpin/outcome"
 
 // admit is the system that refuses: new requests that cannot meet their
 // bounds, the overflow of the queue, and, if any of these was refused for
@@ -102,32 +98,3 @@
 	}
 	return float64(len(cl.queues[lane].heap)) / c.orgs[lane-1].Weight
 }
-
-const (
-	// minReturn and maxReturn bound the time to return.
-	minReturn = 100 * time.Millisecond
-	maxReturn = 5 * time.Minute
-	// returnJitter spreads the times to return by this part either way.
-	returnJitter = 0.1
-	// returnShare is the least part of a class's slots that returning callers
-	// are spread over.
-	returnShare = 0.25
-)
-
-// retryAfter gives out times to return at the rate at which the class's queue
-// drains beyond its arrivals, so that callers who return find room.
-func (c *Core) retryAfter(r *request) time.Duration {
-	if r.class == none {
-		return maxReturn
-	}
-	cl := &c.classes[r.class]
-	hold := c.holdSeconds(cl)
-	slots := c.slotsFor(cl)
-	spare := slots - cl.arrivals.perSecond(c.now)*hold
-	spare = max(spare, slots*returnShare)
-	drain := float64(cl.waiting) * hold / slots
-	first := c.now + duration(drain) + minReturn
-	cl.returns = min(max(cl.returns, first)+duration(hold/spare), c.now+maxReturn)
-	jitter := 1 + returnJitter*(2*c.rng.float()-1)
-	return time.Duration(float64(cl.returns-c.now) * jitter)
-}
--- a/decision/apply.go
+++ b/decision/apply.go
@@ -245,7 +245,7 @@
 	r.class = cl
 	r.org = c.organisation(t.Organisation)
 	r.lane = laneOf(r.org)
-	if r.delivered > 0 {
+	if r.delivered > 0 || c.bookings.take(fingerprint(r), c.now) {
 		r.lane = resumeLane
 	}
 	c.classes[cl].arrivals.add(c.now, 1)
--- a/decision/core.go
+++ b/decision/core.go
@@ -31,6 +31,7 @@
 	prefixes    prefixTable
 	pool        poolEstimate
 	remote      []remotePool
+	bookings    bookingTable
 
 	shed     int // highest tier with a request refused for capacity at this tick
 	nextWake time.Duration
--- a/decision/finish.go
+++ b/decision/finish.go
@@ -91,7 +91,7 @@
 		ID:         r.ticket.ID,
 		Final:      final,
 		Reason:     reason,
-		RetryAfter: c.retryAfter(r),
+		RetryAfter: c.returnTime(r, reason),
 	})
 	c.stats.Refusals[reason]++
 	if final == outcome.Unknown {
@@ -101,6 +101,17 @@
 	c.close(i)
 }
 
+// returnTime is when a refused caller may come back, zero if it need not.
+func (c *Core) returnTime(r *request, reason outcome.Reason) time.Duration {
+	switch {
+	case r.class == none:
+		return 0
+	case CapacityRefusal(reason):
+		return c.retryAfter(r)
+	}
+	return c.jitter(otherReturn)
+}
+
 // refuseForCapacity ends or refers a waiting row that the pool has no room for.
 func (c *Core) refuseForCapacity(i int32, reason outcome.Reason, out *Output) {
 	c.remove(i)
--- a/decision/order.go
+++ b/decision/order.go
@@ -50,6 +50,7 @@
 		if cl.nextFloor == 0 {
 			c.startFloor(cl)
 		}
+		c.countReturning(cl)
 		same += cl.arrivals.perSecond(c.now)
 		cl.reserve = int(min(above*reserveTime.Seconds(), maxReserve*float64(c.capacity)))
 	}
--- a/decision/queue.go
+++ b/decision/queue.go
@@ -16,8 +16,9 @@
 	return a.seq < b.seq
 }
 
-// resumeLane holds the requests of all organisations whose answer has begun, or
-// that lost an attempt: they go before the others of their class.
+// resumeLane holds the requests of all organisations whose answer has begun,
+// that lost an attempt, or that came back when told: they go before the others
+// of their class.
 const resumeLane int32 = 0
 
 // laneOf returns the lane of an organisation's other requests.
@@ -29,6 +30,8 @@
 	heap    []queued
 	virtual float64 // tokens granted over weight
 	slot    int32   // position in the class's list of active queues
+	// returns is until when times to return are given out.
+	returns time.Duration
 }
 
 // laneAt returns a lane, and adds it if it is new.
--- a/decision/tables.go
+++ b/decision/tables.go
@@ -73,8 +73,9 @@
 	lengths  histogram // answer lengths in tokens
 	hold     mean      // seconds for which a request holds a slot
 	arrivals rate
-	returns  time.Duration // until when times to return are given out
-	budget   float64       // retries that may be spent
+	// returning is the weight of the organisations that may come back.
+	returning float64
+	budget    float64 // retries that may be spent
 }
 
 // organisation is one row of the table of organisations.
