--- a/decision/core.go
+++ b/decision/core.go
@@ -31,6 +31,7 @@
 	prefixes    prefixTable
 	pool        poolEstimate
 	remote      []remotePool
+	bookings    bookingTable
 
 	shed     int // highest tier with a request refused for capacity at this tick
 	nextWake time.Duration
@@ -68,6 +69,7 @@
 	c.expire(out)
 	c.observe()
 	c.limit()
+	c.order()
 	c.place(out)
 	c.preempt(out)
 	c.admit(out)
--- a/decision/tables.go
+++ b/decision/tables.go
@@ -65,13 +65,17 @@
 	running int
 	// preemptible counts running rows that are idempotent.
 	preemptible int
-	nextFloor   time.Duration // when a floor below one slot allows the next grant
+	// reserve is the number of free slots that the class leaves to the tiers
+	// above it.
+	reserve   int
+	nextFloor time.Duration // when a floor below one slot allows the next grant
 
 	lengths  histogram // answer lengths in tokens
 	hold     mean      // seconds for which a request holds a slot
 	arrivals rate
-	returns  time.Duration // until when times to return are given out
-	budget   float64       // retries that may be spent
+	// returning is the weight of the organisations that may come back.
+	returning float64
+	budget    float64 // retries that may be spent
 }
 
 // organisation is one row of the table of organisations.
