bench: make the best possible a bound in earnest

Changed: the fluid by arrival gives each tier's engine time; its tokens are those of the cheapest requests, lengths known. low-burst lasts 1800 s. Run: go test ./bench passes, and no policy exceeds the bound.

--- a/bench/best.go
+++ b/bench/best.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -82,45 +83,106 @@
 	return true
 }
 
+// job is one request of the fluid bound.
+type job struct {
+	request *request
+	load    *ClassLoad
+	cost    float64
+}
+
+// perToken is the job's cost for each token of its answer.
+func (j *job) perToken() float64 { return j.cost / float64(j.request.answer) }
+
 // bestTokens is the most answer tokens that the fleet could have made within
-// their targets for callers that arrived before until, serving tier by tier.
+// their targets for callers that arrived before until. Tiers are served in
+// order, and by arrival inside a tier: that gives the engine time that each
+// tier can use. The tokens are those of the requests that cost the least for
+// each token, up to that time, as if the answers' lengths were known.
 func bestTokens(w *Workload, requests []request, until time.Duration) int {
+	jobs := jobsOf(w, requests)
+	slices.SortStableFunc(jobs, func(a, b job) int {
+		return cmp.Compare(a.load.Tier, b.load.Tier)
+	})
 	f := newFluid(w)
-	order := make([]int, 0, len(requests))
-	for i := range requests {
-		if requests[i].visit == 0 {
-			order = append(order, i)
+	total := 0
+	for len(jobs) > 0 {
+		tier := jobs[0].load.Tier
+		n := 0
+		for n < len(jobs) && jobs[n].load.Tier == tier {
+			n++
+		}
+		total += f.tierTokens(w, jobs[:n], until)
+		jobs = jobs[n:]
+	}
+	return total
+}
+
+// tierTokens serves one tier's jobs, which are in order of arrival.
+func (f *fluid) tierTokens(w *Workload, jobs []job, until time.Duration) int {
+	budget := 0.0
+	var counted []job
+	for i := range jobs {
+		served := f.serve(w, &jobs[i])
+		if jobs[i].request.arrived >= until {
+			continue
+		}
+		counted = append(counted, jobs[i])
+		if served {
+			budget += jobs[i].cost
 		}
 	}
-	slices.SortStableFunc(order, func(i, j int) int {
-		return w.Classes[requests[i].class].Tier - w.Classes[requests[j].class].Tier
+	slices.SortStableFunc(counted, func(a, b job) int {
+		return cmp.Compare(a.perToken(), b.perToken())
 	})
+	return tokensWithin(counted, budget)
+}
+
+// budgetSlack covers the rounding of sums of engine seconds.
+const budgetSlack = 1e-6
+
+// tokensWithin counts tokens of jobs in order until the budget is spent.
+func tokensWithin(jobs []job, budget float64) int {
+	tokens := 0
+	budget += budgetSlack
+	for i := range jobs {
+		if jobs[i].cost > budget {
+			return tokens + int(budget/jobs[i].perToken())
+		}
+		budget -= jobs[i].cost
+		tokens += jobs[i].request.answer
+	}
+	return tokens
+}
+
+// jobsOf works out the least cost of each caller's first visit.
+func jobsOf(w *Workload, requests []request) []job {
 	seen := make(map[uint64]bool)
-	total := 0
-	for _, i := range order {
+	jobs := make([]job, 0, len(requests))
+	for i := range requests {
 		r := &requests[i]
-		if !f.serve(w, r, seen) || r.arrived >= until {
+		if r.visit > 0 {
 			continue
 		}
-		total += r.answer
+		uncached := r.prompt
+		if seen[r.prefix] {
+			uncached -= r.prefixLen
+		}
+		seen[r.prefix] = true
+		cost := engineSeconds(float64(uncached), float64(r.answer))
+		jobs = append(jobs, job{request: r, load: &w.Classes[r.class], cost: cost})
 	}
-	return total
+	return jobs
 }
 
-func (f *fluid) serve(w *Workload, r *request, seen map[uint64]bool) bool {
-	uncached := r.prompt
-	if r.prefixLen > 0 && seen[r.prefix] {
-		uncached -= r.prefixLen
-	}
-	seen[r.prefix] = true
-	load := &w.Classes[r.class]
+func (f *fluid) serve(w *Workload, j *job) bool {
+	arrived := j.request.arrived
 	end := w.Duration + w.Drain
-	if load.WholeAnswer > 0 {
-		end = min(end, r.arrived+load.WholeAnswer)
+	if j.load.WholeAnswer > 0 {
+		end = min(end, arrived+j.load.WholeAnswer)
 	}
 	start := end
-	if load.FirstToken > 0 {
-		start = min(end, r.arrived+load.FirstToken)
+	if j.load.FirstToken > 0 {
+		start = min(end, arrived+j.load.FirstToken)
 	}
-	return f.place(r.arrived, start, end, engineSeconds(float64(uncached), float64(r.answer)))
+	return f.place(arrived, start, end, j.cost)
 }
--- a/bench/run_test.go
+++ b/bench/run_test.go
@@ -86,11 +86,11 @@
 	}
 }
 
-// TestNoBaselineBeatsTheBestPossible checks the bound against the driver.
-func TestNoBaselineBeatsTheBestPossible(t *testing.T) {
+// TestNoPolicyBeatsTheBestPossible checks the bound against the driver.
+func TestNoPolicyBeatsTheBestPossible(t *testing.T) {
 	for _, w := range Workloads() {
 		w = short(w, 75*time.Second)
-		for _, p := range []Policy{RoundRobin(), LeastReported(), PowerOfTwo()} {
+		for _, p := range Policies() {
 			r := Run(w, p, testSeed)
 			if r.Goodput > 1 {
 				t.Errorf("%s %s: goodput %v of the best possible", w.Name, p.Name, r.Goodput)
--- a/bench/workloads.go
+++ b/bench/workloads.go
@@ -199,7 +199,7 @@
 	const begins, ends = 10 * time.Second, 70 * time.Second
 	return Workload{
 		Name:     "low-burst",
-		Duration: 900 * time.Second, Drain: 480 * time.Second,
+		Duration: 1800 * time.Second, Drain: 480 * time.Second,
 		GoodputUntil: ends,
 		Engines:      fleet, Organisations: organisations(), ReturnShare: returnShare,
 		Targets: Targets{Urgent: minUrgent, Goodput: minGoodput, Wasted: maxWasted},
