--- a/decision/tables.go
+++ b/decision/tables.go
@@ -49,6 +49,7 @@
 	started   bool // some attempt may have started
 	first     bool // this attempt's first token came
 	uncached  int  // prompt tokens to compute at this attempt
+	ahead     int  // prompt tokens that the server had to compute before
 	charged   float64
 	why       outcome.Reason // for the next grant
 }
@@ -64,7 +65,10 @@
 	running int
 	// preemptible counts running rows that are idempotent.
 	preemptible int
-	nextFloor   time.Duration // when a floor below one slot allows the next grant
+	// reserve is the number of free slots that the class leaves to the tiers
+	// above it.
+	reserve   int
+	nextFloor time.Duration // when a floor below one slot allows the next grant
 
 	lengths  histogram // answer lengths in tokens
 	hold     mean      // seconds for which a request holds a slot
@@ -91,7 +95,7 @@
 	window   serverWindow
 	windowAt time.Duration
 	gap      mean // seconds between tokens
-	prefill  mean // seconds per prompt token
+	slowness mean // time to the first token over what the pool's line says
 	pending  int  // prompt tokens of attempts without a first token
 
 	failures int // in a row
@@ -151,6 +155,7 @@
 	srv := &c.servers[s]
 	srv.inFlight++
 	srv.peak = max(srv.peak, srv.inFlight)
+	r.ahead = srv.pending
 	srv.pending += r.uncached
 	if srv.takesWork() {
 		c.busy++
