Claim idempotency keys at the platform before the send

Cause: a non-idempotent request runs at most once, at any instance, after any crash. Ruled out: a read after an unanswered create, since reads may be stale; the create is repeated with the same nonce instead.

--- /dev/null
+++ b/idempotency/record.go
@@ -0,0 +1,95 @@
+package idempotency
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotpin.example/bergamotpin/api"
+	"bergamotpin.example/bergamotpin/outcome"
+)
+
+const (
+	// Partitions is the number of kinds over which claims are spread, so that
+	// a sweep lists a part of them at a time.
+	Partitions = 64
+	// nameBytes is the length of a claim's name before its encoding.
+	nameBytes = 20
+)
+
+// recordState is how far a claim is, as stored.
+type recordState string
+
+const (
+	stateClaimed   recordState = "claimed"
+	stateCompleted recordState = "completed"
+	stateUnknown   recordState = "unknown"
+)
+
+// record is the spec of a claim's object.
+type record struct {
+	// Nonce tells the claims of a key apart.
+	Nonce  string      `json:"nonce"`
+	Digest string      `json:"digest"`
+	State  recordState `json:"state"`
+	MadeAt time.Time   `json:"madeAt"`
+	// Status, Body and Truncated are the answer of a completed request.
+	Status    int    `json:"status,omitempty"`
+	Body      []byte `json:"body,omitempty"`
+	Truncated bool   `json:"truncated,omitempty"`
+}
+
+func (r record) outcome() Outcome {
+	return Outcome{Final: outcome.Completed, Status: r.Status, Body: r.Body, Truncated: r.Truncated}
+}
+
+// ended returns the record with the outcome of a request that ran or may have
+// run.
+func (r record) ended(o Outcome) record {
+	if o.Final != outcome.Completed {
+		r.State = stateUnknown
+		return r
+	}
+	r.State = stateCompleted
+	r.Status = o.Status
+	r.Body = o.Body
+	if len(o.Body) > MaxStoredBody {
+		r.Body, r.Truncated = nil, true
+	}
+	return r
+}
+
+// object returns the object of a new claim.
+func (r record) object(req Request) api.Object {
+	sum := sha256.Sum256([]byte(fmt.Sprintf("%d:%s%s", len(req.Organisation), req.Organisation, req.Key)))
+	return api.Object{
+		Kind: partitionKind(int(sum[nameBytes]) % Partitions),
+		Name: hex.EncodeToString(sum[:nameBytes]),
+		Spec: r.encode(),
+	}
+}
+
+func (r record) encode() json.RawMessage {
+	raw, err := json.Marshal(r)
+	if err != nil {
+		panic(fmt.Sprintf("idempotency: encode record: %v", err))
+	}
+	return raw
+}
+
+func decodeRecord(obj api.Object) (record, error) {
+	var r record
+	if err := json.Unmarshal(obj.Spec, &r); err != nil {
+		return record{}, errors.Wrap(err, "decode claim")
+	}
+	return r, nil
+}
+
+// partitionKind names the kind of a partition's claims.
+func partitionKind(partition int) api.Kind {
+	return api.Kind(fmt.Sprintf("%s-%02d", api.KindClaim, partition))
+}
