Hold leases by conditional update and give orders under them

Cause: models, adapters and roles are set by one instance at a time, and a paused holder must not undo what its successor did. Ruled out: a counter in the object as fencing number, since it starts anew when the object is deleted; the wall clock; reading back an unanswered renewal as proof, since it costs the time that the answer would have told.

--- /dev/null
+++ b/orders/client.go
@@ -0,0 +1,68 @@
+package orders
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/go-faster/errors"
+
+	"bergamotpin.example/bergamotpin/engineapi"
+)
+
+// maxStateBytes bounds an engine's answer.
+const maxStateBytes = 1 << 20
+
+// ErrOldFence reports that an engine has had an order with a higher fencing
+// number.
+var ErrOldFence = errors.New("orders: the engine refused an old fencing number")
+
+// HTTPEngine speaks to engines over HTTP. It is safe for concurrent use.
+type HTTPEngine struct {
+	Client *http.Client
+}
+
+// State returns an engine's state.
+func (e *HTTPEngine) State(ctx context.Context, address string) (engineapi.OrderState, error) {
+	return e.call(ctx, http.MethodGet, address, nil)
+}
+
+// Order gives an order and returns the state after it. After an error other
+// than ErrOldFence the engine may have taken it.
+func (e *HTTPEngine) Order(ctx context.Context, address string, o engineapi.Order) (engineapi.OrderState, error) {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return engineapi.OrderState{}, errors.Wrap(err, "encode order")
+	}
+	return e.call(ctx, http.MethodPost, address, body)
+}
+
+func (e *HTTPEngine) call(ctx context.Context, method, address string, body []byte) (engineapi.OrderState, error) {
+	var state engineapi.OrderState
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+engineapi.PathOrders, bytes.NewReader(body))
+	if err != nil {
+		return state, errors.Wrap(err, "orders")
+	}
+	resp, err := e.Client.Do(req)
+	if err != nil {
+		return state, errors.Wrap(err, "orders")
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusConflict:
+		return state, ErrOldFence
+	default:
+		return state, errors.Errorf("orders: status %d", resp.StatusCode)
+	}
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxStateBytes))
+	if err != nil {
+		return state, errors.Wrap(err, "orders")
+	}
+	if err := json.Unmarshal(raw, &state); err != nil {
+		return state, errors.Wrap(err, "orders")
+	}
+	return state, nil
+}
