Claim idempotency keys on the entry path

Ruled out: a claim after the grant (fewer writes in an overload, but a retry would queue first and an outage would be told late, not at once). Found on the way: a plain service that turned a call away was first reported as having begun, so the caller was told 'unknown' of a call that did not run (TestRefusedRequestGivesItsKeyFree, seen failing: run unknown, repeat 409). Conclusion: replay, conflict, outage, crash after the run and lost confirmation are covered (proxy/claim_test.go).

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -15,6 +15,7 @@
 
 	"bergamotpin.example/bergamotpin/config"
 	"bergamotpin.example/bergamotpin/engine"
+	"bergamotpin.example/bergamotpin/idempotency"
 	"bergamotpin.example/bergamotpin/metrics"
 	"bergamotpin.example/bergamotpin/objects"
 	"bergamotpin.example/bergamotpin/observe"
@@ -57,6 +58,7 @@
 	engine  *engine.Client
 	proxy   *proxy.Proxy
 	poller  *observe.Poller
+	claims  *idempotency.Claims
 
 	transport closingTransport
 	callers   net.Listener
@@ -123,10 +125,12 @@
 	i.local = scheduler.NewLocal(scheduler.LocalOptions{DataCentre: s.Instance.DataCentre})
 	i.engine = engine.NewClient(nil)
 	i.poller = observe.NewPoller(observe.Options{Engine: i.engine, Targets: i.pollTargets, Sink: i.local})
+	i.claims = idempotency.New(idempotency.Options{Store: i.objects, Retention: s.Limits.KeyRetention.Std()})
 	i.proxy = proxy.New(proxy.Options{
 		Index:     i.index.Load,
 		Scheduler: i.local,
 		Engine:    i.engine,
+		Claims:    i.claims,
 		Metrics:   i.metrics,
 		Limits: proxy.Limits{
 			BodyBytes:    s.Limits.BodyBytes,
@@ -196,6 +200,7 @@
 }
 
 func (i *Instance) close() {
+	i.claims.Close()
 	i.local.Close()
 	i.engine.Close()
 	_ = i.transport.Close()
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -61,6 +61,10 @@
 	Continued
 	Resumed
 	BodyTimeout
+	// KeyCompleted means that the key's request ran and its answer is not kept.
+	KeyCompleted
+	// KeyUnknown means that the key's request may have run.
+	KeyUnknown
 	reasonCount
 )
 
@@ -75,7 +79,7 @@
 	"attempts_spent", "scheduler_lost", "instance_leaving", "not_ready",
 	"server_refused", "server_unreachable", "stream_cut", "server_timeout",
 	"server_error", "preempted", "caller_left", "pool_pressure", "continued", "resumed",
-	"body_timeout",
+	"body_timeout", "key_completed", "key_unknown",
 }
 
 // String returns the reason's name as metrics, logs and answers use it.
--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -1,9 +1,6 @@
 package proxy
 
-import (
-	"net/http"
-	"strings"
-)
+import "net/http"
 
 // answer takes the frames of a completion towards the caller.
 type answer interface {
@@ -59,69 +56,18 @@
 	_ = a.event(string(r.json()))
 }
 
-// wholeAnswer gathers the frames and answers once.
+// wholeAnswer waits for the end and answers once.
 type wholeAnswer struct {
-	w      http.ResponseWriter
-	first  chunk
-	text   strings.Builder
-	reason string
-	usage  *usage
+	w        http.ResponseWriter
+	gathered *gathered
 }
 
-func (a *wholeAnswer) frame(c *chunk, _ string) error {
-	if a.first.ID == "" {
-		a.first = *c
-	}
-	a.text.WriteString(c.content())
-	if len(c.Choices) > 0 && c.Choices[0].FinishReason != "" {
-		a.reason = c.Choices[0].FinishReason
-	}
-	if c.Usage != nil {
-		a.usage = c.Usage
-	}
-	return nil
-}
-
-// completion is the answer of the OpenAI protocol that is not streamed.
-type completion struct {
-	ID      string             `json:"id"`
-	Object  string             `json:"object"`
-	Created int64              `json:"created"`
-	Model   string             `json:"model"`
-	Choices []completionChoice `json:"choices"`
-	Usage   *usage             `json:"usage,omitempty"`
-}
-
-type completionChoice struct {
-	Index        int           `json:"index"`
-	Message      answerMessage `json:"message"`
-	FinishReason string        `json:"finish_reason"`
-}
-
-type answerMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
+func (a *wholeAnswer) frame(*chunk, string) error { return nil }
 
 func (a *wholeAnswer) finish() error {
 	a.w.Header().Set("Content-Type", "application/json")
-	_, err := a.w.Write(a.body())
+	_, err := a.w.Write(a.gathered.body())
 	return err
 }
 
-// body returns the gathered answer as JSON.
-func (a *wholeAnswer) body() []byte {
-	return encode(completion{
-		ID:      a.first.ID,
-		Object:  "chat.completion",
-		Created: a.first.Created,
-		Model:   a.first.Model,
-		Choices: []completionChoice{{
-			Message:      answerMessage{Role: "assistant", Content: a.text.String()},
-			FinishReason: a.reason,
-		}},
-		Usage: a.usage,
-	})
-}
-
 func (a *wholeAnswer) fail(r *Refusal) { r.write(a.w) }
--- a/proxy/completion.go
+++ b/proxy/completion.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/netip"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -38,10 +37,8 @@
 	passed *engine.AnswerError
 
 	// What the caller has, over all attempts.
-	chunkID   string
-	text      strings.Builder
+	gathered  gathered
 	delivered int
-	usage     *usage
 	firstAt   time.Time
 	lastAt    time.Time
 }
@@ -76,7 +73,7 @@
 		Attempt:  a.name,
 		Priority: v.Priority,
 		Hold:     streamHold,
-		Body:     x.prompt.streamBody(x.call.model, x.text.String(), x.delivered),
+		Body:     x.prompt.streamBody(x.call.model, x.gathered.text.String(), x.delivered),
 	})
 	if err != nil {
 		return x.notOpened(ctx, a, err)
@@ -161,28 +158,25 @@
 	if len(c.Error) > 0 && string(c.Error) != "null" {
 		return errServerFailed
 	}
-	if x.chunkID == "" {
-		x.chunkID = c.ID
-	}
 	continued := x.delivered > a.tokens
 	if continued && c.onlyRole() {
 		return nil
 	}
 	if c.Usage != nil {
-		data = x.addUsage(&c, data, continued)
+		data = x.wholeUsage(&c, data, continued)
 	}
-	if text := c.content(); text != "" {
-		x.count(a, text)
+	x.gathered.take(&c)
+	if c.content() != "" {
+		x.count(a)
 	}
-	if err := x.answer.frame(&c, withID(data, c.ID, x.chunkID)); err != nil {
+	if err := x.answer.frame(&c, withID(data, c.ID, x.gathered.first.ID)); err != nil {
 		return errors.Wrap(errLeft, err.Error())
 	}
 	return nil
 }
 
-// addUsage keeps the usage. After a continuation it counts the whole answer.
-func (x *completionExchange) addUsage(c *chunk, data string, continued bool) string {
-	x.usage = c.Usage
+// wholeUsage makes the usage after a continuation count the whole answer.
+func (x *completionExchange) wholeUsage(c *chunk, data string, continued bool) string {
 	if !continued {
 		return data
 	}
@@ -201,9 +195,8 @@
 }
 
 // count notes a token and reports progress now and then.
-func (x *completionExchange) count(a *attempt, text string) {
+func (x *completionExchange) count(a *attempt) {
 	now := time.Now()
-	x.text.WriteString(text)
 	x.delivered++
 	a.tokens++
 	a.since++
@@ -227,9 +220,9 @@
 
 func (x *completionExchange) end(a *attempt) decision.End {
 	e := decision.End{ID: x.call.id, Attempt: a.number, Tokens: x.delivered, PromptTokens: x.call.promptTokens}
-	if x.usage != nil {
-		e.PromptTokens = x.usage.PromptTokens
-		e.CachedTokens = x.usage.cached()
+	if u := x.gathered.usage; u != nil {
+		e.PromptTokens = u.PromptTokens
+		e.CachedTokens = u.cached()
 	}
 	return e
 }
--- a/proxy/dispatch.go
+++ b/proxy/dispatch.go
@@ -168,7 +168,7 @@
 	if errors.Is(context.Cause(ctx), errDeadline) {
 		return d.refusal(outcome.DeadlinePassed)
 	}
-	return &Refusal{Final: outcome.Abandoned, Reason: outcome.CallerLeft}
+	return &Refusal{Final: outcome.Abandoned, Reason: outcome.CallerLeft, mayHaveStarted: d.mayHaveStarted}
 }
 
 // refused turns the scheduler's final verdict into the answer. What this
@@ -177,6 +177,7 @@
 	r := d.refusal(v.Reason)
 	if v.Final == outcome.Unknown {
 		r.Final = outcome.Unknown
+		r.mayHaveStarted = true
 	}
 	if v.RetryAfter > 0 {
 		r.RetryAfter = v.RetryAfter
@@ -186,6 +187,7 @@
 
 func (d *dispatch) refusal(reason outcome.Reason) *Refusal {
 	r := refuse(reason, "")
+	r.mayHaveStarted = d.mayHaveStarted
 	if d.mayHaveStarted {
 		r.Final = outcome.Unknown
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -29,6 +29,7 @@
 	Index     func() *routing.Index
 	Scheduler scheduler.Scheduler
 	Engine    *engine.Client
+	Claims    Claims
 	Metrics   *metrics.Metrics
 	Limits    Limits
 	// Ready reports whether the configuration is known. Leaving reports
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -34,6 +34,8 @@
 	// RetryAfter is when to come back. Zero means that the same request would
 	// be refused again.
 	RetryAfter time.Duration
+	// mayHaveStarted is set if an attempt may have run.
+	mayHaveStarted bool
 }
 
 // refuse returns a refusal of a request that was not run.
@@ -60,10 +62,12 @@
 	if reason == outcome.DeadlinePassed || reason == outcome.ServerTimeout {
 		return http.StatusGatewayTimeout
 	}
-	if reason == outcome.KeyInProgress {
+	switch reason {
+	case outcome.KeyInProgress, outcome.KeyCompleted, outcome.KeyUnknown:
 		return http.StatusConflict
+	default:
+		return http.StatusBadGateway
 	}
-	return http.StatusBadGateway
 }
 
 var refusedStatus = map[outcome.Reason]int{
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -48,21 +48,41 @@
 
 // complete runs a completion whose answer is one text, or a stream.
 func (p *Proxy) complete(ctx context.Context, w http.ResponseWriter, c *call, request *prompt) {
+	held, kept, refusal := p.claim(ctx, c)
+	if kept != nil {
+		p.replay(w, c, kept, request.known.Stream)
+		return
+	}
 	x := &completionExchange{proxy: p, call: c, prompt: request}
 	if request.known.Stream {
 		x.answer = newStreamAnswer(w, request.known.StreamOptions.IncludeUsage)
 	} else {
-		x.answer = &wholeAnswer{w: w}
+		x.answer = &wholeAnswer{w: w, gathered: &x.gathered}
 	}
-	ticket := c.ticket()
-	if !request.plainText() {
-		// The answer can't be continued at another backend server.
-		ticket.Idempotent = false
+	if refusal == nil {
+		ticket := c.ticket()
+		if !request.plainText() {
+			// The answer can't be continued at another backend server.
+			ticket.Idempotent = false
+		}
+		refusal = p.dispatch(ctx, c, x, ticket)
+		status, body := x.kept()
+		p.settle(held, refusal, status, body)
 	}
-	refusal := p.dispatch(ctx, c, x, ticket)
 	p.finishCompletion(w, x, refusal)
 }
 
+// kept returns the answer as a repeat with the same key gets it.
+func (x *completionExchange) kept() (int, []byte) {
+	if x.passed != nil {
+		return x.passed.Status, x.passed.Body
+	}
+	if !x.prompt.plainText() {
+		return http.StatusOK, nil
+	}
+	return http.StatusOK, x.gathered.body()
+}
+
 // finishCompletion writes the end of the answer and counts it.
 func (p *Proxy) finishCompletion(w http.ResponseWriter, x *completionExchange, refusal *Refusal) {
 	class := p.Metrics.Class(x.call.class.Name)
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -62,16 +62,16 @@
 		return x.failed(ctx, v, err)
 	}
 	defer resp.Body.Close()
-	session.FirstToken(v.Attempt, time.Since(sent))
 	if engine.TurnedAway(resp) {
 		return result{failure: x.failure(v, outcome.ServerRefused, true)}
 	}
+	session.FirstToken(v.Attempt, time.Since(sent))
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, x.proxy.Limits.AnswerBytes+1))
 	if err != nil {
 		return result{failure: x.failure(v, cutReason(ctx, err), false)}
 	}
 	if int64(len(answer)) > x.proxy.Limits.AnswerBytes {
-		refusal := &Refusal{Final: outcome.Unknown, Reason: outcome.ServerError, Message: "the backend server's answer is above the limit"}
+		refusal := &Refusal{Final: outcome.Unknown, Reason: outcome.ServerError, Message: "the backend server's answer is above the limit", mayHaveStarted: true}
 		return result{final: refusal, failure: x.failure(v, outcome.ServerError, false)}
 	}
 	x.status = resp.StatusCode
@@ -116,7 +116,15 @@
 // forward runs a request whose answer is taken whole.
 func (p *Proxy) forward(ctx context.Context, w http.ResponseWriter, c *call, x *forwardExchange) {
 	x.proxy = p
-	refusal := p.dispatch(ctx, c, x, c.ticket())
+	held, kept, refusal := p.claim(ctx, c)
+	if kept != nil {
+		p.replay(w, c, kept, false)
+		return
+	}
+	if refusal == nil {
+		refusal = p.dispatch(ctx, c, x, c.ticket())
+		p.settle(held, refusal, x.status, x.answer)
+	}
 	class := p.Metrics.Class(c.class.Name)
 	if refusal != nil {
 		p.countRefusal(c, refusal)
