--- a/decision/queue.go
+++ b/decision/queue.go
@@ -122,6 +122,7 @@
 }
 
 func (c *Core) set(q *laneQueue, at int, e queued) {
+	c.stats.Moves++
 	q.heap[at] = e
 	c.rows[e.row].position = int32(at)
 }
--- a/decision/stats.go
+++ b/decision/stats.go
@@ -36,6 +36,9 @@
 	// requests sent to servers that were.
 	SetAside uint64
 	Probes   uint64
+	// Moves counts the steps of the queues' heaps, the part of a tick's work
+	// that grows with the number of waiting requests.
+	Moves uint64
 }
 
 // Stats returns the counters.
