Count requests in flight by backend server

Cause: a draining server is empty only when every instance says so exactly. Ruled out: the scheduler's own counts (soft state, lost with it). Before: no count. After: a request counts from before the drain is checked until its attempt ended. Conclusion: package drain can sum it over the instances.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -48,17 +48,18 @@
 
 // Instance is one entry instance.
 type Instance struct {
-	opts    Options
-	log     *slog.Logger
-	metrics *metrics.Metrics
-	objects *objects.Client
-	store   *config.Store
-	agent   *config.Agent
-	local   *scheduler.Local
-	engine  *engine.Client
-	proxy   *proxy.Proxy
-	poller  *observe.Poller
-	claims  *idempotency.Claims
+	opts     Options
+	log      *slog.Logger
+	metrics  *metrics.Metrics
+	objects  *objects.Client
+	store    *config.Store
+	agent    *config.Agent
+	local    *scheduler.Local
+	engine   *engine.Client
+	proxy    *proxy.Proxy
+	poller   *observe.Poller
+	claims   *idempotency.Claims
+	inFlight *proxy.InFlight
 
 	transport closingTransport
 	callers   net.Listener
@@ -125,12 +126,14 @@
 	i.local = scheduler.NewLocal(scheduler.LocalOptions{DataCentre: s.Instance.DataCentre})
 	i.engine = engine.NewClient(nil)
 	i.poller = observe.NewPoller(observe.Options{Engine: i.engine, Targets: i.pollTargets, Sink: i.local})
+	i.inFlight = proxy.NewInFlight()
 	i.claims = idempotency.New(idempotency.Options{Store: i.objects, Retention: s.Limits.KeyRetention.Std()})
 	i.proxy = proxy.New(proxy.Options{
 		Index:     i.index.Load,
 		Scheduler: i.local,
 		Engine:    i.engine,
 		Claims:    i.claims,
+		InFlight:  i.inFlight,
 		Metrics:   i.metrics,
 		Limits: proxy.Limits{
 			BodyBytes:    s.Limits.BodyBytes,
--- a/proxy/dispatch.go
+++ b/proxy/dispatch.go
@@ -96,6 +96,8 @@
 		return true, d.refusal(outcome.AttemptsSpent)
 	}
 	d.attempted = v.Attempt
+	d.proxy.InFlight.enter(v.Server)
+	defer d.proxy.InFlight.leave(v.Server)
 	server, ok := d.proxy.Index().Server(v.Server)
 	if !ok {
 		d.session.Fail(decision.Failure{ID: d.call.id, Attempt: v.Attempt, Reason: outcome.ServerRefused, NotStarted: true})
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -30,6 +30,7 @@
 	Scheduler scheduler.Scheduler
 	Engine    *engine.Client
 	Claims    Claims
+	InFlight  *InFlight
 	Metrics   *metrics.Metrics
 	Limits    Limits
 	// Ready reports whether the configuration is known. Leaving reports
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -113,6 +113,7 @@
 		Scheduler: f.local,
 		Engine:    client,
 		Claims:    claims,
+		InFlight:  NewInFlight(),
 		Metrics:   m,
 		Limits: Limits{
 			BodyBytes: 1 << 16, AnswerBytes: 1 << 20, HeaderBytes: 4096,
