--- a/cmd/bergamotpin/main.go
+++ b/cmd/bergamotpin/main.go
@@ -49,6 +49,7 @@
 		standinEngineCommand(app),
 		standinServiceCommand(app),
 		demoCommand(app),
+		benchCommand(app),
 		loadCommand(app),
 		applyCommand(app),
 		getCommand(app),
