load: nobody waits to come back after the run; watches open at once

Cause: in a trial of the demo at 1.4 times its engines' capacity 286 callers waited for a time to return past the run's end and held it up for 30 s. A new test of slow answers showed that a watch's head came only with its first events. Ruled out: cutting the wait at the drain's end for all; only a return that can't be is given up, and it stays a refusal.

--- a/load/options.go
+++ b/load/options.go
@@ -107,7 +107,7 @@
 	LeaveEarly float64
 	LeaveAfter time.Duration
 	// ComeBack is the share of refused callers that return once, after the
-	// time that the refusal tells.
+	// time that the refusal tells, if that lies within the run.
 	ComeBack float64
 	// Repeat is the share of service calls that are sent a second time at
 	// once, with the same key.
--- a/load/run.go
+++ b/load/run.go
@@ -108,12 +108,18 @@
 // serve takes a request to its final outcome.
 func (r *runner) serve(q *request) {
 	result := r.first(q)
-	if q.comesBack && result.final == outcome.Refused && result.retryAfter > 0 {
+	if q.comesBack && result.final == outcome.Refused && r.mayReturn(result.retryAfter) {
 		result = r.comeBack(q, result)
 	}
 	r.ledger.close(q, result)
 }
 
+// mayReturn reports whether a caller was told to come back, and within the run.
+func (r *runner) mayReturn(after time.Duration) bool {
+	end := r.caller.start.Add(r.opts.Duration + r.opts.Drain)
+	return after > 0 && time.Now().Add(after).Before(end)
+}
+
 // first sends the request for the first time: twice at once if its caller does
 // so. The better of the two outcomes counts.
 func (r *runner) first(q *request) result {
--- a/standin/platform/watch.go
+++ b/standin/platform/watch.go
@@ -66,6 +66,9 @@
 func (o *watcher) run() {
 	o.w.Header().Set("Content-Type", "application/x-ndjson")
 	o.w.WriteHeader(http.StatusOK)
+	if !o.flush() {
+		return
+	}
 	bookmarks := time.NewTicker(o.server.opts.BookmarkEvery)
 	defer bookmarks.Stop()
 	charge := time.NewTicker(watchCharge)
--- a/standin/platform/watch_test.go
+++ b/standin/platform/watch_test.go
@@ -173,6 +173,25 @@
 	})
 }
 
+func TestSlowAnswers(t *testing.T) {
+	withPlatform(t, Options{}, func(t *testing.T, s *Server, c *http.Client) {
+		s.SetFaults(Faults{Latency: api.Duration(3 * time.Second)})
+		start := time.Now()
+		call(t, s, "POST", "/objects/Route/a", `{"spec":1}`, nil)
+		if took := time.Since(start); took != 3*time.Second {
+			t.Errorf("a slow write took %v", took)
+		}
+		events, _ := watch(t, c, "from=0")
+		if got := lines(events); len(got) != 0 || time.Since(start) != 6*time.Second {
+			t.Errorf("%+v after %v", got, time.Since(start))
+		}
+		time.Sleep(3 * time.Second)
+		if got := lines(events); len(got) == 0 || got[0].Name != "a" {
+			t.Errorf("after the delay %+v", got)
+		}
+	})
+}
+
 func TestLostConfirmationTookEffect(t *testing.T) {
 	withPlatform(t, Options{}, func(t *testing.T, s *Server, c *http.Client) {
 		s.SetFaults(Faults{LoseConfirmations: 1})
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -5,6 +5,8 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 )
 
 func post(s *Server, key string) *httptest.ResponseRecorder {
@@ -60,3 +62,25 @@
 	}()
 	post(s, key)
 }
+
+func TestDrainAndBoundRefuse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Options{Latency: time.Second, MaxRunning: 1})
+		defer s.Close()
+		s.SetFaults(Faults{Slowdown: 3})
+		first := make(chan *httptest.ResponseRecorder)
+		start := time.Now()
+		go func() { first <- post(s, "a") }()
+		synctest.Wait()
+		if w := post(s, "b"); w.Code != http.StatusServiceUnavailable || s.Runs("b") != 0 {
+			t.Errorf("beyond the bound: %d", w.Code)
+		}
+		s.Drain()
+		if w := <-first; w.Code != http.StatusOK || time.Since(start) != 3*time.Second {
+			t.Errorf("a run under a drain: %d after %v", w.Code, time.Since(start))
+		}
+		if w := post(s, "c"); w.Header().Get("Not-Started") != "true" || s.Runs("c") != 0 {
+			t.Errorf("a call after the drain: %d %v", w.Code, w.Header())
+		}
+	})
+}
