--- a/bench/entry.go
+++ b/bench/entry.go
@@ -15,6 +15,9 @@
 	if load.Deadline > 0 {
 		d.agenda.push(event{at: d.now + load.Deadline, kind: eventDeadline, request: i})
 	}
+	if r.leaveAfter > 0 {
+		d.agenda.push(event{at: d.now + r.leaveAfter, kind: eventDeadline, request: i})
+	}
 	d.sendTicket(i)
 }
 
@@ -172,7 +175,7 @@
 	d.open--
 }
 
-// deadline ends a request whose caller waits no longer.
+// deadline ends a request whose caller leaves.
 func (d *driver) deadline(i int32) {
 	r := &d.requests[i]
 	if r.phase == phaseDone {
@@ -213,7 +216,7 @@
 	back := request{
 		id: newID(len(d.requests)), class: r.class, organisation: r.organisation, arrived: at,
 		prompt: r.prompt, answer: r.answer, prefix: r.prefix, prefixLen: r.prefixLen,
-		visit: r.visit + 1,
+		visit: r.visit + 1, leaveAfter: r.leaveAfter,
 	}
 	d.requests = append(d.requests, back)
 	d.audit.grow(len(d.requests))
--- a/bench/request.go
+++ b/bench/request.go
@@ -32,6 +32,8 @@
 	prefixLen    int
 	// visit is zero for the caller's first, and counts its returns.
 	visit int
+	// leaveAfter is when the caller leaves of its own will. Zero for never.
+	leaveAfter time.Duration
 
 	phase  phase
 	final  outcome.Final
@@ -130,6 +132,9 @@
 		prompt:       load.Prompt.sample(rng),
 		answer:       load.Answer.sample(rng),
 	}
+	if load.LeaveShare > 0 && rng.Float64() < load.LeaveShare {
+		r.leaveAfter = load.LeaveAfter
+	}
 	if load.Prefixes == 0 {
 		return r
 	}
--- a/bench/trace.go
+++ b/bench/trace.go
@@ -25,6 +25,8 @@
 	Prefix       uint64  `json:"prefix,omitempty"`
 	PrefixTokens int     `json:"prefixTokens,omitempty"`
 	Service      bool    `json:"service,omitempty"`
+	// LeftAfter is when the caller left, in milliseconds after the arrival.
+	LeftAfter float64 `json:"left,omitempty"`
 	// Outcome is how the request ended when the trace was recorded.
 	Outcome string `json:"outcome"`
 }
@@ -89,10 +91,13 @@
 		})
 		requests = append(requests, request{
 			id: newID(i), class: class, organisation: organisation,
-			arrived: time.Duration(record.At * float64(time.Millisecond)),
+			arrived: millis(record.At),
 			prompt:  max(record.Prompt, 1), answer: max(record.Answer, 1),
-			prefix: record.Prefix, prefixLen: record.PrefixTokens,
+			prefix: record.Prefix, prefixLen: min(record.PrefixTokens, record.Prompt),
+			leaveAfter: millis(record.LeftAfter),
 		})
 	}
 	return requests, nil
 }
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/bench/workload.go
+++ b/bench/workload.go
@@ -52,6 +52,10 @@
 	// Deadline is how long callers wait for the whole answer before they
 	// leave. Zero means for ever.
 	Deadline time.Duration
+	// LeaveShare is the share of callers that leave LeaveAfter their request
+	// came, if they have no whole answer by then.
+	LeaveShare float64
+	LeaveAfter time.Duration
 	// Prompt and Answer give the lengths in tokens. Answers are unknown to the
 	// policy.
 	Prompt Lengths
--- /dev/null
+++ b/bench/workload_targets_test.go
@@ -0,0 +1,25 @@
+package bench
+
+import (
+	"fmt"
+	"testing"
+)
+
+var targetSeeds = []uint64{1, 2}
+
+// TestTargets holds the core against the targets of each workload.
+func TestTargets(t *testing.T) {
+	for _, w := range Workloads() {
+		for _, seed := range targetSeeds {
+			t.Run(fmt.Sprintf("%s/seed=%d", w.Name, seed), func(t *testing.T) {
+				for _, v := range RunSuite([]Workload{w}, seed).Verdicts {
+					t.Run(v.Target, func(t *testing.T) {
+						if !v.Met {
+							t.Error(v)
+						}
+					})
+				}
+			})
+		}
+	}
+}
