Keep a view of all instances by heartbeats

Cause: schedulers are placed over the live instances, and nothing but the instances themselves can say which are live.

Ruled out: a full mesh of heartbeats (its traffic grows with the instances); taking one's word for a death (an instance that was cut off would remove all others when it heals); the platform's list as proof.

--- /dev/null
+++ b/membership/snapshot.go
@@ -0,0 +1,61 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// view builds a snapshot. Members of unreachable data centres are suspects.
+func (t *table) view(now time.Time, unreachable []string) *View {
+	v := &View{
+		Revision:    t.revision,
+		Self:        memberOf(t.self),
+		unreachable: unreachable,
+		Known:       1,
+	}
+	v.Members = append(v.Members, v.Self)
+	for _, e := range t.entries {
+		if e.DataCentre == t.self.DataCentre && (e.Condition != dead || !e.Leaving) {
+			v.Known++
+		}
+		if e.Condition == dead {
+			continue
+		}
+		m := memberOf(e.record)
+		m.Damped = now.Before(e.dampedUntil)
+		if m.State == Live && slices.Contains(unreachable, m.DataCentre) {
+			m.State = Suspect
+		}
+		v.Members = append(v.Members, m)
+	}
+	slices.SortFunc(v.Members, compareMembers)
+	return v
+}
+
+func compareMembers(a, b Member) int {
+	return cmp.Or(
+		strings.Compare(a.DataCentre, b.DataCentre),
+		strings.Compare(a.Name, b.Name),
+		a.Address.Compare(b.Address),
+	)
+}
+
+func memberOf(r record) Member {
+	m := Member{
+		Name:        r.Name,
+		Address:     r.Address,
+		DataCentre:  r.DataCentre,
+		Incarnation: r.Incarnation,
+		State:       Live,
+		Ready:       r.Ready,
+	}
+	if r.Condition == suspected {
+		m.State = Suspect
+	}
+	if r.Leaving {
+		m.State = Leaving
+	}
+	return m
+}
