--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
+	promclient "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
@@ -37,7 +37,8 @@
 
 // New starts the metrics of one instance. Close ends them.
 func New(instance, dataCentre string) *Metrics {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := promclient.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         "bergamotpin",
 		Tags:           map[string]string{"instance": instance, "data_centre": dataCentre},
@@ -68,7 +69,7 @@
 func (m *Metrics) Handler() http.Handler { return m.reporter.HTTPHandler() }
 
 // Close stops the reports.
-func (m *Metrics) Close() error { return errors.Wrap(m.closer.Close(), "close metrics") }
+func (m *Metrics) Close() error { return m.closer.Close() }
 
 // Scope returns the scope for further counters.
 func (m *Metrics) Scope() tally.Scope { return m.scope }
