--- a/cmd/bergamotpin/main.go
+++ b/cmd/bergamotpin/main.go
@@ -48,6 +48,12 @@
 		standinPlatformCommand(app),
 		standinEngineCommand(app),
 		standinServiceCommand(app),
+		demoCommand(app),
+		loadCommand(app),
+		applyCommand(app),
+		getCommand(app),
+		watchCommand(app),
+		drainCommand(app),
 		versionCommand(app),
 	}
 	chosen, err := app.Parse(os.Args[1:])
--- a/proxy/dispatch.go
+++ b/proxy/dispatch.go
@@ -96,6 +96,8 @@
 		return true, d.refusal(outcome.AttemptsSpent)
 	}
 	d.attempted = v.Attempt
+	d.proxy.InFlight.enter(v.Server)
+	defer d.proxy.InFlight.leave(v.Server)
 	server, ok := d.proxy.Index().Server(v.Server)
 	if !ok {
 		d.session.Fail(decision.Failure{ID: d.call.id, Attempt: v.Attempt, Reason: outcome.ServerRefused, NotStarted: true})
@@ -168,7 +170,7 @@
 	if errors.Is(context.Cause(ctx), errDeadline) {
 		return d.refusal(outcome.DeadlinePassed)
 	}
-	return &Refusal{Final: outcome.Abandoned, Reason: outcome.CallerLeft}
+	return &Refusal{Final: outcome.Abandoned, Reason: outcome.CallerLeft, mayHaveStarted: d.mayHaveStarted}
 }
 
 // refused turns the scheduler's final verdict into the answer. What this
@@ -177,6 +179,7 @@
 	r := d.refusal(v.Reason)
 	if v.Final == outcome.Unknown {
 		r.Final = outcome.Unknown
+		r.mayHaveStarted = true
 	}
 	if v.RetryAfter > 0 {
 		r.RetryAfter = v.RetryAfter
@@ -186,6 +189,7 @@
 
 func (d *dispatch) refusal(reason outcome.Reason) *Refusal {
 	r := refuse(reason, "")
+	r.mayHaveStarted = d.mayHaveStarted
 	if d.mayHaveStarted {
 		r.Final = outcome.Unknown
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -29,6 +29,8 @@
 	Index     func() *routing.Index
 	Scheduler scheduler.Scheduler
 	Engine    *engine.Client
+	Claims    Claims
+	InFlight  *InFlight
 	Metrics   *metrics.Metrics
 	Limits    Limits
 	// Ready reports whether the configuration is known. Leaving reports
