Bound values from outside, free rows of removed servers, draw probes

Cause: NaN floors, endless waits and one huge sample reached the arithmetic; rows of servers that left stayed for ever; a server set aside was probed only when it scored best. Ruled out: a generation per server row for prefix hints (hints may be wrong). Before: TestServerThatRecoversComesBack fails without the drawn probe.

--- a/decision/apply.go
+++ b/decision/apply.go
@@ -92,7 +92,7 @@
 	r.first = true
 	r.delivered++
 	c.servers[r.server].pending -= r.uncached
-	c.observeFirstToken(r, max(e.After, 0))
+	c.observeFirstToken(r, min(max(e.After, 0), maxSample))
 }
 
 func (c *Core) applyProgress(e *Progress) {
@@ -221,8 +221,13 @@
 	cl.budget = min(cl.budget+retryShare, retryBurst)
 }
 
-// maxTokens bounds token counts that come from outside.
-const maxTokens = 1 << 24
+// Bounds of values that come from outside.
+const (
+	maxTokens = 1 << 24
+	maxWaited = 24 * time.Hour
+	// maxSample bounds one measured time.
+	maxSample = time.Minute
+)
 
 func (c *Core) applyTicket(t *Ticket, out *Output) {
 	if i, ok := c.byID[t.ID]; ok && !c.reopens(i, t) {
@@ -277,7 +282,7 @@
 	r.ticket.PrefixTokens = clampTokens(t.PrefixTokens)
 	r.delivered = clampTokens(t.Delivered)
 	r.started = r.delivered > 0 || t.Attempt > 0 || t.Server != ""
-	r.arrived = c.now - max(t.Waited, 0)
+	r.arrived = c.now - min(max(t.Waited, 0), maxWaited)
 	r.queued = c.now
 	r.deadline = farFuture
 	if t.Deadline > 0 && t.Deadline < farFuture-c.now {
--- a/decision/chaos_test.go
+++ b/decision/chaos_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"fmt"
+	"math"
 	"time"
 
 	"bergamotpin.example/bergamotpin/outcome"
@@ -99,6 +101,7 @@
 	servers := []string{"", "", "", "", "", "", "s0", "s9"}
 	b := c.byte()
 	t := Ticket{
+		Waited:       []time.Duration{0, 0, 0, time.Second, -time.Second, farFuture, 0, 0}[b/8%8],
 		Class:        names[b%len(names)],
 		Organisation: []string{"a", "b", "c"}[b%3],
 		Idempotent:   b%4 != 0,
@@ -200,13 +203,19 @@
 func (c *chaos) reconfigure() {
 	b := c.byte()
 	s := &c.config.Servers[b%len(c.config.Servers)]
-	switch b / 4 % 4 {
+	switch b / 4 % 5 {
+	case 3:
+		c.config.Servers = append(c.config.Servers, Server{Name: fmt.Sprint("new", b), Slots: 2})
+	case 4:
+		if n := len(c.config.Servers); n > 1 {
+			c.config.Servers = c.config.Servers[:n-1]
+		}
 	case 0:
 		s.Drain = !s.Drain
 	case 1:
 		s.Slots = 1 + b%4
 	case 2:
-		c.config.Classes[b%3].Floor = float64(b%8) / 10
+		c.config.Classes[b%3].Floor = []float64{0, 0.1, 0.5, 1, 2, -1, math.NaN(), math.Inf(1)}[b%8]
 	}
 	c.in.Config = c.configCopy()
 }
--- a/decision/configure.go
+++ b/decision/configure.go
@@ -31,6 +31,7 @@
 		}
 		cl := &c.classes[i]
 		cl.Class = spec
+		cl.Floor = boundedShare(spec.Floor)
 		cl.gone = false
 	}
 	c.byTier = c.byTier[:0]
@@ -42,6 +43,14 @@
 	})
 }
 
+// boundedShare maps what is no share to the nearest one.
+func boundedShare(f float64) float64 {
+	if math.IsNaN(f) {
+		return 0
+	}
+	return min(max(f, 0), 1)
+}
+
 func (c *Core) configureOrganisations(all []Organisation) {
 	for i := range c.orgs {
 		c.orgs[i].Weight = 1
@@ -71,6 +80,7 @@
 	for i := range c.servers {
 		c.servers[i].gone = true
 	}
+	c.dropServers(all)
 	for _, spec := range all {
 		i := c.server(spec.Name)
 		s := &c.servers[i]
@@ -83,18 +93,47 @@
 	c.recount()
 }
 
+// dropServers frees the rows of servers that run nothing and are no longer
+// configured. Hints on what they hold may pass to the server that takes the
+// row; hints may be wrong.
+func (c *Core) dropServers(all []Server) {
+	configured := make(map[string]bool, len(all))
+	for _, spec := range all {
+		configured[spec.Name] = true
+	}
+	c.unusedServers = c.unusedServers[:0]
+	for i := range c.servers {
+		s := &c.servers[i]
+		if s.inFlight == 0 && !configured[s.Name] {
+			delete(c.serverIndex, s.Name)
+			*s = server{gone: true}
+			c.unusedServers = append(c.unusedServers, int32(i))
+		}
+	}
+}
+
 // server returns the row of a server, and adds it as gone if it is not
 // configured.
 func (c *Core) server(name string) int32 {
 	if i, ok := c.serverIndex[name]; ok {
 		return i
 	}
-	i := int32(len(c.servers))
-	c.servers = append(c.servers, server{Server: Server{Name: name}, gone: true, ceiling: 1})
+	i := c.newServer()
+	c.servers[i] = server{Server: Server{Name: name}, gone: true, ceiling: 1}
 	c.serverIndex[name] = i
 	return i
 }
 
+func (c *Core) newServer() int32 {
+	if n := len(c.unusedServers); n > 0 {
+		i := c.unusedServers[n-1]
+		c.unusedServers = c.unusedServers[:n-1]
+		return i
+	}
+	c.servers = append(c.servers, server{})
+	return int32(len(c.servers) - 1)
+}
+
 // recount sums limits and requests in flight over the servers that take work.
 func (c *Core) recount() {
 	c.capacity, c.busy = 0, 0
--- a/decision/core.go
+++ b/decision/core.go
@@ -26,12 +26,14 @@
 
 	servers     []server
 	serverIndex map[string]int32
-	capacity    int // sum of the limits of servers that take work
-	busy        int // requests in flight on those servers
-	prefixes    prefixTable
-	pool        poolEstimate
-	remote      []remotePool
-	bookings    bookingTable
+	// unusedServers are free indexes of servers.
+	unusedServers []int32
+	capacity      int // sum of the limits of servers that take work
+	busy          int // requests in flight on those servers
+	prefixes      prefixTable
+	pool          poolEstimate
+	remote        []remotePool
+	bookings      bookingTable
 
 	shed     int // highest tier with a request refused for capacity at this tick
 	nextWake time.Duration
--- a/decision/limit_test.go
+++ b/decision/limit_test.go
@@ -28,6 +28,24 @@
 	}
 }
 
+func TestServerThatRecoversComesBack(t *testing.T) {
+	h := newHarness(t, Options{}, poolOf(4, 4))
+	for range 3 {
+		h.submit(8, "batch")
+		h.tick(10 * time.Millisecond)
+		h.fail("s1", outcome.ServerUnreachable, true)
+		h.end(10)
+	}
+	h.tick(10 * time.Millisecond)
+	if !h.core.servers[1].aside {
+		t.Fatal("not set aside")
+	}
+	h.steady(300, 10*time.Millisecond, 1, "batch")
+	if s := &h.core.servers[1]; s.aside {
+		t.Error("still set aside after 3 s of light load")
+	}
+}
+
 func TestAtMostHalfOfAPoolIsSetAside(t *testing.T) {
 	h := newHarness(t, Options{}, poolOf(4, 4, 4, 4, 4))
 	for range 200 {
--- a/decision/observe.go
+++ b/decision/observe.go
@@ -10,6 +10,9 @@
 // up by itself.
 const lateShare = 0.5
 
+// maxGapWeight bounds the tokens for which one report of progress counts.
+const maxGapWeight = 32
+
 // maxSlowness bounds one sample of a server's slowness.
 const maxSlowness = 10
 
@@ -36,7 +39,7 @@
 	if e.Gap <= 0 {
 		return
 	}
-	gap, n := seconds(e.Gap), float64(e.Tokens)
+	gap, n := seconds(min(e.Gap, maxSample)), float64(min(e.Tokens, maxGapWeight))
 	s.gap.add(gap, n)
 	c.pool.gap.add(gap, n)
 	s.window.gapTime += gap * n
--- a/decision/place.go
+++ b/decision/place.go
@@ -1,6 +1,8 @@
 package decision
 
 import (
+	"time"
+
 	"bergamotpin.example/bergamotpin/outcome"
 )
 
@@ -34,9 +36,7 @@
 			continue
 		}
 		score := c.score(s, r, cachedOn(&r.ticket, holders, int32(k), c.now))
-		if int32(k) == r.failedOn {
-			score += failedPenalty
-		}
+		score += c.adjustment(s, r, int32(k))
 		c.explain.candidate(s.Name, score)
 		if best == none || score < bestScore {
 			best, bestScore = int32(k), score
@@ -48,6 +48,21 @@
 	return best
 }
 
+// adjustment keeps a retry off the server that failed, and draws a probe to a
+// server that is set aside: a request that can wait, or any after twice the
+// backoff.
+func (c *Core) adjustment(s *server, r *request, k int32) float64 {
+	switch {
+	case k == r.failedOn:
+		return failedPenalty
+	case !s.aside:
+		return 0
+	case r.startBy-c.now > probeSlack || c.now >= s.asideAt+2*s.backoff:
+		return -failedPenalty
+	}
+	return 0
+}
+
 // free reports whether the server has a slot for the request. A server that is
 // set aside takes one idempotent request at a time as a probe.
 func (c *Core) free(s *server, r *request) bool {
@@ -78,6 +93,8 @@
 	// failedPenalty keeps a retry off the server that failed while another has
 	// a free slot, in seconds.
 	failedPenalty = 60
+	// probeSlack is the slack from which a request is drawn to a probe.
+	probeSlack = 2 * time.Second
 	// defaultPrefill is the time of one prompt token before any was seen, in
 	// seconds.
 	defaultPrefill = 0.0001
