bench: count a late refusal from the start of the last wait

Cause: the core's owner saw that the audit counted from arrival, so that a request preempted after a long run and then refused would read as late. Changed: the wait starts anew when a request is preempted or its attempt fails.

--- a/bench/schedule.go
+++ b/bench/schedule.go
@@ -26,7 +26,7 @@
 	switch e.kind {
 	case eventTicket:
 		d.in.Tickets = append(d.in.Tickets, e.message.ticket)
-		d.audit.ticket(e.request, d.requests[e.request].class, e.message.ticket.Server != "")
+		d.audit.ticket(e.request, &d.requests[e.request], e.message.ticket.Server != "")
 	case eventFirstToken:
 		f := decision.FirstToken{ID: id, Attempt: e.attempt, After: e.duration}
 		d.in.FirstTokens = append(d.in.FirstTokens, f)
@@ -42,7 +42,7 @@
 		d.audit.gone(e.request)
 	case eventFailure:
 		d.in.Failures = append(d.in.Failures, e.message.failure)
-		d.audit.failed(e.request)
+		d.audit.failed(e.request, d.now)
 	case eventWithdrawal:
 		d.in.Withdrawals = append(d.in.Withdrawals, decision.Withdrawal{ID: id})
 		d.audit.gone(e.request)
