bench: find regressions between two suites

Added: Regressions; TestPrint writes JSON to BENCH_JSON, TestAgainstBefore holds this commit against such a file.

--- /dev/null
+++ b/bench/regression_test.go
@@ -0,0 +1,53 @@
+package bench
+
+import (
+	"encoding/json"
+	"os"
+	"testing"
+)
+
+func TestRegressions(t *testing.T) {
+	before := Suite{Results: []Result{
+		{Workload: "w", Policy: "core", Goodput: 1, Classes: []ClassResult{{Class: "c", OfAdmitted: 1}}},
+		{Workload: "w", Policy: "round-robin", Goodput: 1},
+		{Workload: "other", Policy: "core", Goodput: 1},
+	}}
+	worse := Suite{Results: []Result{
+		{
+			Workload: "w", Policy: "core", Goodput: 0.9, Wasted: 0.1, Inversions: 1,
+			Violations: []Count{{Name: "v", Count: 1}},
+			Classes:    []ClassResult{{Class: "c", OfAdmitted: 0.9}},
+		},
+		{Workload: "w", Policy: "round-robin", Goodput: 0.1},
+	}}
+	if got := Regressions(before, before); len(got) != 0 {
+		t.Errorf("a suite against itself: %v", got)
+	}
+	if got := Regressions(before, worse); len(got) != 5 {
+		t.Errorf("%d regressions, want 5: %v", len(got), got)
+	}
+}
+
+// TestAgainstBefore compares this commit with the suite in the file that
+// BENCH_BEFORE names, which TestPrint of another commit wrote to BENCH_JSON.
+func TestAgainstBefore(t *testing.T) {
+	name := os.Getenv("BENCH_BEFORE")
+	if name == "" {
+		t.Skip("set BENCH_BEFORE to a suite's JSON file")
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	var before Suite
+	if err := json.NewDecoder(f).Decode(&before); err != nil {
+		t.Fatal(err)
+	}
+	if len(before.Results) == 0 {
+		t.Fatal("the file holds no run")
+	}
+	for _, r := range Regressions(before, RunSuite(Workloads(), before.Results[0].Seed)) {
+		t.Error(r)
+	}
+}
--- a/bench/run_test.go
+++ b/bench/run_test.go
@@ -14,7 +14,7 @@
 const testSeed = 1
 
 // TestPrint prints the tables of the workloads that BENCH names, run with the
-// seed BENCH_SEED.
+// seed BENCH_SEED, and writes them as JSON to the file BENCH_JSON.
 func TestPrint(t *testing.T) {
 	names := os.Getenv("BENCH")
 	if names == "" {
@@ -26,7 +26,25 @@
 			chosen = append(chosen, w)
 		}
 	}
-	if err := RunSuite(chosen, printSeed(t)).WriteText(os.Stdout); err != nil {
+	suite := RunSuite(chosen, printSeed(t))
+	if err := suite.WriteText(os.Stdout); err != nil {
+		t.Fatal(err)
+	}
+	if name := os.Getenv("BENCH_JSON"); name != "" {
+		saveSuite(t, suite, name)
+	}
+}
+
+func saveSuite(t *testing.T, s Suite, name string) {
+	t.Helper()
+	f, err := os.Create(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.WriteJSON(f); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Close(); err != nil {
 		t.Fatal(err)
 	}
 }
