Hold the floors of lower tiers free while a higher one is shed

Cause: each refusal for capacity evicts what waits below, so under an overload above a lower request was served only if a slot happened to be free on arrival. Floors in use are also taken off what higher tiers count on.

--- a/decision/core.go
+++ b/decision/core.go
@@ -36,6 +36,8 @@
 	bookings      bookingTable
 
 	shed     int // highest tier with a request refused for capacity at this tick
+	shedTier int // the same at shedAt
+	shedAt   time.Duration
 	nextWake time.Duration
 	stats    Stats
 	explain  explainRing
--- a/decision/estimate.go
+++ b/decision/estimate.go
@@ -110,7 +110,7 @@
 
 // slotsFor estimates the slots that a class can count on.
 func (c *Core) slotsFor(cl *class) float64 {
-	left := float64(c.capacity) - c.offered(cl.Tier)
+	left := float64(c.capacity-cl.promisedBelow) - c.offered(cl.Tier)
 	return max(left, c.floorShare(cl), minSlots)
 }
 
@@ -153,7 +153,7 @@
 // freeFor counts the slots that are free or that the class may take from lower
 // tiers.
 func (c *Core) freeFor(cl *class) int {
-	free := max(c.capacity-c.busy, 0)
+	free := max(c.capacity-c.busy-cl.reserve, 0)
 	for k := range c.classes {
 		free += c.takeable(cl, &c.classes[k])
 	}
--- a/decision/finish.go
+++ b/decision/finish.go
@@ -128,6 +128,9 @@
 	for c.ended.count > 0 && c.now-c.ended.entries[c.ended.first].at > endedLife {
 		c.unmark()
 	}
+	if c.shed != noTier {
+		c.shedTier, c.shedAt = c.shed, c.now
+	}
 	c.nextWake = farFuture
 	for _, i := range c.running {
 		c.nextWake = min(c.nextWake, c.runningUntil(&c.rows[i]))
--- a/decision/order.go
+++ b/decision/order.go
@@ -1,6 +1,9 @@
 package decision
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // floorShare returns the slots that are reserved for a class.
 func (c *Core) floorShare(cl *class) float64 {
@@ -54,6 +57,52 @@
 		same += cl.arrivals.perSecond(c.now)
 		cl.reserve = int(min(above*reserveTime.Seconds(), maxReserve*float64(c.capacity)))
 	}
+	c.holdFloors()
+}
+
+// shedMemory is for how long after a refusal for capacity the floors of lower
+// tiers are held free: what waits there is evicted at each such refusal, so
+// its floor must be free when it comes.
+const shedMemory = 2 * time.Second
+
+// holdFloors subtracts the floors that lower tiers use from what the higher
+// ones are promised, and adds those held free to the higher tiers' reserve.
+func (c *Core) holdFloors() {
+	below := floorSum{tier: noTier}
+	for k := len(c.byTier) - 1; k >= 0; k-- {
+		cl := &c.classes[c.byTier[k]]
+		below.step(cl.Tier)
+		cl.promisedBelow = below.lower
+		if c.now-c.shedAt < shedMemory && cl.Tier >= c.shedTier {
+			cl.reserve += below.lowerHeld
+		}
+		demand := math.Ceil(cl.arrivals.perSecond(c.now) * c.holdSeconds(cl))
+		floor := min(int(demand), int(c.floorShare(cl)))
+		below.add(floor, max(floor-cl.running, 0))
+	}
+}
+
+// floorSum sums floors from the lowest tier up. Classes of one tier do not
+// count for each other.
+type floorSum struct {
+	tier            int
+	lower, same     int
+	lowerHeld, held int
+}
+
+func (f *floorSum) step(tier int) {
+	if tier == f.tier {
+		return
+	}
+	f.tier = tier
+	f.lower += f.same
+	f.lowerHeld += f.held
+	f.same, f.held = 0, 0
+}
+
+func (f *floorSum) add(floor, held int) {
+	f.same += floor
+	f.held += held
 }
 
 // nextByTier returns the class of the highest tier that waits, the least slack
--- a/decision/order_test.go
+++ b/decision/order_test.go
@@ -90,3 +90,32 @@
 		t.Errorf("grants %+v, want the urgent request", out.Grants)
 	}
 }
+
+// TestFloorsAreHeldFreeWhileAboveIsShed lets the lower tier arrive rarely under
+// an overload of the higher one. What waits is evicted at each refusal above,
+// so its floor must be free when it comes.
+func TestFloorsAreHeldFreeWhileAboveIsShed(t *testing.T) {
+	const hold = 20 // ticks
+	h := newHarness(t, Options{Seed: 1}, poolOf(10))
+	ends := make(map[int][]Grant)
+	arrived, granted := 0, 0
+	for tick := range 2000 {
+		for _, g := range ends[tick] {
+			h.in.Ends = append(h.in.Ends, End{ID: g.ID, Attempt: g.Attempt, PromptTokens: 10, Tokens: 10})
+		}
+		h.submit(1+tick%2, "urgent")
+		if tick%17 == 0 {
+			h.submit(1, "batch")
+			arrived++
+		}
+		for _, g := range h.tick(10 * time.Millisecond).Grants {
+			ends[tick+hold] = append(ends[tick+hold], g)
+			if g.Priority == 2 {
+				granted++
+			}
+		}
+	}
+	if granted*10 < arrived*8 {
+		t.Errorf("%d of %d requests of the lower tier served", granted, arrived)
+	}
+}
--- a/decision/tables.go
+++ b/decision/tables.go
@@ -68,8 +68,11 @@
 	preemptible int
 	// reserve is the number of free slots that the class leaves to the tiers
 	// above it.
-	reserve   int
-	nextFloor time.Duration // when a floor below one slot allows the next grant
+	reserve int
+	// promisedBelow is the number of slots that lower tiers use of their
+	// floors.
+	promisedBelow int
+	nextFloor     time.Duration // when a floor below one slot allows the next grant
 
 	lengths  histogram // answer lengths in tokens
 	hold     mean      // seconds for which a request holds a slot
