--- /dev/null
+++ b/scheduler/pool.go
@@ -0,0 +1,185 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"bergamotpin.example/bergamotpin/decision"
+)
+
+// pool runs one decision core. Events gather in next until the loop swaps the
+// two inputs and ticks.
+type pool struct {
+	core *decision.Core
+	tick time.Duration
+	wake chan struct{}
+	// inform says that events came which can wait for informDelay.
+	inform chan struct{}
+
+	mu       sync.Mutex
+	next     *decision.Input
+	sessions map[decision.RequestID]*localSession
+
+	// Owned by the loop.
+	current *decision.Input
+	out     decision.Output
+	start   time.Time
+	// nextTick is when the timer fires, since start, or 0.
+	nextTick time.Duration
+}
+
+const (
+	// informDelay bounds how long events wait that only inform.
+	informDelay = 50 * time.Millisecond
+	// minPause is the time between two ticks at the least.
+	minPause = time.Millisecond
+)
+
+func newPool(core *decision.Core, tick time.Duration) *pool {
+	return &pool{
+		core:     core,
+		tick:     tick,
+		wake:     make(chan struct{}, 1),
+		inform:   make(chan struct{}, 1),
+		next:     &decision.Input{},
+		current:  &decision.Input{},
+		sessions: make(map[decision.RequestID]*localSession),
+		start:    time.Now(),
+	}
+}
+
+// add gathers events that may change a decision, for a tick at once.
+func (p *pool) add(event func(in *decision.Input)) {
+	p.gather(event, p.wake)
+}
+
+// addLater gathers events that only inform, for a tick within informDelay.
+func (p *pool) addLater(event func(in *decision.Input)) {
+	p.gather(event, p.inform)
+}
+
+func (p *pool) gather(event func(in *decision.Input), signal chan struct{}) {
+	p.mu.Lock()
+	event(p.next)
+	p.mu.Unlock()
+	select {
+	case signal <- struct{}{}:
+	default:
+	}
+}
+
+func (p *pool) submit(t decision.Ticket) Session {
+	s := &localSession{pool: p, id: t.ID, verdicts: make(chan Verdict, verdictBuffer)}
+	p.add(func(in *decision.Input) {
+		in.Tickets = append(in.Tickets, t)
+		p.sessions[t.ID] = s
+	})
+	return s
+}
+
+// run ticks at events, and when the core asks for it.
+func (p *pool) run(done <-chan struct{}) {
+	timer := time.NewTimer(p.tick)
+	defer timer.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-p.wake:
+		case <-p.inform:
+			p.due(timer, informDelay)
+			continue
+		case <-timer.C:
+		}
+		p.step()
+		p.rearm(timer)
+		if !rest(done) {
+			return
+		}
+	}
+}
+
+// rest lets events gather for a moment. It reports false at the end.
+func rest(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return false
+	case <-time.After(minPause):
+		return true
+	}
+}
+
+// due brings the next tick forward to within d.
+func (p *pool) due(timer *time.Timer, d time.Duration) {
+	at := time.Since(p.start) + d
+	if p.nextTick == 0 || at < p.nextTick {
+		p.nextTick = at
+		timer.Reset(d)
+	}
+}
+
+// rearm sets the timer to the time that the core asks for.
+func (p *pool) rearm(timer *time.Timer) {
+	p.nextTick = 0
+	timer.Stop()
+	at, needed := p.core.NextWake()
+	if !needed {
+		return
+	}
+	p.due(timer, max(at-time.Since(p.start), p.tick))
+}
+
+// step runs one tick.
+func (p *pool) step() {
+	p.mu.Lock()
+	p.next, p.current = p.current, p.next
+	p.mu.Unlock()
+
+	p.core.Tick(time.Since(p.start), p.current, &p.out)
+	p.current.Reset()
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.deliver()
+}
+
+// deliver hands the output to the sessions. The caller holds mu.
+func (p *pool) deliver() {
+	for _, d := range p.out.Preemptions {
+		p.send(d.ID, Verdict{Kind: Preempted, Server: d.Server, Attempt: d.Attempt})
+	}
+	for _, g := range p.out.Grants {
+		p.send(g.ID, Verdict{
+			Kind: Granted, Server: g.Server, Attempt: g.Attempt,
+			Priority: g.Priority, Continue: g.Continue, Reason: g.Reason,
+		})
+	}
+	for _, r := range p.out.Refusals {
+		p.send(r.ID, Verdict{Kind: Refused, Final: r.Final, Reason: r.Reason, RetryAfter: r.RetryAfter})
+		delete(p.sessions, r.ID)
+	}
+}
+
+func (p *pool) send(id decision.RequestID, v Verdict) {
+	s, ok := p.sessions[id]
+	if !ok {
+		return
+	}
+	select {
+	case s.verdicts <- v:
+	default:
+		// The reader is gone: give the capacity back.
+		delete(p.sessions, id)
+		p.next.Withdrawals = append(p.next.Withdrawals, decision.Withdrawal{ID: id})
+	}
+}
+
+func sortConfig(cfg *decision.Config) {
+	slices.SortFunc(cfg.Classes, func(a, b decision.Class) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(cfg.Organisations, func(a, b decision.Organisation) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(cfg.Servers, func(a, b decision.Server) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+func serves(models []string, model string) bool { return slices.Contains(models, model) }
