Count what a preemption throws away by what must be prefilled again

Cause: victims were ordered by what they had computed, and a request without a first token counted as nothing.

--- a/decision/preempt.go
+++ b/decision/preempt.go
@@ -24,19 +24,20 @@
 		}
 		for cl.waiting > 0 {
 			head, _ := c.earliest(cl)
-			if head.startBy-c.now > ahead || !c.preemptFor(head.row, out) {
+			if head.startBy-c.now > ahead {
 				break
 			}
+			victim := c.victim(cl)
+			if victim == none {
+				break
+			}
+			c.preemptFor(head.row, victim, out)
 		}
 	}
 }
 
 // preemptFor gives a victim's slot to the waiting row.
-func (c *Core) preemptFor(i int32, out *Output) bool {
-	victim := c.victim(&c.classes[c.rows[i].class])
-	if victim == none {
-		return false
-	}
+func (c *Core) preemptFor(i, victim int32, out *Output) {
 	v := &c.rows[victim]
 	s := v.server
 	out.Preemptions = append(out.Preemptions, Preemption{
@@ -51,13 +52,13 @@
 	c.settle(v, v.uncached)
 	c.requeue(victim, outcome.Preempted)
 	r := &c.rows[i]
-	r.uncached = r.ticket.PromptTokens + r.delivered
+	cached := cachedOn(&r.ticket, c.prefixes.holders(r.ticket.Prefix), s, c.now)
+	r.uncached = r.ticket.PromptTokens + r.delivered - cached
 	c.grant(i, s, false, out)
-	return true
 }
 
 // victim returns the running row to preempt for a class: idempotent, of the
-// lowest tier, beyond its class's floor, the least computed.
+// lowest tier, beyond its class's floor, the least work thrown away.
 func (c *Core) victim(high *class) int32 {
 	best := none
 	for _, i := range c.running {
@@ -82,13 +83,19 @@
 	if tx, ty := c.classes[x.class].Tier, c.classes[y.class].Tier; tx != ty {
 		return tx > ty
 	}
-	return computed(x) < computed(y)
+	return c.thrownAway(x) < c.thrownAway(y)
 }
 
-// computed is the work that a preemption may throw away, in tokens.
-func computed(r *request) int {
-	if !r.first {
-		return 0
+// thrownAway is the work that a preemption throws away, in tokens: what was
+// prefilled so far, or what has to be prefilled again.
+func (c *Core) thrownAway(r *request) int {
+	if r.first {
+		return max(r.ticket.PromptTokens-r.ticket.PrefixTokens, 0) + r.delivered
 	}
-	return r.uncached + r.delivered
+	expected := max(c.pool.first.at(float64(r.uncached+r.ahead)), minWork)
+	done := min(seconds(c.now-r.granted)/expected, 1)
+	return int(done * float64(r.uncached))
 }
+
+// minWork keeps the expected time to the first token above zero, in seconds.
+const minWork = 0.001
