Never time the absence of a lease's object

An instance that found no object counted the absence from its first look; if an object came, was held and deleted between two of its looks, it took the lease while the holder's term ran. Ruled out: the order of versions after seeNone (an older read then only waits longer); clock skew (virtual time). Before: TestAbsenceIsNotCountedAcrossAMissedTerm: 'both instances hold the lease'. Conclusion: the guarantee no longer rests on what was not seen.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -59,6 +59,10 @@
 	Taken, Renewed, Unanswered, Lost atomic.Int64
 }
 
+// vacantHolder is the holder of an object that was made for nobody. It has to be
+// waited out as any other.
+const vacantHolder = "vacant"
+
 // Term is a time for which the lease is held.
 type Term struct {
 	// Fence is above the number of each earlier term.
@@ -82,7 +86,8 @@
 	// The rest is used by Run alone.
 	object    api.Object // as last seen, zero if there was none
 	record    Record
-	seenAt    time.Time // when this version, or no object, was first seen
+	seenAt    time.Time // when this version was first seen
+	looked    bool      // the object, or its absence, was seen
 	uncertain bool      // a write of ours may have taken effect
 }
 
@@ -130,7 +135,7 @@
 
 // step makes one attempt to take or renew the lease.
 func (l *Lease) step(ctx context.Context) {
-	unknown := l.seenAt.IsZero() || l.uncertain
+	unknown := !l.looked || l.uncertain
 	if unknown && !l.look(ctx) {
 		return
 	}
@@ -140,6 +145,31 @@
 	}
 	if l.mayTake() || l.look(ctx) && l.mayTake() {
 		l.write(ctx, Record{})
+		return
+	}
+	if l.object.Version == 0 {
+		l.createVacant(ctx)
+	}
+}
+
+// createVacant makes the missing object, held by nobody. The holder of one that
+// was deleted may still count on it, so that the lease is taken only after the
+// new object has stood for the whole duration. Absence itself can't be timed:
+// between two looks an object may have come and gone.
+func (l *Lease) createVacant(ctx context.Context) {
+	raw, err := json.Marshal(Record{Holder: vacantHolder, Duration: api.Duration(l.opts.Duration)})
+	if err != nil {
+		return
+	}
+	stored, err := l.opts.Store.Create(ctx, api.Object{Kind: api.KindLease, Name: l.opts.Name, Spec: raw})
+	var conflict *objects.ConflictError
+	switch {
+	case err == nil:
+		l.see(stored)
+	case errors.As(err, &conflict) && conflict.Current != nil:
+		l.see(*conflict.Current)
+	default:
+		l.uncertain = true
 	}
 }
 
@@ -147,7 +177,7 @@
 // has stood as last seen for the whole duration.
 func (l *Lease) mayTake() bool {
 	if l.object.Version == 0 {
-		return time.Since(l.seenAt) >= l.opts.Duration
+		return false
 	}
 	if l.record.Holder == "" || l.record.Holder == l.opts.Holder {
 		return true
@@ -173,6 +203,7 @@
 
 // see notes a version of the object. Older ones are ignored.
 func (l *Lease) see(obj api.Object) {
+	l.looked = true
 	if obj.Version <= l.object.Version {
 		return
 	}
@@ -184,14 +215,8 @@
 	l.object, l.record, l.seenAt = obj, rec, time.Now()
 }
 
-// seeNone notes that there is no object. Its last holder may still count on a
-// lease that was deleted.
-func (l *Lease) seeNone() {
-	if l.object.Version == 0 && !l.seenAt.IsZero() {
-		return
-	}
-	l.object, l.record, l.seenAt = api.Object{}, Record{}, time.Now()
-}
+// seeNone notes that there is no object.
+func (l *Lease) seeNone() { l.object, l.record, l.looked = api.Object{}, Record{}, true }
 
 // write takes or renews the lease. Only an answer counts.
 func (l *Lease) write(ctx context.Context, rec Record) {
@@ -236,9 +261,6 @@
 	}
 	obj := l.object
 	obj.Kind, obj.Name, obj.Spec = api.KindLease, l.opts.Name, raw
-	if obj.Version == 0 {
-		return l.opts.Store.Create(ctx, obj)
-	}
 	return l.opts.Store.Update(ctx, obj)
 }
 
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -226,3 +226,36 @@
 		})
 	}
 }
+
+// An instance that found no object and then missed a whole term must not take
+// the absence that it finds next for the one that it knew.
+func TestAbsenceIsNotCountedAcrossAMissedTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := platform.New(platform.Options{})
+		defer server.Close()
+		newLease := func(holder string) (*Lease, *objects.Client) {
+			transport := &objectstest.Transport{Handler: server}
+			store := objects.New(objects.Options{Base: "http://platform", HTTPClient: transport.Client()})
+			return New(Options{Store: store, Name: "orders", Holder: holder}), store
+		}
+		slow, store := newLease("slow")
+		quick, _ := newLease("quick")
+		slow.step(t.Context())
+		for held := false; !held; _, held = quick.Valid() {
+			quick.step(t.Context())
+			time.Sleep(tick)
+		}
+		obj, err := store.Get(t.Context(), api.KindLease, "orders")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := store.Delete(t.Context(), obj.Kind, obj.Name, obj.Version); err != nil {
+			t.Fatal(err)
+		}
+		slow.step(t.Context())
+		_, both := slow.Valid()
+		if _, held := quick.Valid(); held && both {
+			t.Error("both instances hold the lease")
+		}
+	})
+}
