Wire membership, duties, drain, leases and orders into the instance

Cause: the coordination parts stood beside the daemon. Ruled out: one instance for all duties (a lost one would take all with it); duties by lease (they would stop while the platform is down; only orders to engines need a lease, for their fencing number). Before: each instance watched the platform and knew of no other.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -13,13 +13,18 @@
 
 	"github.com/go-faster/errors"
 
+	"bergamotpin.example/bergamotpin/api"
 	"bergamotpin.example/bergamotpin/config"
+	"bergamotpin.example/bergamotpin/drain"
 	"bergamotpin.example/bergamotpin/engine"
 	"bergamotpin.example/bergamotpin/idempotency"
+	"bergamotpin.example/bergamotpin/lease"
+	"bergamotpin.example/bergamotpin/membership"
 	"bergamotpin.example/bergamotpin/metrics"
 	"bergamotpin.example/bergamotpin/objects"
 	"bergamotpin.example/bergamotpin/observe"
 	"bergamotpin.example/bergamotpin/operators"
+	"bergamotpin.example/bergamotpin/orders"
 	"bergamotpin.example/bergamotpin/peer"
 	"bergamotpin.example/bergamotpin/proxy"
 	"bergamotpin.example/bergamotpin/routing"
@@ -33,6 +38,8 @@
 	headerSlack = 64 << 10
 	// headerTimeout bounds the time in which a header arrives.
 	headerTimeout = 10 * time.Second
+	// announceTimeout bounds the announcement of a leave.
+	announceTimeout = 2 * time.Second
 	// answerBytes bounds an answer that is taken whole.
 	answerBytes = 32 << 20
 )
@@ -58,6 +65,11 @@
 	engine   *engine.Client
 	proxy    *proxy.Proxy
 	poller   *observe.Poller
+	members  *membership.Group
+	reporter *config.Reporter
+	drains   *drain.Reporter
+	lease    *lease.Lease
+	orders   *orders.Controller
 	claims   *idempotency.Claims
 	inFlight *proxy.InFlight
 
@@ -111,6 +123,15 @@
 		Base:        "http://" + s.Platform.Address,
 		CallTimeout: s.Platform.CallTimeout.Std(),
 	})
+	i.members = membership.New(membership.Options{
+		Name:       s.Instance.Name,
+		DataCentre: s.Instance.DataCentre,
+		Transport:  i.transport,
+		Hints:      i,
+		Seeds:      seedAddresses(s.Peers.Seeds),
+		Seed:       seedOf(s.Instance.Name),
+		Log:        i.log,
+	})
 	i.store = config.NewStore()
 	i.index.Store(routing.NewIndex(i.store.Snapshot()))
 	i.agent = config.NewAgent(config.Options{
@@ -127,6 +148,7 @@
 	i.engine = engine.NewClient(nil)
 	i.poller = observe.NewPoller(observe.Options{Engine: i.engine, Targets: i.pollTargets, Sink: i.local})
 	i.inFlight = proxy.NewInFlight()
+	i.assembleDuties()
 	i.claims = idempotency.New(idempotency.Options{Store: i.objects, Retention: s.Limits.KeyRetention.Std()})
 	i.proxy = proxy.New(proxy.Options{
 		Index:     i.index.Load,
@@ -165,6 +187,13 @@
 	tasks.Go(func() { i.agent.Run(background) })
 	tasks.Go(func() { i.followConfig(background) })
 	tasks.Go(func() { i.poller.Run(background) })
+	tasks.Go(func() { i.members.Run(background) })
+	tasks.Go(func() { i.register(background) })
+	tasks.Go(func() { i.trackReadiness(background) })
+	tasks.Go(func() { i.reporter.Run(background) })
+	tasks.Go(func() { i.drains.Run(background) })
+	tasks.Go(func() { i.lease.Run(background, i.wantsOrders) })
+	tasks.Go(func() { i.orders.Run(background) })
 
 	callers := i.callersServer()
 	operatorsServer := &http.Server{Handler: i.operatorsHandler(), ReadHeaderTimeout: headerTimeout}
@@ -193,6 +222,7 @@
 func (i *Instance) leave(callers *http.Server) {
 	i.leaving.Store(true)
 	i.log.Info("leaving")
+	i.announceLeave()
 	ctx, cancel := context.WithTimeout(context.Background(), i.opts.Settings.Limits.DrainTimeout.Std())
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
@@ -202,6 +232,18 @@
 	i.proxy.Wait()
 }
 
+// announceLeave tells peers and the platform. Both are best effort: an instance
+// that goes silent is found out by its missing heartbeats.
+func (i *Instance) announceLeave() {
+	i.members.SetReady(false)
+	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
+	defer cancel()
+	if err := i.members.Leave(ctx); err != nil {
+		i.log.Warn("the leave was not announced", "error", err)
+	}
+	_ = i.objects.Register(ctx, i.listed(api.InstanceLeaving))
+}
+
 func (i *Instance) close() {
 	i.claims.Close()
 	i.local.Close()
@@ -254,7 +296,3 @@
 	}
 	return targets
 }
-
-func (i *Instance) configPeers() []config.Peer { return nil }
-
-func (i *Instance) watchesPlatform() bool { return true }
