--- a/cmd/bergamotpin/demo.go
+++ b/cmd/bergamotpin/demo.go
@@ -37,9 +37,12 @@
 	return command{cmd.FullCommand(), f.run}
 }
 
+// demoShorten is by how much the demo's answers are shorter than the users'.
+const demoShorten = 3
+
 func (f *demoFlags) options() demo.Options {
 	opts := demo.Options{
-		Workload:  workloadNamed(f.workload, f.duration/3),
+		Workload:  workloadNamed(f.workload, f.duration/3).Shorten(demoShorten),
 		Fleet:     load.FleetCovorulDrept,
 		Instances: demoInstances,
 		Seed:      f.seed,
--- a/resourcefile/resourcefile_test.go
+++ b/resourcefile/resourcefile_test.go
@@ -31,6 +31,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if !strings.Contains(string(raw), "tier = 0\n") {
+		t.Errorf("a whole number became a fraction in\n%s", raw)
+	}
 	second, err := Parse("b.toml", raw)
 	if err != nil {
 		t.Fatalf("%v in\n%s", err, raw)
--- a/resourcefile/write.go
+++ b/resourcefile/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 
 	"github.com/go-faster/errors"
 	"github.com/pelletier/go-toml/v2"
@@ -17,6 +18,7 @@
 		if err := json.Unmarshal(obj.Spec, &r.Spec); err != nil {
 			return nil, errors.Wrapf(err, "%s %s", obj.Kind, obj.Name)
 		}
+		r.Spec = integers(r.Spec).(map[string]any)
 		f.Resource = append(f.Resource, r)
 	}
 	raw, err := toml.Marshal(f)
@@ -25,3 +27,27 @@
 	}
 	return raw, nil
 }
+
+// integers turns whole numbers, which JSON does not tell from fractions, into
+// integers.
+func integers(v any) any {
+	switch v := v.(type) {
+	case map[string]any:
+		for key, item := range v {
+			v[key] = integers(item)
+		}
+	case []any:
+		for i, item := range v {
+			v[i] = integers(item)
+		}
+	case float64:
+		if v == math.Trunc(v) && math.Abs(v) < maxExactFloat {
+			return int64(v)
+		}
+	}
+	return v
+}
+
+// maxExactFloat is the first whole number after which not every one has a
+// float64 of its own.
+const maxExactFloat = 1 << 53
