--- /dev/null
+++ b/instance/counters.go
@@ -0,0 +1,104 @@
+package instance
+
+import (
+	"bergamotpin.example/bergamotpin/metrics"
+	"bergamotpin.example/bergamotpin/peer"
+)
+
+// readings returns the counters that the parts keep themselves.
+func (i *Instance) readings() []metrics.Reading {
+	var out []metrics.Reading
+	out = append(out, i.configReadings()...)
+	out = append(out, i.platformReadings()...)
+	out = append(out, i.claimReadings()...)
+	out = append(out, i.orderReadings()...)
+	out = append(out, i.peerReadings()...)
+	for event, count := range i.members.Counters() {
+		out = append(out, reading("membership_events", "event", event.String(), int64(count)))
+	}
+	return out
+}
+
+func reading(name, label, value string, count int64) metrics.Reading {
+	return metrics.Reading{Name: name, Label: label, Value: value, Count: count}
+}
+
+func (i *Instance) configReadings() []metrics.Reading {
+	c := &i.store.Counters
+	return []metrics.Reading{
+		reading("config_changes", "result", "accepted", c.Accepted.Load()),
+		reading("config_changes", "result", "rejected", c.Rejected.Load()),
+		reading("config_changes", "result", "deleted", c.Deleted.Load()),
+		reading("config_changes", "result", "stale", c.Stale.Load()),
+		reading("config_status_writes", "", "", i.reporter.Writes.Load()),
+	}
+}
+
+func (i *Instance) platformReadings() []metrics.Reading {
+	c := &i.objects.Counters
+	return []metrics.Reading{
+		reading("platform_calls", "", "", c.Calls.Load()),
+		reading("platform_watches", "", "", c.Watches.Load()),
+		reading("platform_failures", "reason", "conflict", c.Conflicts.Load()),
+		reading("platform_failures", "reason", "rate_limited", c.RateLimited.Load()),
+		reading("platform_failures", "reason", "unavailable", c.Unavailable.Load()),
+		reading("platform_failures", "reason", "uncertain", c.Uncertain.Load()),
+	}
+}
+
+func (i *Instance) claimReadings() []metrics.Reading {
+	c := &i.claims.Counters
+	return []metrics.Reading{
+		reading("key_claims", "result", "fresh", c.Fresh.Load()),
+		reading("key_claims", "result", "in_progress", c.InProgress.Load()),
+		reading("key_claims", "result", "completed", c.Completed.Load()),
+		reading("key_claims", "result", "unknown", c.Unknown.Load()),
+		reading("key_claims", "result", "conflict", c.Conflicts.Load()),
+		reading("key_claims", "result", "unavailable", c.Unavailable.Load()),
+		reading("key_outcomes", "result", "kept", c.Finished.Load()),
+		reading("key_outcomes", "result", "not_kept", c.FinishFailed.Load()),
+		reading("key_outcomes", "result", "released", c.Released.Load()),
+	}
+}
+
+func (i *Instance) orderReadings() []metrics.Reading {
+	l := &i.lease.Counters
+	o := &i.orders.Counters
+	return []metrics.Reading{
+		reading("lease_events", "event", "taken", l.Taken.Load()),
+		reading("lease_events", "event", "renewed", l.Renewed.Load()),
+		reading("lease_events", "event", "unanswered", l.Unanswered.Load()),
+		reading("lease_events", "event", "lost", l.Lost.Load()),
+		reading("orders", "result", "given", o.Orders.Load()),
+		reading("orders", "result", "failed", o.Failed.Load()),
+		reading("orders", "result", "superseded", o.Superseded.Load()),
+		reading("orders", "result", "late", o.LateOrders.Load()),
+		reading("orders", "result", "settling", o.Settling.Load()),
+	}
+}
+
+// countingTransport is a transport that counts its messages.
+type countingTransport interface{ Counters() peer.Count }
+
+func (i *Instance) peerReadings() []metrics.Reading {
+	t, ok := i.transport.(countingTransport)
+	if !ok {
+		return nil
+	}
+	count := t.Counters()
+	var out []metrics.Reading
+	for kind, traffic := range count.Sent {
+		out = append(out,
+			reading("peer_messages_sent", "kind", kind.String(), int64(traffic.Messages)),
+			reading("peer_bytes_sent", "kind", kind.String(), int64(traffic.Bytes)))
+	}
+	for kind, traffic := range count.Received {
+		out = append(out,
+			reading("peer_messages_received", "kind", kind.String(), int64(traffic.Messages)),
+			reading("peer_bytes_received", "kind", kind.String(), int64(traffic.Bytes)))
+	}
+	for refusal, n := range count.Refused {
+		out = append(out, reading("peer_refusals", "reason", refusal.String(), int64(n)))
+	}
+	return out
+}
--- a/instance/duties.go
+++ b/instance/duties.go
@@ -10,6 +10,7 @@
 	"bergamotpin.example/bergamotpin/api"
 	"bergamotpin.example/bergamotpin/config"
 	"bergamotpin.example/bergamotpin/drain"
+	"bergamotpin.example/bergamotpin/idempotency"
 	"bergamotpin.example/bergamotpin/lease"
 	"bergamotpin.example/bergamotpin/membership"
 	"bergamotpin.example/bergamotpin/orders"
@@ -153,6 +154,7 @@
 		Status:    i.objects,
 		Chosen:    i.reports,
 	})
+	i.sweeper = &idempotency.Sweeper{Claims: i.claims, Store: i.objects, Chosen: i.reports}
 	i.reporter = config.NewReporter(i.agent.Sync(), i.objects, i.objects, i.reports)
 	i.lease = lease.New(lease.Options{
 		Store:  i.objects,
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -68,6 +68,7 @@
 	members  *membership.Group
 	reporter *config.Reporter
 	drains   *drain.Reporter
+	sweeper  *idempotency.Sweeper
 	lease    *lease.Lease
 	orders   *orders.Controller
 	claims   *idempotency.Claims
@@ -115,14 +116,23 @@
 	return l.Addr().(*net.TCPAddr).AddrPort()
 }
 
-// assemble builds the parts. Nothing runs yet.
+// assemble builds the parts, each from those before it. Nothing runs yet.
 func (i *Instance) assemble() {
+	i.assembleBase()
+	i.assembleConfig()
+	i.assembleDuties()
+	i.assembleProxy()
+}
+
+func (i *Instance) assembleBase() {
 	s := i.opts.Settings
 	i.metrics = metrics.New(s.Instance.Name, s.Instance.DataCentre)
 	i.objects = objects.New(objects.Options{
 		Base:        "http://" + s.Platform.Address,
 		CallTimeout: s.Platform.CallTimeout.Std(),
 	})
+	i.claims = idempotency.New(idempotency.Options{Store: i.objects, Retention: s.Limits.KeyRetention.Std()})
+	i.inFlight = proxy.NewInFlight()
 	i.members = membership.New(membership.Options{
 		Name:       s.Instance.Name,
 		DataCentre: s.Instance.DataCentre,
@@ -132,6 +142,10 @@
 		Seed:       seedOf(s.Instance.Name),
 		Log:        i.log,
 	})
+}
+
+func (i *Instance) assembleConfig() {
+	s := i.opts.Settings
 	i.store = config.NewStore()
 	i.index.Store(routing.NewIndex(i.store.Snapshot()))
 	i.agent = config.NewAgent(config.Options{
@@ -144,12 +158,13 @@
 		Seed:       seedOf(s.Instance.Name),
 		Log:        i.log,
 	})
-	i.local = scheduler.NewLocal(scheduler.LocalOptions{DataCentre: s.Instance.DataCentre})
+}
+
+func (i *Instance) assembleProxy() {
+	s := i.opts.Settings
 	i.engine = engine.NewClient(nil)
+	i.local = scheduler.NewLocal(scheduler.LocalOptions{DataCentre: s.Instance.DataCentre})
 	i.poller = observe.NewPoller(observe.Options{Engine: i.engine, Targets: i.pollTargets, Sink: i.local})
-	i.inFlight = proxy.NewInFlight()
-	i.assembleDuties()
-	i.claims = idempotency.New(idempotency.Options{Store: i.objects, Retention: s.Limits.KeyRetention.Std()})
 	i.proxy = proxy.New(proxy.Options{
 		Index:     i.index.Load,
 		Scheduler: i.local,
@@ -187,11 +202,13 @@
 	tasks.Go(func() { i.agent.Run(background) })
 	tasks.Go(func() { i.followConfig(background) })
 	tasks.Go(func() { i.poller.Run(background) })
+	tasks.Go(func() { i.metrics.NewMirror(i.readings).Run(background) })
 	tasks.Go(func() { i.members.Run(background) })
 	tasks.Go(func() { i.register(background) })
 	tasks.Go(func() { i.trackReadiness(background) })
 	tasks.Go(func() { i.reporter.Run(background) })
 	tasks.Go(func() { i.drains.Run(background) })
+	tasks.Go(func() { i.sweeper.Run(background) })
 	tasks.Go(func() { i.lease.Run(background, i.wantsOrders) })
 	tasks.Go(func() { i.orders.Run(background) })
 
--- /dev/null
+++ b/peer/kind.go
@@ -0,0 +1,22 @@
+package peer
+
+var kindNames = map[Kind]string{
+	KindHeartbeat:    "heartbeat",
+	KindLeave:        "leave",
+	KindTickets:      "tickets",
+	KindVerdicts:     "verdicts",
+	KindReports:      "reports",
+	KindConfigPush:   "config_push",
+	KindConfigDigest: "config_digest",
+	KindConfigFetch:  "config_fetch",
+	KindDrainCount:   "drain_count",
+	KindPressure:     "pressure",
+}
+
+// String returns the kind's name as metrics use it.
+func (k Kind) String() string {
+	if name, ok := kindNames[k]; ok {
+		return name
+	}
+	return "unknown"
+}
