--- a/bench/replay_test.go
+++ b/bench/replay_test.go
@@ -9,6 +9,7 @@
 
 	"bergamotpin.example/bergamotpin/api"
 	"bergamotpin.example/bergamotpin/decision"
+	"bergamotpin.example/bergamotpin/load"
 )
 
 // replayCase states what a trace's replay must come to.
@@ -74,14 +75,14 @@
 	}
 }
 
-func readTraceFile(t *testing.T, name string) []TraceRecord {
+func readTraceFile(t *testing.T, name string) []load.TraceRecord {
 	t.Helper()
 	f, err := os.Open(filepath.Join("testdata", name))
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer f.Close()
-	trace, err := ReadTrace(f)
+	trace, err := load.ReadTrace(f)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -118,7 +119,18 @@
 	if c.Overload && !shed(r) {
 		t.Error("no request was refused, want overload")
 	}
-	checkOutcomes(t, c, r, len(trace))
+	checkOutcomes(t, c, r, modelCalls(trace))
+}
+
+// modelCalls counts the requests that a replay plays.
+func modelCalls(trace []load.TraceRecord) int {
+	calls := 0
+	for _, record := range trace {
+		if !record.Service {
+			calls++
+		}
+	}
+	return calls
 }
 
 func shed(r Result) bool {
--- a/bench/trace.go
+++ b/bench/trace.go
@@ -1,60 +1,21 @@
 package bench
 
 import (
-	"bufio"
-	"encoding/json"
-	"io"
 	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"bergamotpin.example/bergamotpin/decision"
+	"bergamotpin.example/bergamotpin/load"
 )
 
-// TraceRecord is what a replay reads of one line of a trace that
-// `bergamotpin load --record` wrote.
-type TraceRecord struct {
-	// At is the arrival in milliseconds since the run's start.
-	At           float64 `json:"at"`
-	Class        string  `json:"class"`
-	Organisation string  `json:"org"`
-	Model        string  `json:"model"`
-	Prompt       int     `json:"prompt"`
-	Answer       int     `json:"answer"`
-	Prefix       uint64  `json:"prefix,omitempty"`
-	PrefixTokens int     `json:"prefixTokens,omitempty"`
-	Service      bool    `json:"service,omitempty"`
-	// LeftAfter is when the caller left, in milliseconds after the arrival.
-	LeftAfter float64 `json:"left,omitempty"`
-	// Outcome is how the request ended when the trace was recorded.
-	Outcome string `json:"outcome"`
-}
-
-// ReadTrace reads a trace and skips calls to plain services, which no core
-// schedules by tokens.
-func ReadTrace(r io.Reader) ([]TraceRecord, error) {
-	in := json.NewDecoder(bufio.NewReader(r))
-	var out []TraceRecord
-	for line := 1; ; line++ {
-		var record TraceRecord
-		err := in.Decode(&record)
-		if errors.Is(err, io.EOF) {
-			return out, nil
-		}
-		if err != nil {
-			return nil, errors.Wrapf(err, "trace record %d", line)
-		}
-		if !record.Service {
-			out = append(out, record)
-		}
-	}
-}
-
-// Replay plays a trace's arrivals through the policy in place of the
-// workload's own. Organisations are taken from the trace; a class that the
-// workload lacks is an error.
-func Replay(w Workload, trace []TraceRecord, policy Policy, seed uint64) (Result, error) {
+// Replay plays the arrivals of a trace that load recorded through the policy,
+// in place of the workload's own. Organisations are taken from the trace. Calls
+// to plain services are left out: no core schedules them by tokens. A class
+// that the workload lacks is an error.
+func Replay(w Workload, trace []load.TraceRecord, policy Policy, seed uint64) (Result, error) {
+	trace = slices.DeleteFunc(slices.Clone(trace), func(r load.TraceRecord) bool { return r.Service })
 	w.Organisations = traceOrganisations(trace)
 	requests, err := traceRequests(&w, trace)
 	if err != nil {
@@ -65,7 +26,7 @@
 	return d.result(), nil
 }
 
-func traceOrganisations(trace []TraceRecord) []OrganisationLoad {
+func traceOrganisations(trace []load.TraceRecord) []OrganisationLoad {
 	var out []OrganisationLoad
 	seen := make(map[string]bool)
 	for _, record := range trace {
@@ -79,7 +40,7 @@
 	return out
 }
 
-func traceRequests(w *Workload, trace []TraceRecord) ([]request, error) {
+func traceRequests(w *Workload, trace []load.TraceRecord) ([]request, error) {
 	requests := make([]request, 0, len(trace))
 	for i, record := range trace {
 		class := slices.IndexFunc(w.Classes, func(c ClassLoad) bool { return c.Name == record.Class })
--- a/bench/trace_test.go
+++ b/bench/trace_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
+	"bergamotpin.example/bergamotpin/load"
 )
 
 const sampleTrace = `{"at":10.5,"class":"provenance","org":"a","model":"m","prompt":900,"answer":20,"outcome":"completed","first":50}
@@ -13,31 +13,8 @@
 {"at":30,"class":"review","org":"b","model":"m","prompt":2000,"answer":40,"prefix":9,"prefixTokens":1200,"outcome":"refused","reason":"evicted"}
 `
 
-func TestReadTrace(t *testing.T) {
-	got, err := ReadTrace(strings.NewReader(sampleTrace))
-	if err != nil {
-		t.Fatal(err)
-	}
-	want := []TraceRecord{
-		{At: 10.5, Class: "provenance", Organisation: "a", Model: "m", Prompt: 900, Answer: 20, Outcome: "completed"},
-		{
-			At: 30, Class: "review", Organisation: "b", Model: "m", Prompt: 2000, Answer: 40,
-			Prefix: 9, PrefixTokens: 1200, Outcome: "refused",
-		},
-	}
-	if diff := cmp.Diff(want, got); diff != "" {
-		t.Error(diff)
-	}
-}
-
-func TestReadTraceFails(t *testing.T) {
-	if _, err := ReadTrace(strings.NewReader(`{"at":"soon"}`)); err == nil {
-		t.Error("a malformed record was read")
-	}
-}
-
 func TestReplayPlaysTheTrace(t *testing.T) {
-	trace, err := ReadTrace(strings.NewReader(sampleTrace))
+	trace, err := load.ReadTrace(strings.NewReader(sampleTrace))
 	if err != nil {
 		t.Fatal(err)
 	}
