bench: keep arrivals out of the event heap

Cause: go test ./bench took 66 s on the loaded machine; a profile gave 45% to the heap, which held every arrival of the run and moved whole events. Changed: arrivals come from a cursor; the heap orders slots of events.

--- a/bench/driver.go
+++ b/bench/driver.go
@@ -36,7 +36,11 @@
 	now    time.Duration
 	agenda agenda
 
+	// requests holds the first visits in order of arrival, then the returns.
 	requests []request
+	// first is the number of first visits, of which arrived have come.
+	first   int
+	arrived int
 	// open counts requests that are still to arrive or to end.
 	open    int
 	engines []*engine
@@ -97,9 +101,7 @@
 	}
 	d.audit = newAudit(w, len(d.requests))
 	d.open = len(d.requests)
-	for i := range d.requests {
-		d.agenda.push(event{at: d.requests[i].arrived, kind: eventArrival, request: int32(i)})
-	}
+	d.first = len(d.requests)
 	for i, f := range w.Faults {
 		d.agenda.push(event{at: f.At, kind: eventFault, engine: int32(i)})
 		d.agenda.push(event{at: f.At + f.For, kind: eventRepair, engine: int32(i)})
@@ -126,11 +128,18 @@
 func (d *driver) loop() {
 	end := d.w.Duration + d.w.Drain
 	for d.open > 0 {
-		e, ok := d.agenda.pop()
-		if !ok || e.at > end {
+		at, ok := d.agenda.next()
+		if d.arrived < d.first && (!ok || d.requests[d.arrived].arrived <= at) {
+			d.now = d.requests[d.arrived].arrived
+			d.arrived++
+			d.arrive(int32(d.arrived - 1))
+			continue
+		}
+		if !ok || at > end {
 			return
 		}
-		d.now = e.at
+		d.now = at
+		e := d.agenda.pop()
 		d.handle(&e)
 	}
 }
--- a/bench/events.go
+++ b/bench/events.go
@@ -32,7 +32,6 @@
 // event is one entry of the event loop. The fields' use depends on the kind.
 type event struct {
 	at      time.Duration
-	seq     uint64
 	kind    eventKind
 	request int32
 	engine  int32
@@ -57,57 +56,96 @@
 
 // agenda orders events by time, and by insertion at equal times.
 type agenda struct {
-	heap []event
+	// heap orders the slots of events.
+	heap   []entry
+	events []event
+	unused []int32
+	seq    uint64
+}
+
+type entry struct {
+	at   time.Duration
 	seq  uint64
+	slot int32
 }
 
-func (a *agenda) less(i, j int) bool {
-	if a.heap[i].at != a.heap[j].at {
-		return a.heap[i].at < a.heap[j].at
+func (e entry) before(other entry) bool {
+	if e.at != other.at {
+		return e.at < other.at
 	}
-	return a.heap[i].seq < a.heap[j].seq
+	return e.seq < other.seq
 }
 
 func (a *agenda) push(e event) {
 	a.seq++
-	e.seq = a.seq
-	a.heap = append(a.heap, e)
-	i := len(a.heap) - 1
+	a.heap = append(a.heap, entry{})
+	a.rise(len(a.heap)-1, entry{at: e.at, seq: a.seq, slot: a.store(e)})
+}
+
+// store keeps the event in an unused slot.
+func (a *agenda) store(e event) int32 {
+	if n := len(a.unused); n > 0 {
+		slot := a.unused[n-1]
+		a.unused = a.unused[:n-1]
+		a.events[slot] = e
+		return slot
+	}
+	a.events = append(a.events, e)
+	return int32(len(a.events) - 1)
+}
+
+// rise puts the entry at the place i or above it.
+func (a *agenda) rise(i int, e entry) {
 	for i > 0 {
 		parent := (i - 1) / 2
-		if !a.less(i, parent) {
-			return
+		if !e.before(a.heap[parent]) {
+			break
 		}
-		a.heap[i], a.heap[parent] = a.heap[parent], a.heap[i]
+		a.heap[i] = a.heap[parent]
 		i = parent
 	}
+	a.heap[i] = e
 }
 
-func (a *agenda) pop() (event, bool) {
+// next returns the time of the first event.
+func (a *agenda) next() (time.Duration, bool) {
 	if len(a.heap) == 0 {
-		return event{}, false
+		return 0, false
 	}
-	top := a.heap[0]
+	return a.heap[0].at, true
+}
+
+// pop removes the first event. The agenda must not be empty.
+func (a *agenda) pop() event {
+	slot := a.heap[0].slot
 	last := len(a.heap) - 1
-	a.heap[0] = a.heap[last]
-	a.heap[last] = event{}
+	moved := a.heap[last]
 	a.heap = a.heap[:last]
-	a.sink(0)
-	return top, true
+	if last > 0 {
+		a.sink(moved)
+	}
+	e := a.events[slot]
+	a.events[slot] = event{}
+	a.unused = append(a.unused, slot)
+	return e
 }
 
-func (a *agenda) sink(i int) {
+// sink puts the entry at the first place or below it.
+func (a *agenda) sink(e entry) {
+	i := 0
 	for {
-		least := i
-		for child := 2*i + 1; child <= 2*i+2 && child < len(a.heap); child++ {
-			if a.less(child, least) {
-				least = child
-			}
+		child := 2*i + 1
+		if child >= len(a.heap) {
+			break
+		}
+		if child+1 < len(a.heap) && a.heap[child+1].before(a.heap[child]) {
+			child++
 		}
-		if least == i {
-			return
+		if !a.heap[child].before(e) {
+			break
 		}
-		a.heap[i], a.heap[least] = a.heap[least], a.heap[i]
-		i = least
+		a.heap[i] = a.heap[child]
+		i = child
 	}
+	a.heap[i] = e
 }
--- a/bench/run_test.go
+++ b/bench/run_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"os"
 	"strconv"
 	"strings"
@@ -127,3 +128,22 @@
 		}
 	}
 }
+
+func TestAgendaOrder(t *testing.T) {
+	var a agenda
+	rng := rand.New(rand.NewPCG(testSeed, 0))
+	for i := range 1000 {
+		a.push(event{at: time.Duration(rng.IntN(50)), request: int32(i)})
+		if i%3 == 0 {
+			a.pop()
+		}
+	}
+	var last event
+	for len(a.heap) > 0 {
+		e := a.pop()
+		if e.at < last.at || e.at == last.at && e.request < last.request {
+			t.Fatalf("event %d at %d came after event %d at %d", e.request, e.at, last.request, last.at)
+		}
+		last = e
+	}
+}
