Let a request at its latest start take from the reserve

Cause: the middle tier preempted or was refused while slots stood free for the arrivals of the highest.

--- a/decision/estimate.go
+++ b/decision/estimate.go
@@ -153,7 +153,7 @@
 // freeFor counts the slots that are free or that the class may take from lower
 // tiers.
 func (c *Core) freeFor(cl *class) int {
-	free := max(c.capacity-c.busy-cl.reserve, 0)
+	free := max(c.capacity-c.busy-cl.reserve-cl.heldBelow, 0)
 	for k := range c.classes {
 		free += c.takeable(cl, &c.classes[k])
 	}
--- a/decision/order.go
+++ b/decision/order.go
@@ -66,15 +66,16 @@
 const shedMemory = 2 * time.Second
 
 // holdFloors subtracts the floors that lower tiers use from what the higher
-// ones are promised, and adds those held free to the higher tiers' reserve.
+// ones are promised, and adds those held free to what higher tiers leave free.
 func (c *Core) holdFloors() {
 	below := floorSum{tier: noTier}
 	for k := len(c.byTier) - 1; k >= 0; k-- {
 		cl := &c.classes[c.byTier[k]]
 		below.step(cl.Tier)
 		cl.promisedBelow = below.lower
+		cl.heldBelow = 0
 		if c.now-c.shedAt < shedMemory && cl.Tier >= c.shedTier {
-			cl.reserve += below.lowerHeld
+			cl.heldBelow = below.lowerHeld
 		}
 		demand := math.Ceil(cl.arrivals.perSecond(c.now) * c.holdSeconds(cl))
 		floor := min(int(demand), int(c.floorShare(cl)))
@@ -82,6 +83,23 @@
 	}
 }
 
+// rowFor returns the class's row that may take a free slot, or none. Into the
+// reserve for others' arrivals goes only a request at its latest start.
+func (c *Core) rowFor(cl *class, floor bool) int32 {
+	free := c.capacity - c.busy - cl.heldBelow
+	switch {
+	case floor || free > cl.reserve:
+		return c.nextRow(cl)
+	case free <= 0:
+		return none
+	}
+	head, _ := c.earliest(cl)
+	if head.startBy-c.now > c.ahead() {
+		return none
+	}
+	return head.row
+}
+
 // floorSum sums floors from the lowest tier up. Classes of one tier do not
 // count for each other.
 type floorSum struct {
--- a/decision/order_test.go
+++ b/decision/order_test.go
@@ -119,3 +119,21 @@
 		t.Errorf("%d of %d requests of the lower tier served", granted, arrived)
 	}
 }
+
+func TestLatestStartTakesFromTheReserve(t *testing.T) {
+	cfg := poolOf(20, 20)
+	cfg.Classes[1].MaxWait = time.Second
+	h := newHarness(t, Options{}, cfg)
+	h.steady(1000, 10*time.Millisecond, 1, "urgent")
+	h.submit(36, "batch")
+	h.tick(10 * time.Millisecond)
+	for range 120 {
+		out := h.tick(10 * time.Millisecond)
+		if len(out.Refusals) > 0 {
+			t.Fatalf("refused %+v beside %d free slots", out.Refusals[0], h.core.capacity-h.core.busy)
+		}
+	}
+	if h.core.waiting != 0 {
+		t.Errorf("%d still wait", h.core.waiting)
+	}
+}
--- a/decision/place.go
+++ b/decision/place.go
@@ -11,10 +11,13 @@
 func (c *Core) place(out *Output) {
 	for c.waiting > 0 {
 		cl, floor := c.next()
-		if cl == nil || !floor && c.capacity-c.busy <= cl.reserve {
+		if cl == nil {
+			return
+		}
+		i := c.rowFor(cl, floor)
+		if i == none {
 			return
 		}
-		i := c.nextRow(cl)
 		s := c.pick(i)
 		if s == none {
 			return
--- a/decision/preempt.go
+++ b/decision/preempt.go
@@ -16,7 +16,7 @@
 // preempt is the system that stops running requests of lower tiers for those
 // that would otherwise start too late.
 func (c *Core) preempt(out *Output) {
-	ahead := max(preemptAhead, preemptAheadTicks*(c.now-c.prev))
+	ahead := c.ahead()
 	for _, k := range c.byTier {
 		cl := &c.classes[k]
 		if cl.Tier > c.shed {
@@ -36,6 +36,11 @@
 	}
 }
 
+// ahead is the slack under which a request is at its latest start.
+func (c *Core) ahead() time.Duration {
+	return max(preemptAhead, preemptAheadTicks*(c.now-c.prev))
+}
+
 // preemptFor gives a victim's slot to the waiting row.
 func (c *Core) preemptFor(i, victim int32, out *Output) {
 	v := &c.rows[victim]
--- a/decision/tables.go
+++ b/decision/tables.go
@@ -69,6 +69,9 @@
 	// reserve is the number of free slots that the class leaves to the tiers
 	// above it.
 	reserve int
+	// heldBelow is the number of free slots that are kept for the floors of
+	// lower tiers.
+	heldBelow int
 	// promisedBelow is the number of slots that lower tiers use of their
 	// floors.
 	promisedBelow int
