Explain preemptions

Cause: the record of a grant by preemption named the request that was placed last before it. Ruled out: no record for it. Before: TestRecordsNameTheRequestOfAPreemption fails.

--- a/decision/explain.go
+++ b/decision/explain.go
@@ -32,7 +32,7 @@
 	Omitted    int
 	// Chosen is the server with the least score, empty for a refusal.
 	Chosen string
-	// Reason is why the request was refused or referred.
+	// Reason is why the request was refused, referred or preempted.
 	Reason outcome.Reason
 }
 
--- a/decision/explain_test.go
+++ b/decision/explain_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"bergamotpin.example/bergamotpin/outcome"
 )
 
 func TestRecordsSayWhyAServerWon(t *testing.T) {
@@ -26,6 +28,21 @@
 	}
 }
 
+func TestRecordsNameTheRequestOfAPreemption(t *testing.T) {
+	h := newHarness(t, Options{Explain: 2}, poolOf(2))
+	h.submit(2, "batch")
+	h.tick(0)
+	want := h.submit(1, "urgent")
+	out := h.untilPreemption()
+	records := h.core.Records()
+	if r := records[0]; r.ID != out.Preemptions[0].ID || r.Reason != outcome.Preempted {
+		t.Errorf("record %+v, want the preempted request", r)
+	}
+	if r := records[1]; r.ID != want || r.Chosen != out.Preemptions[0].Server {
+		t.Errorf("record %+v, want the granted request", r)
+	}
+}
+
 func TestRecordsAreOffByDefault(t *testing.T) {
 	h := newHarness(t, Options{}, poolOf(4))
 	h.submit(3, "batch")
