Review the queue when the pool shrinks

Cause: requests were judged at arrival only; after a loss of servers they waited until their latest start before they were refused. Ruled out: judging all waiting requests each tick (linear in the queue); the last of each class's longest lane stands for it. Before: 0 of the requests refused within 21 ms of losing 39 of 40 slots. After: more than half (TestQueueIsReviewedWhenServersLeave).

--- a/decision/admit.go
+++ b/decision/admit.go
@@ -1,6 +1,10 @@
 package decision
 
-import "bergamotpin.example/bergamotpin/outcome"
+import (
+	"time"
+
+	"bergamotpin.example/bergamotpin/outcome"
+)
 
 // admit is the system that refuses: new requests that cannot meet their
 // bounds, the overflow of the queue, and, if any of these was refused for
@@ -11,6 +15,7 @@
 		return
 	}
 	c.refuseInfeasible(out)
+	c.review(out)
 	for c.waiting > c.opts.MaxQueue {
 		c.refuseForCapacity(c.worst(), outcome.QueueFull, out)
 	}
@@ -51,6 +56,46 @@
 	}
 }
 
+const (
+	// reviewMargin is how many times the slack of a request the expected wait
+	// must be before it is refused after it was let in, so that a wrong
+	// estimate breaks no promise.
+	reviewMargin = 1.5
+	// reviewSlack is added to the slack before.
+	reviewSlack = 200 * time.Millisecond
+	// maxReview bounds the requests that one tick refuses so in a class.
+	maxReview = 256
+)
+
+// review refuses the last of each class's longest lane while the pool can no
+// longer serve it in time, because servers left or slowed down.
+func (c *Core) review(out *Output) {
+	for k := range c.classes {
+		cl := &c.classes[k]
+		for n := 0; cl.waiting > 0 && n < maxReview; n++ {
+			heap := cl.queues[c.longestLane(cl)].heap
+			last := heap[len(heap)-1]
+			slack := last.startBy - c.now + reviewSlack
+			wait := c.waitSeconds(&c.rows[last.row])
+			if wait <= reviewMargin*seconds(slack) {
+				break
+			}
+			c.refuseForCapacity(last.row, outcome.Infeasible, out)
+		}
+	}
+}
+
+// longestLane returns the class's longest lane over its organisation's weight.
+func (c *Core) longestLane(cl *class) int32 {
+	best, length := none, 0.0
+	for _, lane := range cl.active {
+		if l := c.laneLength(cl, lane); best == none || l > length {
+			best, length = lane, l
+		}
+	}
+	return best
+}
+
 // worst returns the waiting row to give up first: in the lowest tier, of the
 // organisation with the longest queue over its weight, one of its last.
 func (c *Core) worst() int32 {
@@ -59,14 +104,7 @@
 		if cl.waiting == 0 {
 			continue
 		}
-		best, length := none, 0.0
-		for _, lane := range cl.active {
-			l := c.laneLength(cl, lane)
-			if best == none || l > length {
-				best, length = lane, l
-			}
-		}
-		heap := cl.queues[best].heap
+		heap := cl.queues[c.longestLane(cl)].heap
 		return heap[len(heap)-1].row
 	}
 	panic("decision: no waiting row in a queue that is too long")
--- a/decision/refer_test.go
+++ b/decision/refer_test.go
@@ -64,6 +64,30 @@
 	}
 }
 
+// TestQueueIsReviewedWhenServersLeave refuses what no longer has a chance at the
+// tick at which the servers leave, not when its time is up.
+func TestQueueIsReviewedWhenServersLeave(t *testing.T) {
+	cfg := poolOf(20, 20)
+	cfg.Classes[0].FirstToken = 10 * time.Second
+	h := newHarness(t, Options{}, cfg)
+	h.steady(100, 100*time.Millisecond, 20, "urgent")
+	for range 20 {
+		h.submit(100, "urgent")
+		h.tick(time.Millisecond)
+	}
+	waiting := h.core.waiting
+	smaller := *cfg
+	smaller.Servers = []Server{{Name: "s0", Slots: 1}}
+	h.in.Config = &smaller
+	refused := len(h.tick(time.Millisecond).Refusals)
+	for range 20 {
+		refused += len(h.tick(time.Millisecond).Refusals)
+	}
+	if refused < waiting/2 {
+		t.Errorf("%d of %d refused within 21 ms of the loss of 39 of 40 slots", refused, waiting)
+	}
+}
+
 func TestQueueOverflowEvictsTheLowestTier(t *testing.T) {
 	cfg := poolOf(1)
 	cfg.Classes[0].FirstToken = time.Minute
