Take the delivered tokens from the failure; spare resumed requests in a review

Cause: a doubled report of progress raised the count of delivered tokens, and a restart was granted as a continuation. Ruled out: telling doubled reports apart (they carry no number). Before: TestFailureCorrectsTheDeliveredTokens fails. After: it passes.

--- a/decision/admit.go
+++ b/decision/admit.go
@@ -68,12 +68,17 @@
 )
 
 // review refuses the last of each class's longest lane while the pool can no
-// longer serve it in time, because servers left or slowed down.
+// longer serve it in time, because servers left or slowed down. Resumed
+// requests are spared.
 func (c *Core) review(out *Output) {
 	for k := range c.classes {
 		cl := &c.classes[k]
 		for n := 0; cl.waiting > 0 && n < maxReview; n++ {
-			heap := cl.queues[c.longestLane(cl)].heap
+			lane := c.longestLane(cl)
+			if lane == resumeLane {
+				break
+			}
+			heap := cl.queues[lane].heap
 			last := heap[len(heap)-1]
 			slack := last.startBy - c.now + reviewSlack
 			wait := c.waitSeconds(&c.rows[last.row])
--- a/decision/apply.go
+++ b/decision/apply.go
@@ -162,8 +162,8 @@
 	c.stop(i)
 	r := &c.rows[i]
 	c.observeFailure(r, f)
-	r.delivered = max(r.delivered, min(f.Delivered, maxTokens))
-	r.started = r.started || !f.NotStarted || r.delivered > 0
+	r.started = r.started || !f.NotStarted || r.delivered > 0 || f.Delivered > 0
+	r.delivered = clampTokens(f.Delivered)
 	reason := failureReason(f.Reason)
 	if r.started && !r.ticket.Idempotent {
 		c.refuse(i, reason, out)
--- a/decision/apply_test.go
+++ b/decision/apply_test.go
@@ -41,6 +41,21 @@
 	}
 }
 
+// TestFailureCorrectsTheDeliveredTokens repeats a report of progress and then
+// fails the attempt before the caller had a token.
+func TestFailureCorrectsTheDeliveredTokens(t *testing.T) {
+	h := newHarness(t, Options{}, poolOf(2, 2))
+	h.submit(1, "batch")
+	g := h.tick(0).Grants[0]
+	p := Progress{ID: g.ID, Attempt: g.Attempt, Tokens: 5, Gap: time.Millisecond}
+	h.in.Progress = append(h.in.Progress, p, p)
+	h.tick(time.Millisecond)
+	h.fail(g.Server, outcome.StreamCut, false)
+	if again := h.tick(time.Millisecond).Grants[0]; again.Continue {
+		t.Error("continued after tokens that the caller does not have")
+	}
+}
+
 func TestAttemptsAreBounded(t *testing.T) {
 	h := newHarness(t, Options{MaxAttempts: 2}, poolOf(8, 8))
 	h.submit(1, "batch")
