Bound the slack that a pause between ticks adds to preemption

Cause: the daemon ticks at events; after a pause the slack of two ticks was the pause itself, and an urgent arrival preempted at once. Ruled out: a constant slack (a slow tick would miss the latest start). Before: TestNoEarlyPreemptionAfterAPause fails.

--- a/decision/preempt.go
+++ b/decision/preempt.go
@@ -8,9 +8,10 @@
 
 const (
 	// preemptAhead is the slack under which a request preempts, or that many
-	// ticks if they are longer.
+	// ticks if they are longer, up to maxPreemptAhead.
 	preemptAhead      = 20 * time.Millisecond
 	preemptAheadTicks = 2
+	maxPreemptAhead   = 100 * time.Millisecond
 )
 
 // preempt is the system that stops running requests of lower tiers for those
@@ -38,7 +39,8 @@
 
 // ahead is the slack under which a request is at its latest start.
 func (c *Core) ahead() time.Duration {
-	return max(preemptAhead, preemptAheadTicks*(c.now-c.prev))
+	ticks := min(preemptAheadTicks*(c.now-c.prev), maxPreemptAhead)
+	return max(preemptAhead, ticks)
 }
 
 // preemptFor gives a victim's slot to the waiting row.
--- a/decision/preempt_test.go
+++ b/decision/preempt_test.go
@@ -36,6 +36,16 @@
 	}
 }
 
+func TestNoEarlyPreemptionAfterAPause(t *testing.T) {
+	h := newHarness(t, Options{}, poolOf(4))
+	h.submit(4, "batch")
+	h.tick(0)
+	h.submit(1, "urgent")
+	if out := h.tick(10 * time.Second); len(out.Preemptions) != 0 {
+		t.Error("preempted with the whole target left")
+	}
+}
+
 func TestPreemptionTakesTheLeastComputed(t *testing.T) {
 	h := newHarness(t, Options{}, poolOf(4))
 	h.submit(4, "batch")
