--- a/decision/preempt.go
+++ b/decision/preempt.go
@@ -8,15 +8,16 @@
 
 const (
 	// preemptAhead is the slack under which a request preempts, or that many
-	// ticks if they are longer.
+	// ticks if they are longer, up to maxPreemptAhead.
 	preemptAhead      = 20 * time.Millisecond
 	preemptAheadTicks = 2
+	maxPreemptAhead   = 100 * time.Millisecond
 )
 
 // preempt is the system that stops running requests of lower tiers for those
 // that would otherwise start too late.
 func (c *Core) preempt(out *Output) {
-	ahead := max(preemptAhead, preemptAheadTicks*(c.now-c.prev))
+	ahead := c.ahead()
 	for _, k := range c.byTier {
 		cl := &c.classes[k]
 		if cl.Tier > c.shed {
@@ -36,6 +37,12 @@
 	}
 }
 
+// ahead is the slack under which a request is at its latest start.
+func (c *Core) ahead() time.Duration {
+	ticks := min(preemptAheadTicks*(c.now-c.prev), maxPreemptAhead)
+	return max(preemptAhead, ticks)
+}
+
 // preemptFor gives a victim's slot to the waiting row.
 func (c *Core) preemptFor(i, victim int32, out *Output) {
 	v := &c.rows[victim]
@@ -50,10 +57,13 @@
 	c.stop(victim)
 	v.started = true
 	c.settle(v, v.uncached)
+	c.explainRefusal(v, outcome.Preempted)
 	c.requeue(victim, outcome.Preempted)
 	r := &c.rows[i]
 	cached := cachedOn(&r.ticket, c.prefixes.holders(r.ticket.Prefix), s, c.now)
 	r.uncached = r.ticket.PromptTokens + r.delivered - cached
+	c.explain.begin(r, c.now)
+	c.explain.candidate(c.servers[s].Name, c.score(&c.servers[s], r, cached))
 	c.grant(i, s, false, out)
 }
 
