Learn limits above the configured slots by trials

Cause: a limit could fall below the configured slots but never rise above them, though api calls them where it starts. Before: a server of 8 slots that takes 12 stays at 8. After: 12 after 150 s of full load, and one that takes 8 stays at 8.

--- a/decision/configure.go
+++ b/decision/configure.go
@@ -86,8 +86,10 @@
 		s := &c.servers[i]
 		if s.Slots != spec.Slots {
 			s.ceiling = float64(max(spec.Slots, 1))
+			s.growth = growth{top: max(spec.Slots, 1), next: c.now + minGrowPause}
 		}
 		s.Server = spec
+		s.growth.top = max(s.growth.top, 1)
 		s.gone = false
 	}
 	c.recount()
--- a/decision/core.go
+++ b/decision/core.go
@@ -76,6 +76,7 @@
 	c.limit()
 	c.order()
 	c.place(out)
+	c.tryMore(out)
 	c.preempt(out)
 	c.admit(out)
 	c.finish(out)
--- a/decision/limit.go
+++ b/decision/limit.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		if c.now-s.windowAt >= limitWindow {
-			adjust(s)
+			adjust(s, c.now)
 			s.window = serverWindow{}
 			s.windowAt = c.now
 			s.peak = s.inFlight
@@ -51,13 +51,13 @@
 }
 
 // adjust changes a limit by what the window showed.
-func adjust(s *server) {
+func adjust(s *server, now time.Duration) {
 	w := &s.window
 	gap := 0.0
 	if w.gaps >= minSamples {
 		gap = w.gapTime / w.gaps
 	}
-	top := float64(max(s.Slots, 1))
+	before := s.ceiling
 	switch {
 	case w.refused > 0:
 		s.ceiling *= limitFactor
@@ -68,7 +68,10 @@
 	case s.peak >= s.limit() && (w.gapBound == 0 || gap < gapRaise*w.gapBound):
 		s.ceiling += limitStep
 	}
-	s.ceiling = min(max(s.ceiling, 1), top)
+	if s.ceiling < before {
+		s.shrink(now)
+	}
+	s.ceiling = min(max(s.ceiling, 1), float64(s.growth.top))
 }
 
 // medianGap returns the median time between tokens over the servers.
--- a/decision/observe.go
+++ b/decision/observe.go
@@ -23,7 +23,12 @@
 	s := &c.servers[r.server]
 	c.trust(s)
 	prompt := float64(r.uncached + r.ahead)
-	if expected := c.pool.first.at(prompt); expected > 0 {
+	expected := c.pool.first.at(prompt)
+	if r.trial {
+		c.judge(s, after, expected*s.slowness.or(1))
+		return
+	}
+	if expected > 0 {
 		s.slowness.add(min(seconds(after)/expected, maxSlowness), 1)
 	}
 	c.pool.first.add(prompt, seconds(after))
--- a/decision/place.go
+++ b/decision/place.go
@@ -105,6 +105,16 @@
 	defaultGap = 0.03
 )
 
+// grantOn grants a waiting row a slot of the given server.
+func (c *Core) grantOn(i, s int32, out *Output) {
+	r := &c.rows[i]
+	cached := cachedOn(&r.ticket, c.prefixes.holders(r.ticket.Prefix), s, c.now)
+	r.uncached = r.ticket.PromptTokens + r.delivered - cached
+	c.explain.begin(r, c.now)
+	c.explain.candidate(c.servers[s].Name, c.score(&c.servers[s], r, cached))
+	c.grant(i, s, false, out)
+}
+
 // grant moves a waiting row to a server.
 func (c *Core) grant(i, s int32, floor bool, out *Output) {
 	c.remove(i)
--- a/decision/preempt.go
+++ b/decision/preempt.go
@@ -59,12 +59,7 @@
 	c.settle(v, v.uncached)
 	c.explainRefusal(v, outcome.Preempted)
 	c.requeue(victim, outcome.Preempted)
-	r := &c.rows[i]
-	cached := cachedOn(&r.ticket, c.prefixes.holders(r.ticket.Prefix), s, c.now)
-	r.uncached = r.ticket.PromptTokens + r.delivered - cached
-	c.explain.begin(r, c.now)
-	c.explain.candidate(c.servers[s].Name, c.score(&c.servers[s], r, cached))
-	c.grant(i, s, false, out)
+	c.grantOn(i, s, out)
 }
 
 // victim returns the running row to preempt for a class: idempotent, of the
--- a/decision/stats.go
+++ b/decision/stats.go
@@ -36,6 +36,9 @@
 	// requests sent to servers that were.
 	SetAside uint64
 	Probes   uint64
+	// Trials counts requests granted beyond a server's limit to learn whether
+	// it may rise.
+	Trials uint64
 	// Moves counts the steps of the queues' heaps, the part of a tick's work
 	// that grows with the number of waiting requests.
 	Moves uint64
--- a/decision/tables.go
+++ b/decision/tables.go
@@ -49,6 +49,7 @@
 	delivered int   // tokens that the caller has
 	started   bool  // some attempt may have started
 	first     bool  // this attempt's first token came
+	trial     bool  // granted beyond the server's limit
 	uncached  int   // prompt tokens to compute at this attempt
 	ahead     int   // prompt tokens that the server had to compute before
 	charged   float64
@@ -104,7 +105,8 @@
 	windowAt time.Duration
 	gap      mean // seconds between tokens
 	slowness mean // time to the first token over what the pool's line says
-	pending  int  // prompt tokens of attempts without a first token
+	growth   growth
+	pending  int // prompt tokens of attempts without a first token
 
 	failures int // in a row
 	aside    bool
@@ -154,6 +156,7 @@
 	r.granted = c.now
 	r.heard = c.now
 	r.first = false
+	r.trial = false
 	c.running = append(c.running, i)
 	cl := &c.classes[r.class]
 	cl.running++
@@ -188,6 +191,10 @@
 	if !r.first {
 		srv.pending -= r.uncached
 	}
+	if r.trial && !r.first {
+		srv.growth.fail(c.now)
+		srv.growth.trying = false
+	}
 	if srv.takesWork() {
 		c.busy--
 	}
