--- a/bench/regression_test.go
+++ b/bench/regression_test.go
@@ -29,7 +29,7 @@
 }
 
 // TestAgainstBefore compares this commit with the suite in the file that
-// BENCH_BEFORE names, which TestPrint of another commit wrote to BENCH_JSON.
+// BENCH_BEFORE names, which `bergamotpin bench --json` of another commit wrote.
 func TestAgainstBefore(t *testing.T) {
 	name := os.Getenv("BENCH_BEFORE")
 	if name == "" {
--- a/bench/replay_test.go
+++ b/bench/replay_test.go
@@ -15,9 +15,11 @@
 // replayCase states what a trace's replay must come to.
 type replayCase struct {
 	// Recorded is the command that recorded the trace.
-	Recorded string          `json:"recorded"`
-	Trace    string          `json:"trace"`
-	Engines  int             `json:"engines"`
+	Recorded string `json:"recorded"`
+	Trace    string `json:"trace"`
+	Engines  int    `json:"engines"`
+	// Slow runs every third engine at half speed.
+	Slow     bool            `json:"slow"`
 	Classes  []replayClass   `json:"classes"`
 	Outcomes []replayOutcome `json:"outcomes"`
 	// Wasted is the greatest share of wasted tokens. Zero means no bound.
@@ -91,7 +93,7 @@
 
 func (c replayCase) workload() Workload {
 	w := Workload{
-		Name: c.Trace, Engines: engines(c.Engines, false),
+		Name: c.Trace, Engines: engines(c.Engines, c.Slow),
 		Duration: time.Minute, Drain: 10 * time.Minute,
 	}
 	for _, class := range c.Classes {
--- a/bench/run_test.go
+++ b/bench/run_test.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 	"math/rand/v2"
-	"os"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -14,55 +12,6 @@
 
 const testSeed = 1
 
-// TestPrint prints the tables of the workloads that BENCH names, run with the
-// seed BENCH_SEED, and writes them as JSON to the file BENCH_JSON.
-func TestPrint(t *testing.T) {
-	names := os.Getenv("BENCH")
-	if names == "" {
-		t.Skip("set BENCH to a comma-separated list of workloads, or to all")
-	}
-	var chosen []Workload
-	for _, w := range Workloads() {
-		if names == "all" || strings.Contains(names, w.Name) {
-			chosen = append(chosen, w)
-		}
-	}
-	suite := RunSuite(chosen, printSeed(t))
-	if err := suite.WriteText(os.Stdout); err != nil {
-		t.Fatal(err)
-	}
-	if name := os.Getenv("BENCH_JSON"); name != "" {
-		saveSuite(t, suite, name)
-	}
-}
-
-func saveSuite(t *testing.T, s Suite, name string) {
-	t.Helper()
-	f, err := os.Create(name)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := s.WriteJSON(f); err != nil {
-		t.Fatal(err)
-	}
-	if err := f.Close(); err != nil {
-		t.Fatal(err)
-	}
-}
-
-func printSeed(t *testing.T) uint64 {
-	t.Helper()
-	text := os.Getenv("BENCH_SEED")
-	if text == "" {
-		return testSeed
-	}
-	seed, err := strconv.ParseUint(text, 10, 64)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return seed
-}
-
 func TestSuiteWritesJSON(t *testing.T) {
 	s := RunSuite([]Workload{short(CovorAuction(), 5*time.Second)}, testSeed)
 	var text strings.Builder
