--- a/bench/audit.go
+++ b/bench/audit.go
@@ -49,7 +49,8 @@
 		grantedNow: make([]int, len(w.Classes)),
 		violations: make(map[string]int),
 	}
-	slots := float64(len(w.Engines) * engineBatch)
+	// A policy may learn that engines take more than it was told.
+	slots := float64(len(w.Engines) * max(w.slots(), engineBatch))
 	for _, c := range w.Classes {
 		a.floorSlots = append(a.floorSlots, max(int(c.Floor*slots), 1))
 	}
--- a/bench/driver.go
+++ b/bench/driver.go
@@ -120,7 +120,7 @@
 		cfg.Organisations = append(cfg.Organisations, o.Organisation)
 	}
 	for _, e := range d.w.Engines {
-		cfg.Servers = append(cfg.Servers, decision.Server{Name: e.Name, Slots: engineBatch})
+		cfg.Servers = append(cfg.Servers, decision.Server{Name: e.Name, Slots: d.w.slots()})
 	}
 	return cfg
 }
--- a/bench/workload.go
+++ b/bench/workload.go
@@ -17,8 +17,11 @@
 	GoodputUntil time.Duration
 	// Drain is the time after Duration in which requests may still end. Refused
 	// callers may come back in it, up to the longest deadline before its end.
-	Drain         time.Duration
-	Engines       []EngineSpec
+	Drain   time.Duration
+	Engines []EngineSpec
+	// Slots is the number of slots of an engine that the policy is told. Zero
+	// means the true one.
+	Slots         int
 	Classes       []ClassLoad
 	Organisations []OrganisationLoad
 	Faults        []Fault
@@ -29,6 +32,14 @@
 	Targets Targets
 }
 
+// slots returns the number of slots of an engine that the policy is told.
+func (w *Workload) slots() int {
+	if w.Slots > 0 {
+		return w.Slots
+	}
+	return engineBatch
+}
+
 // lastReturn is the time after which no caller comes back, so that each has
 // its answer or its deadline before the run's end.
 func (w *Workload) lastReturn() time.Duration {
