bench: count late refusals as a scheduler can see them

Changed: the count starts at the first tick that can see the end of the allowed wait; after a scheduler change a request with an attempt waits anew, since its ticket doesn't say when that wait began.

--- a/bench/schedule.go
+++ b/bench/schedule.go
@@ -26,7 +26,8 @@
 	switch e.kind {
 	case eventTicket:
 		d.in.Tickets = append(d.in.Tickets, e.message.ticket)
-		d.audit.ticket(e.request, &d.requests[e.request], e.message.ticket.Server != "")
+		running := e.message.ticket.Server != ""
+		d.audit.ticket(e.request, &d.requests[e.request], running, d.now)
 	case eventFirstToken:
 		f := decision.FirstToken{ID: id, Attempt: e.attempt, After: e.duration}
 		d.in.FirstTokens = append(d.in.FirstTokens, f)
@@ -167,7 +168,7 @@
 	d.schedulerDown = false
 	d.decider = d.policy.New(d.seed + 1)
 	d.in.Config = d.config()
-	d.audit.forget()
+	d.audit.forget(d.now)
 	for i := range d.requests {
 		d.resend(int32(i))
 	}
