Say the expected wait in a refusal's record; bound weights

Ruled out: working the wait out after the request left its queue (it then lacks the request itself). Before: TestRefusalRecordsSayTheExpectedWait fails.

--- a/decision/chaos_test.go
+++ b/decision/chaos_test.go
@@ -215,6 +215,8 @@
 	case 1:
 		s.Slots = 1 + b%4
 	case 2:
+		weights := []float64{0, 1, -1, 1e-300, math.NaN(), math.Inf(1)}
+		c.config.Organisations = []Organisation{{Name: "a", Weight: weights[b%6]}, {Name: "b", Weight: weights[b/6%6]}}
 		c.config.Classes[b%3].Floor = []float64{0, 0.1, 0.5, 1, 2, -1, math.NaN(), math.Inf(1)}[b%8]
 	}
 	c.in.Config = c.configCopy()
--- a/decision/configure.go
+++ b/decision/configure.go
@@ -43,6 +43,20 @@
 	})
 }
 
+// Bounds of an organisation's weight.
+const (
+	minWeight = 1e-3
+	maxWeight = 1e6
+)
+
+// boundedWeight maps what is no weight to 1.
+func boundedWeight(w float64) float64 {
+	if math.IsNaN(w) || w <= 0 {
+		return 1
+	}
+	return min(max(w, minWeight), maxWeight)
+}
+
 // boundedShare maps what is no share to the nearest one.
 func boundedShare(f float64) float64 {
 	if math.IsNaN(f) {
@@ -57,10 +71,7 @@
 	}
 	for _, spec := range all {
 		i := c.organisation(spec.Name)
-		c.orgs[i].Weight = spec.Weight
-		if spec.Weight <= 0 || math.IsNaN(spec.Weight) || math.IsInf(spec.Weight, 0) {
-			c.orgs[i].Weight = 1
-		}
+		c.orgs[i].Weight = boundedWeight(spec.Weight)
 	}
 }
 
--- a/decision/explain.go
+++ b/decision/explain.go
@@ -26,6 +26,8 @@
 	// Waited is the time in the queue, Slack what was left of it.
 	Waited time.Duration
 	Slack  time.Duration
+	// Expected is the wait that was expected at a refusal.
+	Expected time.Duration
 	// Candidates are the servers that stood, Omitted counts those beyond the
 	// record's bound.
 	Candidates []Candidate
@@ -110,6 +112,7 @@
 	}
 	record := draftOf(r, c.now)
 	record.Reason = reason
+	record.Expected = r.expected
 	c.explain.keep(record)
 }
 
--- a/decision/explain_test.go
+++ b/decision/explain_test.go
@@ -43,6 +43,17 @@
 	}
 }
 
+func TestRefusalRecordsSayTheExpectedWait(t *testing.T) {
+	h := newHarness(t, Options{Explain: 1}, poolOf(4))
+	h.steady(100, 50*time.Millisecond, 4, "urgent")
+	h.submit(200, "urgent")
+	h.tick(time.Millisecond)
+	r := h.core.Records()[0]
+	if r.Reason != outcome.Infeasible || r.Expected < r.Slack {
+		t.Errorf("record %+v, want an expected wait beyond the slack", r)
+	}
+}
+
 func TestRecordsAreOffByDefault(t *testing.T) {
 	h := newHarness(t, Options{}, poolOf(4))
 	h.submit(3, "batch")
--- a/decision/finish.go
+++ b/decision/finish.go
@@ -114,6 +114,9 @@
 
 // refuseForCapacity ends or refers a waiting row that the pool has no room for.
 func (c *Core) refuseForCapacity(i int32, reason outcome.Reason, out *Output) {
+	if !c.explain.off() {
+		c.rows[i].expected = duration(c.waitSeconds(&c.rows[i]))
+	}
 	c.remove(i)
 	if c.refer(i, out) {
 		return
--- a/decision/returns.go
+++ b/decision/returns.go
@@ -98,8 +98,8 @@
 	lane := cl.laneAt(laneOf(r.org))
 	weight := c.orgs[r.org].Weight
 	share := weight / max(cl.returning, weight)
-	first := c.now + duration(drain) + minReturn
-	lane.returns = max(lane.returns, first) + duration(hold/(spare*share))
+	first := addClamped(c.now+minReturn, duration(drain))
+	lane.returns = addClamped(max(lane.returns, first), duration(hold/(spare*share)))
 	if lane.returns > c.now+maxReturn {
 		lane.returns = c.now + maxReturn
 		return time.Duration(float64(maxReturn) * (1 + c.rng.float()) / 2)
--- a/decision/tables.go
+++ b/decision/tables.go
@@ -53,6 +53,7 @@
 	uncached  int   // prompt tokens to compute at this attempt
 	ahead     int   // prompt tokens that the server had to compute before
 	charged   float64
+	expected  time.Duration  // wait expected at a refusal, for its record
 	why       outcome.Reason // for the next grant
 }
 
