Describe the systems; let the retry budget grow with the pool

Cause: a burst of 32 retries is less than one server of 64 slots loses at a crash. Ruled out: starting with the larger budget (a fresh scheduler would retry without having seen anything succeed).

--- a/decision/apply.go
+++ b/decision/apply.go
@@ -205,8 +205,10 @@
 const (
 	// retryShare is the part of a class's first attempts that may be retried.
 	retryShare = 0.1
-	// retryBurst is the number of retries that a class may save up.
-	retryBurst = 32
+	// retryBurst is the number of retries that a class may save up, and that it
+	// starts with, or retryBurstShare of the pool's slots if that is more.
+	retryBurst      = 32
+	retryBurstShare = 0.25
 )
 
 func (c *Core) spendRetry(cl *class) bool {
@@ -218,7 +220,8 @@
 }
 
 func (c *Core) earnRetry(cl *class) {
-	cl.budget = min(cl.budget+retryShare, retryBurst)
+	most := max(retryBurst, retryBurstShare*float64(c.capacity))
+	cl.budget = min(cl.budget+retryShare, most)
 }
 
 // Bounds of values that come from outside.
--- a/decision/doc.go
+++ b/decision/doc.go
@@ -7,10 +7,34 @@
 // benchmark and in the replay of traces.
 //
 // Entities stand in tables (requests, backend servers, classes,
-// organisations). Systems run over them in a fixed order each tick: apply
-// events, expire, observe, limit, order and place, preempt, admit and refer,
-// finish. Placement comes before admission, so that nothing is refused while a
-// slot that it may use is free.
+// organisations). Systems run over them in a fixed order each tick:
+//
+//   - apply takes in the events, which also teach the estimates;
+//   - expire gives up what is past its deadline or its latest start;
+//   - observe and limit follow the servers: a limit falls when the time between
+//     tokens passes its target or first tokens come late, rises by trials, and a
+//     failing or very slow server is set aside and probed, never more than half
+//     of the pool;
+//   - order works out which free slots a class leaves to others: a reserve for
+//     the arrivals of higher tiers, and the floors of lower ones while a higher
+//     one is refused;
+//   - place gives free slots away: floors first, then the highest tier, then
+//     the least slack, with organisations in turn by tokens over weight; the
+//     server with the least expected time to the first token wins;
+//   - preempt stops idempotent requests of lower tiers for those at their
+//     latest start, the least work thrown away first;
+//   - admit refuses, at their arrival, requests whose expected wait passes their
+//     latest start, reviews the queue when the pool shrank, and evicts what
+//     waits below a refused request; another data centre's free slots are used
+//     first;
+//   - finish forgets old requests and works out when the next tick is due.
+//
+// Placement comes before admission, so that nothing is refused while a slot
+// that it may use is free.
+//
+// A refusal for lack of room says when to come back. The time is booked: a
+// request with the same prompt, class and organisation that comes back then is
+// served before new ones of its class.
 //
 // Guarantees, whatever the order, loss or repetition of events:
 //
