Keep verdicts that follow a preemption

Cause: while an attempt ended, its follower went on reading verdicts and dropped the grant that came behind the preemption: the request then waited for ever. Ruled out: a longer buffer (the verdict was read, not lost on the way). Before: TestPreemptedAnswerGoesOnElsewhere hung until the test's timeout. After: passes; a grant of a further attempt that comes while one runs is kept too, and its capacity is given back if the running one completes.

--- a/cmd/bergamotpin/main.go
+++ b/cmd/bergamotpin/main.go
@@ -63,6 +63,8 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	// A second signal ends the process at once.
+	context.AfterFunc(ctx, stop)
 	for _, c := range commands {
 		if c.name != chosen {
 			continue
--- a/proxy/dispatch.go
+++ b/proxy/dispatch.go
@@ -44,7 +44,7 @@
 	attempted uint32
 	// mayHaveStarted is set once any attempt may have run.
 	mayHaveStarted bool
-	// pending is a final verdict that came during an attempt.
+	// pending is a verdict that came during an attempt.
 	pending *scheduler.Verdict
 }
 
@@ -124,7 +124,9 @@
 	return res
 }
 
-// follow reads verdicts during an attempt. It returns the final one, if any.
+// follow reads verdicts during an attempt, up to the one that stops it. It
+// returns the verdict that is to be carried out after the attempt, if it read
+// that one. Those behind a preemption stay unread.
 func (d *dispatch) follow(ctx context.Context, attempt uint32, cancel context.CancelCauseFunc) *scheduler.Verdict {
 	for {
 		select {
@@ -137,6 +139,9 @@
 				return &v
 			case v.Kind == scheduler.Preempted && v.Attempt == attempt:
 				cancel(errPreempted)
+				return nil
+			case v.Kind == scheduler.Granted && v.Attempt > attempt:
+				return &v
 			}
 		}
 	}
@@ -145,7 +150,7 @@
 // concluded takes an attempt's result and reports whether the request is over.
 func (d *dispatch) concluded(ctx context.Context, res result) (bool, *Refusal) {
 	if res.completed {
-		d.session.End(res.end)
+		d.complete(res.end)
 		return true, nil
 	}
 	if !res.failure.NotStarted {
@@ -165,6 +170,16 @@
 	return false, nil
 }
 
+// complete closes the session of a completed request. A scheduler that granted
+// a further attempt meanwhile knows nothing of the one that ended.
+func (d *dispatch) complete(e decision.End) {
+	if d.pending != nil && d.pending.Kind == scheduler.Granted {
+		d.session.Withdraw()
+		return
+	}
+	d.session.End(e)
+}
+
 // ended says how a request ended whose context is over.
 func (d *dispatch) ended(ctx context.Context) *Refusal {
 	if errors.Is(context.Cause(ctx), errDeadline) {
