Bring tickets to their pool's scheduler over peers

Cause: each instance scheduled for itself. One queue a pool needs tickets, verdicts and reports between instances, and a way past a scheduler that dies, freezes or is cut off.

Ruled out: waiting for the view to pass over a frozen scheduler (3 s); signs of life from every scheduler at a fixed high rate (the interval stretches so that an instance asks 100 a second at most); the same id for each stay at a core (a core remembers ended ids, so a second stay would never be granted).

The dead count as known instances for one minute: with two instances a data centre the death of one would otherwise halve the other's slots for the whole retention.

--- a/membership/group.go
+++ b/membership/group.go
@@ -57,7 +57,7 @@
 		DataCentre:  o.DataCentre,
 		Incarnation: o.Incarnation,
 	}
-	g.table = newTable(self, o.SuspicionTimeout, o.Retention, g.counters.add)
+	g.table = newTable(self, o, g.counters.add)
 	g.update(func(time.Time) {})
 	peer.Handle(o.Transport, peer.KindHeartbeat, g.serveHeartbeat)
 	peer.Handle(o.Transport, peer.KindLeave, g.serveLeave)
--- a/membership/options.go
+++ b/membership/options.go
@@ -21,6 +21,7 @@
 	DefaultHintInterval      = 30 * time.Second
 	DefaultSyncDelay         = time.Second
 	DefaultRetention         = 10 * time.Minute
+	DefaultKnownFor          = time.Minute
 )
 
 // Hinter lists instances from the platform. The list may lag or fail.
@@ -66,6 +67,8 @@
 	SyncDelay time.Duration
 	// Retention is for how long the dead are remembered.
 	Retention time.Duration
+	// KnownFor is for how long the dead that announced no end count as known.
+	KnownFor time.Duration
 }
 
 // withDefaults fills in what is zero.
@@ -79,6 +82,7 @@
 	setDefault(&o.HintInterval, DefaultHintInterval)
 	setDefault(&o.SyncDelay, DefaultSyncDelay)
 	setDefault(&o.Retention, DefaultRetention)
+	setDefault(&o.KnownFor, DefaultKnownFor)
 	if o.Incarnation == 0 {
 		o.Incarnation = uint64(time.Now().UnixMilli())
 	}
--- a/membership/snapshot.go
+++ b/membership/snapshot.go
@@ -17,7 +17,7 @@
 	}
 	v.Members = append(v.Members, v.Self)
 	for _, e := range t.entries {
-		if e.DataCentre == t.self.DataCentre && (e.Condition != dead || !e.Leaving) {
+		if e.DataCentre == t.self.DataCentre && (e.Condition != dead || e.counted) {
 			v.Known++
 		}
 		if e.Condition == dead {
--- a/membership/table.go
+++ b/membership/table.go
@@ -33,7 +33,8 @@
 	deadline    time.Time // until which a suspect may refute
 	returns     []time.Time
 	dampedUntil time.Time
-	gossip      int // how often the record is still to be sent on
+	counted     bool // as known, though dead
+	gossip      int  // how often the record is still to be sent on
 }
 
 // table holds the records of all other instances and the own one. It does no
@@ -42,6 +43,7 @@
 	self      record
 	suspicion time.Duration
 	retention time.Duration
+	knownFor  time.Duration
 	count     func(Event)
 	entries   map[netip.AddrPort]*entry
 	revision  uint64
@@ -50,8 +52,14 @@
 	digestsBy map[string]uint64
 }
 
-func newTable(self record, suspicion, retention time.Duration, count func(Event)) *table {
-	t := &table{self: self, suspicion: suspicion, retention: retention, count: count}
+func newTable(self record, o Options, count func(Event)) *table {
+	t := &table{
+		self:      self,
+		suspicion: o.SuspicionTimeout,
+		retention: o.Retention,
+		knownFor:  o.KnownFor,
+		count:     count,
+	}
 	t.entries = make(map[netip.AddrPort]*entry)
 	t.revision++
 	return t
@@ -110,6 +118,7 @@
 func (t *table) replace(e *entry, r record, now time.Time) {
 	before := e.record
 	e.record = r
+	e.counted = false
 	e.gossip = t.spread()
 	t.revision++
 	if before.Condition == r.Condition && before.Incarnation == r.Incarnation {
@@ -195,6 +204,9 @@
 		case e.Condition == dead && now.Sub(e.changed) >= t.retention:
 			delete(t.entries, a)
 			t.revision++
+		case e.counted && now.Sub(e.changed) >= t.knownFor:
+			e.counted = false
+			t.revision++
 		case !e.dampedUntil.IsZero() && !now.Before(e.dampedUntil):
 			e.dampedUntil = time.Time{}
 			t.revision++
@@ -205,6 +217,7 @@
 func (t *table) kill(e *entry, now time.Time) {
 	e.Condition = dead
 	e.changed = now
+	e.counted = !e.Leaving
 	e.gossip = t.spread()
 	t.revision++
 	t.count(Died)
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -10,7 +10,7 @@
 
 func newTestTable() *table {
 	self := record{Name: "self", Address: address(0, 0), DataCentre: "dc0", Incarnation: first}
-	return newTable(self, time.Second, time.Minute, func(Event) {})
+	return newTable(self, Options{SuspicionTimeout: time.Second, Retention: time.Minute}, func(Event) {})
 }
 
 func TestWordOfADeathIsASuspicion(t *testing.T) {
--- a/scheduler/local.go
+++ b/scheduler/local.go
@@ -27,6 +27,7 @@
 
 	mu       sync.Mutex
 	snapshot *config.Snapshot
+	parts    int // by which the servers' slots are divided
 	pools    map[string]*pool
 	closed   bool
 	done     chan struct{}
@@ -66,8 +67,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.snapshot = s
+	parts := l.parts
 	for model, p := range l.pools {
-		p.add(func(in *decision.Input) { in.Config = poolConfig(s, l.opts.DataCentre, model) })
+		p.add(func(in *decision.Input) { in.Config = shared(poolConfig(s, l.opts.DataCentre, model), parts) })
 	}
 }
 
@@ -90,7 +92,7 @@
 		return p
 	}
 	p := newPool(decision.New(l.opts.Core), l.opts.Tick)
-	p.next.Config = poolConfig(l.snapshot, l.opts.DataCentre, model)
+	p.next.Config = shared(poolConfig(l.snapshot, l.opts.DataCentre, model), l.parts)
 	l.pools[model] = p
 	if !l.closed {
 		l.running.Go(func() { p.run(l.done) })
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -21,6 +21,7 @@
 	mu       sync.Mutex
 	next     *decision.Input
 	sessions map[decision.RequestID]*localSession
+	pressure decision.Pressure
 
 	// Owned by the loop.
 	current *decision.Input
@@ -142,6 +143,7 @@
 
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.pressure = p.core.Pressure()
 	p.deliver()
 }
 
@@ -160,6 +162,10 @@
 		p.send(r.ID, Verdict{Kind: Refused, Final: r.Final, Reason: r.Reason, RetryAfter: r.RetryAfter})
 		delete(p.sessions, r.ID)
 	}
+	for _, r := range p.out.Referrals {
+		p.send(r.ID, Verdict{Kind: referred, DataCentre: r.DataCentre})
+		delete(p.sessions, r.ID)
+	}
 }
 
 func (p *pool) send(id decision.RequestID, v Verdict) {
--- /dev/null
+++ b/scheduler/remote.go
@@ -0,0 +1,235 @@
+package scheduler
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"bergamotpin.example/bergamotpin/decision"
+	"bergamotpin.example/bergamotpin/membership"
+	"bergamotpin.example/bergamotpin/peer"
+	"bergamotpin.example/bergamotpin/placement"
+)
+
+// Defaults of the options.
+const (
+	DefaultBatchInterval  = 2 * time.Millisecond
+	DefaultReportInterval = 250 * time.Millisecond
+	DefaultPulseInterval  = 25 * time.Millisecond
+	DefaultAnswerLimit    = 60 * time.Millisecond
+	DefaultHostExpiry     = 5 * time.Second
+)
+
+// Members yields the live view. membership.Group does.
+type Members interface {
+	View() *membership.View
+	Changed() <-chan struct{}
+}
+
+// Pools schedules in this process. Local does.
+type Pools interface {
+	Scheduler
+	// Observe adds events to a model's pool.
+	Observe(model string, add func(in *decision.Input))
+	// SetShare divides each server's slots by parts, leaving at least one.
+	SetShare(parts int)
+	// Pressures returns the digests of this data centre's pools, by model.
+	Pressures() map[string]decision.Pressure
+}
+
+// RemoteOptions sets up a Remote. The zero value of a duration takes its
+// default.
+type RemoteOptions struct {
+	Transport peer.Transport
+	Members   Members
+	Pools     Pools
+	Log       *slog.Logger
+
+	// BatchInterval is for how long messages to one instance are gathered.
+	BatchInterval time.Duration
+	// ReportInterval is for how long reports that change no decision are.
+	ReportInterval time.Duration
+	// PulseInterval is the time between two signs of life of a scheduler at
+	// which tickets wait.
+	PulseInterval time.Duration
+	// AnswerLimit bounds the wait for an answer, to which a multiple of the
+	// usual time is added.
+	AnswerLimit time.Duration
+	// HostExpiry is for how long a silent entry instance's tickets are kept.
+	HostExpiry time.Duration
+}
+
+func (o RemoteOptions) withDefaults() RemoteOptions {
+	setDefault(&o.BatchInterval, DefaultBatchInterval)
+	setDefault(&o.ReportInterval, DefaultReportInterval)
+	setDefault(&o.PulseInterval, DefaultPulseInterval)
+	setDefault(&o.AnswerLimit, DefaultAnswerLimit)
+	setDefault(&o.HostExpiry, DefaultHostExpiry)
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	return o
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
+
+// Remote brings tickets to the scheduler of their pool, which may be this
+// instance, and schedules for the others what they bring here. It is safe for
+// concurrent use.
+type Remote struct {
+	opts   RemoteOptions
+	life   uint64
+	events events
+	host   *host
+
+	ctx   context.Context
+	end   context.CancelFunc
+	tasks sync.WaitGroup
+
+	mu           sync.Mutex
+	closed       bool
+	view         *membership.View
+	sessions     map[decision.RequestID]*remoteSession
+	destinations map[netip.AddrPort]*destination
+	routes       map[placement.Pool]*destination // nil is this instance
+	alone        bool
+}
+
+// NewRemote registers the handlers. Run starts to follow the view.
+func NewRemote(o RemoteOptions) *Remote {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &Remote{
+		opts:         o.withDefaults(),
+		life:         rand.Uint64(),
+		ctx:          ctx,
+		end:          cancel,
+		view:         o.Members.View(),
+		sessions:     make(map[decision.RequestID]*remoteSession),
+		destinations: make(map[netip.AddrPort]*destination),
+		routes:       make(map[placement.Pool]*destination),
+	}
+	r.host = newHost(r)
+	peer.Handle(o.Transport, peer.KindTickets, r.host.serveTickets)
+	peer.Handle(o.Transport, peer.KindReports, r.host.serveReports)
+	peer.Handle(o.Transport, peer.KindVerdicts, r.serveVerdicts)
+	peer.Handle(o.Transport, peer.KindPressure, r.servePressure)
+	return r
+}
+
+// Run follows the view until ctx ends. It returns after all goroutines of the
+// Remote ended. Open sessions get no further verdict.
+func (r *Remote) Run(ctx context.Context) {
+	r.start(r.sendPressures)
+	for {
+		changed := r.opts.Members.Changed()
+		r.follow(r.opts.Members.View())
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			r.stop()
+			return
+		}
+	}
+}
+
+func (r *Remote) stop() {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	r.end()
+	r.tasks.Wait()
+}
+
+// start runs a task that Run waits for. The host's mutex may be held, mu may
+// not.
+func (r *Remote) start(task func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.startLocked(task)
+}
+
+func (r *Remote) startLocked(task func()) {
+	if !r.closed {
+		r.tasks.Go(task)
+	}
+}
+
+// follow takes a new view.
+func (r *Remote) follow(v *membership.View) {
+	r.host.follow(v)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.view
+	r.view = v
+	for to, d := range r.destinations {
+		was, _ := before.Find(to)
+		now, ok := v.Find(to)
+		if ok && now.Incarnation != was.Incarnation {
+			d.forgive()
+		}
+	}
+	r.reroute()
+	for to, d := range r.destinations {
+		if _, ok := v.Find(to); !ok && len(d.sessions) == 0 {
+			d.stop()
+			delete(r.destinations, to)
+		}
+	}
+}
+
+// Submit queues the ticket at its pool's scheduler.
+func (r *Remote) Submit(_ context.Context, t decision.Ticket) Session {
+	s := &remoteSession{
+		owner:     r,
+		ticket:    t,
+		submitted: time.Now(),
+		verdicts:  make(chan Verdict, verdictBuffer),
+		accepted:  t.Attempt,
+		delivered: t.Delivered,
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s.dataCentre = r.view.Self.DataCentre
+	r.sessions[t.ID] = s
+	s.attach(r.route(s))
+	return s
+}
+
+// serveVerdicts takes the decisions of a scheduler. It names the sessions that
+// are not this scheduler's, so that it gives their capacity back.
+func (r *Remote) serveVerdicts(_ context.Context, from netip.AddrPort, batch verdictBatch) (verdictAnswer, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var answer verdictAnswer
+	for _, w := range batch.Verdicts {
+		s := r.at(from, w.Session)
+		if s == nil {
+			r.events.add(Superseded)
+			answer.Unknown = append(answer.Unknown, w.Session)
+			continue
+		}
+		s.accept(w.verdict())
+	}
+	for _, id := range batch.Checks {
+		if r.at(from, id) == nil {
+			answer.Unknown = append(answer.Unknown, id)
+		}
+	}
+	return answer, nil
+}
+
+// at returns the session if its scheduler is the instance at from, else nil.
+func (r *Remote) at(from netip.AddrPort, id sessionID) *remoteSession {
+	s := r.sessions[id.ID]
+	if s == nil || s.epoch != id.Epoch || s.dest == nil || s.dest.to != from {
+		return nil
+	}
+	return s
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -19,6 +19,9 @@
 	Refused
 	// Preempted stops the running attempt; another verdict follows.
 	Preempted
+	// referred sends the waiting ticket to another data centre's pool. Remote
+	// follows it; callers never see it.
+	referred
 )
 
 // Verdict is one decision about one ticket.
@@ -32,6 +35,8 @@
 	Final      outcome.Final
 	Reason     outcome.Reason
 	RetryAfter time.Duration
+	// DataCentre is where a referral goes.
+	DataCentre string
 }
 
 // Session is one request's tie to its scheduler. Reports never block. Methods
--- /dev/null
+++ b/scheduler/share.go
@@ -0,0 +1,67 @@
+package scheduler
+
+import (
+	"time"
+
+	"bergamotpin.example/bergamotpin/decision"
+)
+
+// unusedLifetime is for how long the digest of a pool without a core is good.
+const unusedLifetime = time.Second
+
+// SetShare divides each server's slots by parts, leaving at least one. It takes
+// effect at each pool's next tick.
+func (l *Local) SetShare(parts int) {
+	l.mu.Lock()
+	if parts == l.parts {
+		l.mu.Unlock()
+		return
+	}
+	l.parts = parts
+	s := l.snapshot
+	l.mu.Unlock()
+	l.Configure(s)
+}
+
+// Pressures returns the digests of the data centre's pools, by model. A pool
+// that had no work yet is free.
+func (l *Local) Pressures() map[string]decision.Pressure {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]decision.Pressure)
+	for _, b := range l.snapshot.BackendServers {
+		if b.Spec.DataCentre != l.opts.DataCentre || b.Spec.Drain {
+			continue
+		}
+		for _, model := range b.Spec.Models {
+			p := out[model]
+			p.Free += b.Spec.Slots
+			p.Lifetime = unusedLifetime
+			out[model] = p
+		}
+	}
+	for model := range out {
+		if p, ok := l.pools[model]; ok {
+			out[model] = p.digest()
+		}
+	}
+	return out
+}
+
+// shared reduces the servers' slots to this instance's part.
+func shared(cfg *decision.Config, parts int) *decision.Config {
+	if parts <= 1 {
+		return cfg
+	}
+	for i := range cfg.Servers {
+		cfg.Servers[i].Slots = max(cfg.Servers[i].Slots/parts, 1)
+	}
+	return cfg
+}
+
+// digest returns the pool's pressure at its last tick.
+func (p *pool) digest() decision.Pressure {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pressure
+}
