Begin a new stay when lost sessions are sent again; check quiet ones

Cause: a session sent again in the same stay was never granted, since the core recalls the withdrawn id as ended.

Ruled out: sending it again under the same epoch.

--- a/scheduler/cluster_test.go
+++ b/scheduler/cluster_test.go
@@ -260,6 +260,7 @@
 func (c *cluster) finish() {
 	c.t.Helper()
 	c.callers.Wait()
+	c.checkNothingHeld()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, n := range c.runs {
@@ -272,6 +273,22 @@
 	}
 }
 
+// checkNothingHeld waits for the checks of quiet sessions and then finds none
+// at any scheduler.
+func (c *cluster) checkNothingHeld() {
+	c.t.Helper()
+	time.Sleep(3 * DefaultHostExpiry)
+	for _, n := range c.live() {
+		n.remote.host.mu.Lock()
+		for a, e := range n.remote.host.entries {
+			if len(e.sessions) > 0 {
+				c.t.Errorf("%s still holds %d sessions of %v", n.name, len(e.sessions), a)
+			}
+		}
+		n.remote.host.mu.Unlock()
+	}
+}
+
 // started counts the requests that ran.
 func (c *cluster) started() int {
 	c.mu.Lock()
--- a/scheduler/destination.go
+++ b/scheduler/destination.go
@@ -262,13 +262,15 @@
 }
 
 // restate sends the sessions again that were not just sent: the scheduler lost
-// them. One that it still has is known to it by its epoch.
+// them. Each begins a new stay, since the core may recall the earlier one as
+// ended.
 func (d *destination) restate(sent ticketBatch) {
 	for id, s := range d.sessions {
 		if slices.ContainsFunc(sent.Tickets, func(t submission) bool { return t.Ticket.ID == id }) {
 			continue
 		}
 		d.owner.events.add(Restated)
+		s.epoch++
 		d.unsent = append(d.unsent, s)
 	}
 	d.hurry()
--- a/scheduler/failure_test.go
+++ b/scheduler/failure_test.go
@@ -61,6 +61,26 @@
 	})
 }
 
+// TestSessionsReturnToTheFirstScheduler freezes one so shortly that tickets
+// wait at the next one when it answers again.
+func TestSessionsReturnToTheFirstScheduler(t *testing.T) {
+	run(t, []int{5}, func(t *testing.T, c *cluster) {
+		frozen := c.scheduler(0)
+		entry := c.nodes[c.other(frozen)]
+		c.fill(entry, 10)
+		c.network.Freeze(frozen)
+		time.Sleep(200 * time.Millisecond)
+		c.network.Thaw(frozen)
+		c.finish()
+		if c.count(CameBack) == 0 {
+			t.Error("did not come back")
+		}
+		if got := c.longestWait(); got > 3*time.Second {
+			t.Errorf("longest wait %v", got)
+		}
+	})
+}
+
 // TestGapOfAFrozenScheduler freezes at 40 moments between two signs of life.
 func TestGapOfAFrozenScheduler(t *testing.T) {
 	var longest, sum time.Duration
@@ -224,6 +244,49 @@
 	})
 }
 
+// TestLostSessionsAreSentAgain has a scheduler drop what it holds, as it does
+// after a long silence.
+func TestLostSessionsAreSentAgain(t *testing.T) {
+	run(t, []int{5}, func(t *testing.T, c *cluster) {
+		scheduler := c.nodes[c.scheduler(0)]
+		entry := c.nodes[c.other(scheduler.endpoint.Local())]
+		c.fill(entry, 10)
+		h := scheduler.remote.host
+		h.mu.Lock()
+		h.drop(h.entries[entry.endpoint.Local()])
+		h.mu.Unlock()
+		c.finish()
+		if got := c.count(Restated); got != testServers*testSlots+10 {
+			t.Errorf("%d sent again", got)
+		}
+	})
+}
+
+// TestQuietSessionsAreChecked ends requests while their first scheduler is cut
+// off, and keeps talking to it afterwards.
+func TestQuietSessionsAreChecked(t *testing.T) {
+	run(t, []int{5}, func(t *testing.T, c *cluster) {
+		scheduler := c.nodes[c.scheduler(0)]
+		entry := c.nodes[c.other(scheduler.endpoint.Local())]
+		c.request(entry, false, 30*time.Second)
+		for range testServers*testSlots - 1 {
+			c.request(entry, false, 500*time.Millisecond)
+		}
+		time.Sleep(100 * time.Millisecond)
+		c.network.Cut(entry.endpoint.Local(), scheduler.endpoint.Local())
+		time.Sleep(time.Second)
+		c.network.Heal()
+		time.Sleep(15 * time.Second)
+		h := scheduler.remote.host
+		h.mu.Lock()
+		if got := len(h.entries[entry.endpoint.Local()].sessions); got != 1 {
+			t.Errorf("the first scheduler holds %d sessions, want the one that runs", got)
+		}
+		h.mu.Unlock()
+		c.finish()
+	})
+}
+
 func TestLeavingSchedulerHandsItsPoolsOver(t *testing.T) {
 	run(t, []int{5}, func(t *testing.T, c *cluster) {
 		scheduler := c.scheduler(0)
