--- a/membership/table.go
+++ b/membership/table.go
@@ -19,7 +19,7 @@
 	maxDamping = time.Minute
 	// gossipFactor times the logarithm of the number of members is how often a
 	// change is sent on.
-	gossipFactor = 3
+	gossipFactor = 2
 	// maxUpdates bounds the changes in one heartbeat.
 	maxUpdates = 8
 	// maxTombstones bounds the dead in one exchange of records.
--- a/scheduler/cluster_test.go
+++ b/scheduler/cluster_test.go
@@ -36,6 +36,7 @@
 	all     []*node
 
 	class string // of the requests
+	pools int    // that the requests go to in turn, 0 for model alone
 
 	mu      sync.Mutex
 	next    uint64
@@ -62,10 +63,15 @@
 }
 
 func run(t *testing.T, sizes []int, test func(t *testing.T, c *cluster)) {
+	runPools(t, sizes, 0, test)
+}
+
+func runPools(t *testing.T, sizes []int, pools int, test func(t *testing.T, c *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &cluster{
 			t:       t,
 			class:   "c",
+			pools:   pools,
 			network: memory.New(1),
 			nodes:   make(map[netip.AddrPort]*node),
 			ended:   make(map[outcome.Final]int),
@@ -84,7 +90,7 @@
 	})
 }
 
-func snapshot(dataCentres int) *config.Snapshot {
+func snapshot(dataCentres, pools int) *config.Snapshot {
 	s := &config.Snapshot{
 		Classes:        map[string]config.Entry[api.ServiceClassSpec]{},
 		BackendServers: map[string]config.Entry[api.BackendServerSpec]{},
@@ -93,11 +99,15 @@
 	tight := api.ServiceClassSpec{FirstToken: api.Duration(200 * time.Millisecond), MaxWait: api.Duration(500 * time.Millisecond)}
 	s.Classes["tight"] = config.Entry[api.ServiceClassSpec]{Name: "tight", Spec: tight}
 	s.Classes["c"] = config.Entry[api.ServiceClassSpec]{Name: "c", Spec: class}
+	models := []string{model}
+	for i := range pools {
+		models = append(models, poolModel(i))
+	}
 	for dc := range dataCentres {
 		for i := range testServers {
 			name := fmt.Sprintf("s%d-%d", dc, i)
 			s.BackendServers[name] = config.Entry[api.BackendServerSpec]{Name: name, Spec: api.BackendServerSpec{
-				DataCentre: fmt.Sprintf("dc%d", dc), Models: []string{model}, Slots: testSlots,
+				DataCentre: fmt.Sprintf("dc%d", dc), Models: models, Slots: testSlots,
 			}}
 		}
 	}
@@ -116,7 +126,7 @@
 		Seed:        uint64(dc*1000 + i),
 	})
 	n.local = NewLocal(LocalOptions{DataCentre: fmt.Sprintf("dc%d", dc)})
-	n.local.Configure(snapshot(3))
+	n.local.Configure(snapshot(3, c.pools))
 	n.remote = NewRemote(RemoteOptions{Transport: n.endpoint, Members: n.group, Pools: n.local})
 	n.group.SetReady(true)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -159,6 +169,18 @@
 	synctest.Wait()
 }
 
+func poolModel(i int) string { return fmt.Sprintf("%s%d", model, i) }
+
+// model returns the next request's model.
+func (c *cluster) model() string {
+	if c.pools == 0 {
+		return model
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return poolModel(int(c.next) % c.pools)
+}
+
 // scheduler returns the address of the model's scheduler in a data centre, by
 // the view of one of its instances.
 func (c *cluster) scheduler(dc int) netip.AddrPort {
@@ -195,7 +217,7 @@
 	c.mu.Unlock()
 	start := time.Now()
 	session := n.remote.Submit(context.Background(), decision.Ticket{
-		ID: id, Model: model, Class: c.class, Organisation: "o",
+		ID: id, Model: c.model(), Class: c.class, Organisation: "o",
 		PromptTokens: 100, MaxTokens: 100, Idempotent: idempotent,
 	})
 	c.callers.Go(func() {
--- a/scheduler/pressure.go
+++ b/scheduler/pressure.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/netip"
 	"slices"
-	"strings"
 	"time"
 
 	"bergamotpin.example/bergamotpin/decision"
@@ -13,16 +12,17 @@
 )
 
 const (
-	// pressureInterval is the time between two digests of a pool.
+	// pressureInterval is the time between two questions about a pressed pool.
 	pressureInterval = 400 * time.Millisecond
-	// pressureTimeout bounds the wait for their acknowledgement.
+	// pressureTimeout bounds the wait for the answer.
 	pressureTimeout = 300 * time.Millisecond
+	// pressedShare is the part of a pool's slots under which it is pressed.
+	pressedShare = 0.25
 )
 
-// sendPressures tells the schedulers of the same models in other data centres
-// how many slots are free here. Pools without a free slot send nothing: their
-// last digest expires.
-func (r *Remote) sendPressures() {
+// askPressures asks the schedulers of the same models in other data centres for
+// free slots while a pool of this instance has few. At rest nothing is sent.
+func (r *Remote) askPressures() {
 	ticker := time.NewTicker(pressureInterval)
 	defer ticker.Stop()
 	for {
@@ -31,46 +31,76 @@
 		case <-r.ctx.Done():
 			return
 		}
-		for to, batch := range r.pressures() {
-			r.start(func() { r.sendPressure(to, batch) })
+		for to, question := range r.pressed() {
+			r.start(func() { r.askPressure(to, question) })
 		}
 	}
 }
 
-func (r *Remote) sendPressure(to netip.AddrPort, batch pressureBatch) {
+func (r *Remote) askPressure(to netip.AddrPort, question pressureQuestion) {
 	ctx, cancel := context.WithTimeout(r.ctx, pressureTimeout)
 	defer cancel()
-	// A lost digest is replaced by the next one.
-	_, _ = peer.Call[pressureBatch, pressureAnswer](ctx, r.opts.Transport, to, peer.KindPressure, batch)
+	answer, err := peer.Call[pressureQuestion, pressureAnswer](ctx, r.opts.Transport, to, peer.KindPressure, question)
+	if err != nil {
+		return // asked again after the interval
+	}
+	for _, p := range answer.Pools {
+		if !slices.Contains(question.Models, p.Model) {
+			continue
+		}
+		r.opts.Pools.Observe(p.Model, func(in *decision.Input) {
+			in.Pressures = append(in.Pressures, p.Pressure)
+		})
+	}
 }
 
-// pressures returns the digests of the pools that this instance schedules, by
-// the instance that they go to.
-func (r *Remote) pressures() map[netip.AddrPort]pressureBatch {
-	out := make(map[netip.AddrPort]pressureBatch)
+// pressed returns the questions about the pools that this instance schedules,
+// by the instance that they go to.
+func (r *Remote) pressed() map[netip.AddrPort]pressureQuestion {
+	out := make(map[netip.AddrPort]pressureQuestion)
 	pools := r.opts.Pools.Pressures()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	own := r.view.Self.DataCentre
 	for model, p := range pools {
-		if p.Free <= 0 || r.first(placement.Pool{Model: model, DataCentre: own}) != r.view.Self.Address {
+		if float64(p.Free) > pressedShare*float64(p.Slots) || !r.schedules(model) {
 			continue
 		}
-		p.DataCentre = own
 		for _, dataCentre := range r.view.DataCentres() {
 			to := r.first(placement.Pool{Model: model, DataCentre: dataCentre})
 			if dataCentre == own || !to.IsValid() || !r.view.Reachable(dataCentre) {
 				continue
 			}
-			out[to] = pressureBatch{Pools: append(out[to].Pools, modelPressure{Model: model, Pressure: p})}
+			out[to] = pressureQuestion{Models: append(out[to].Models, model)}
 		}
 	}
-	for _, batch := range out {
-		slices.SortFunc(batch.Pools, func(a, b modelPressure) int { return strings.Compare(a.Model, b.Model) })
-	}
 	return out
 }
 
+// schedules reports whether the view gives this instance the model's pool.
+func (r *Remote) schedules(model string) bool {
+	return r.first(placement.Pool{Model: model, DataCentre: r.view.Self.DataCentre}) == r.view.Self.Address
+}
+
+// servePressure answers with the free slots of the pools that this instance
+// schedules.
+func (r *Remote) servePressure(_ context.Context, _ netip.AddrPort, question pressureQuestion) (pressureAnswer, error) {
+	pools := r.opts.Pools.Pressures()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var answer pressureAnswer
+	for _, model := range question.Models {
+		p, ok := pools[model]
+		if !ok || p.Free <= 0 || !r.schedules(model) {
+			continue
+		}
+		digest := p.Pressure
+		digest.DataCentre = r.view.Self.DataCentre
+		answer.Pools = append(answer.Pools, modelPressure{Model: model, Pressure: digest})
+	}
+	return answer, nil
+}
+
 // first returns the address of a pool's scheduler by the view alone.
 func (r *Remote) first(p placement.Pool) netip.AddrPort {
 	members := eligible(r.view.InDataCentre(p.DataCentre))
@@ -84,12 +114,3 @@
 	}
 	return members[i].Address
 }
-
-func (r *Remote) servePressure(_ context.Context, _ netip.AddrPort, batch pressureBatch) (pressureAnswer, error) {
-	for _, p := range batch.Pools {
-		r.opts.Pools.Observe(p.Model, func(in *decision.Input) {
-			in.Pressures = append(in.Pressures, p.Pressure)
-		})
-	}
-	return pressureAnswer{}, nil
-}
--- a/scheduler/remote.go
+++ b/scheduler/remote.go
@@ -29,6 +29,12 @@
 	Changed() <-chan struct{}
 }
 
+// PoolPressure is a pool's digest and the slots of its servers.
+type PoolPressure struct {
+	decision.Pressure
+	Slots int
+}
+
 // Pools schedules in this process. Local does.
 type Pools interface {
 	Scheduler
@@ -37,7 +43,7 @@
 	// SetShare divides each server's slots by parts, leaving at least one.
 	SetShare(parts int)
 	// Pressures returns the digests of this data centre's pools, by model.
-	Pressures() map[string]decision.Pressure
+	Pressures() map[string]PoolPressure
 }
 
 // RemoteOptions sets up a Remote. The zero value of a duration takes its
@@ -126,7 +132,7 @@
 // Run follows the view until ctx ends. It returns after all goroutines of the
 // Remote ended. Open sessions get no further verdict.
 func (r *Remote) Run(ctx context.Context) {
-	r.start(r.sendPressures)
+	r.start(r.askPressures)
 	for {
 		changed := r.opts.Members.Changed()
 		r.follow(r.opts.Members.View())
--- a/scheduler/share.go
+++ b/scheduler/share.go
@@ -25,10 +25,10 @@
 
 // Pressures returns the digests of the data centre's pools, by model. A pool
 // that had no work yet is free.
-func (l *Local) Pressures() map[string]decision.Pressure {
+func (l *Local) Pressures() map[string]PoolPressure {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := make(map[string]decision.Pressure)
+	out := make(map[string]PoolPressure)
 	for _, b := range l.snapshot.BackendServers {
 		if b.Spec.DataCentre != l.opts.DataCentre || b.Spec.Drain {
 			continue
@@ -36,13 +36,15 @@
 		for _, model := range b.Spec.Models {
 			p := out[model]
 			p.Free += b.Spec.Slots
+			p.Slots += b.Spec.Slots
 			p.Lifetime = unusedLifetime
 			out[model] = p
 		}
 	}
-	for model := range out {
-		if p, ok := l.pools[model]; ok {
-			out[model] = p.digest()
+	for model, p := range out {
+		if pool, ok := l.pools[model]; ok {
+			p.Pressure = pool.digest()
+			out[model] = p
 		}
 	}
 	return out
--- a/scheduler/wire.go
+++ b/scheduler/wire.go
@@ -135,9 +135,12 @@
 	Pressure decision.Pressure `cbor:"2,keyasint"`
 }
 
-// pressureBatch is the request of KindPressure.
-type pressureBatch struct {
-	Pools []modelPressure `cbor:"1,keyasint"`
+// pressureQuestion is the request of KindPressure: which of these models' pools
+// have free slots?
+type pressureQuestion struct {
+	Models []string `cbor:"1,keyasint"`
 }
 
-type pressureAnswer struct{}
+type pressureAnswer struct {
+	Pools []modelPressure `cbor:"1,keyasint,omitempty"`
+}
