--- a/config/agent.go
+++ b/config/agent.go
@@ -9,7 +9,6 @@
 
 	"github.com/go-faster/errors"
 
-	"bergamotpin.example/bergamotpin/objects"
 	"bergamotpin.example/bergamotpin/peer"
 )
 
@@ -36,7 +35,7 @@
 	Watches func() bool
 	// Status, if set, is where this instance writes the status of resources
 	// while Reports says that it is the one to do so.
-	Status  objects.Writer
+	Status  StatusStore
 	Reports func() bool
 	// Seed feeds jitter and the choice of peers. It differs by instance.
 	Seed uint64
--- a/config/agent_test.go
+++ b/config/agent_test.go
@@ -229,3 +229,29 @@
 		f.expect("s", 2, 10*time.Second)
 	})
 }
+
+func TestAcceptedSpecOutlivesAllInstances(t *testing.T) {
+	run(t, platform.Options{}, func(t *testing.T, f *fleet) {
+		f.putRaw("s", `{"address":"nowhere"}`)
+		time.Sleep(10 * time.Second)
+		replaceAll := func() {
+			for _, m := range f.members {
+				m.kill()
+			}
+			f.startAll()
+			f.awaitReady(10 * time.Second)
+		}
+		replaceAll()
+		f.expect("s", 1, 0)
+		f.put("s", 2)
+		f.expect("s", 2, time.Second)
+		time.Sleep(10 * time.Second)
+		reports, err := f.admin.List(t.Context(), api.KindReport)
+		if err != nil || len(reports.Items) != 0 {
+			t.Errorf("reports left: %+v, %v", reports.Items, err)
+		}
+		f.remove("s")
+		replaceAll()
+		f.expect("s", 0, 0)
+	})
+}
--- a/config/reporter.go
+++ b/config/reporter.go
@@ -44,7 +44,7 @@
 
 	sync     *Sync
 	platform Platform
-	status   objects.Writer
+	status   StatusStore
 	chosen   func() bool
 
 	// progress is nil while another instance reports.
@@ -61,6 +61,8 @@
 	reported bool
 	complete bool
 	checked  time.Time
+	// copied says that the platform holds a copy of the accepted spec.
+	copied bool
 }
 
 // reach is what one round of questions found.
@@ -75,7 +77,7 @@
 }
 
 // NewReporter returns a reporter that works while chosen says so.
-func NewReporter(s *Sync, platform Platform, status objects.Writer, chosen func() bool) *Reporter {
+func NewReporter(s *Sync, platform Platform, status StatusStore, chosen func() bool) *Reporter {
 	return &Reporter{sync: s, platform: platform, status: status, chosen: chosen}
 }
 
@@ -106,6 +108,15 @@
 			found[Key{kind, obj.Name}] = reportedBefore(obj)
 		}
 	}
+	list, err := r.platform.List(ctx, api.KindReport)
+	if err != nil {
+		return err
+	}
+	for _, rec := range recordsOfCopies(list) {
+		p := found[rec.Key]
+		p.copied = true
+		found[rec.Key] = p
+	}
 	r.progress, r.settled = found, false
 	return nil
 }
@@ -153,7 +164,7 @@
 		version := max(rec.Accepted, rec.Rejected)
 		p := r.progress[rec.Key]
 		if p.version < version {
-			p = progress{version: version, since: now}
+			p = progress{version: version, since: now, copied: p.copied}
 		}
 		next[rec.Key] = p
 		if p.complete {
@@ -173,8 +184,8 @@
 	p := r.progress[rec.Key]
 	p.checked = now
 	counts, complete := found.of(rec, r.sync.Store.Digest())
-	var err error
-	if complete || !p.reported && now.Sub(p.since) >= reportPatience {
+	err := r.keepCopy(ctx, rec, &p)
+	if err == nil && (complete || !p.reported && now.Sub(p.since) >= reportPatience) {
 		err = r.write(ctx, rec, counts, complete)
 		p.reported = p.reported || err == nil
 		p.complete = complete && err == nil
@@ -183,6 +194,25 @@
 	return err
 }
 
+// keepCopy stores the accepted spec beside an invalid one, and removes it once
+// a valid one is in force.
+func (r *Reporter) keepCopy(ctx context.Context, rec Record, p *progress) error {
+	needed := rec.Rejected > 0 && rec.inForce()
+	if needed == p.copied {
+		return nil
+	}
+	var err error
+	if needed {
+		err = saveCopy(ctx, r.status, rec)
+	} else {
+		err = removeCopy(ctx, r.status, rec.Key)
+	}
+	if err == nil {
+		p.copied = needed
+	}
+	return err
+}
+
 func (r *Reporter) write(ctx context.Context, rec Record, counts []api.ReachByDataCentre, complete bool) error {
 	version := max(rec.Accepted, rec.Rejected)
 	accepted := r.accepted(rec)
--- a/config/watcher.go
+++ b/config/watcher.go
@@ -90,30 +90,34 @@
 	return nil
 }
 
-// List takes one list of each kind of configuration into the store, or none.
+// List takes one list of each kind of configuration into the store, and the
+// copies of accepted specs, or nothing.
 func (w *Watcher) List(ctx context.Context) error {
 	lists, err := w.fetchLists(ctx)
 	if err != nil {
 		return err
 	}
-	for _, key := range w.Store.ApplyLists(lists) {
+	changed := w.Store.ApplyLists(lists)
+	changed = append(changed, w.Store.Merge(recordsOfCopies(lists[api.KindReport]))...)
+	for _, key := range changed {
 		w.Changed(key)
 	}
 	return nil
 }
 
-// fetchLists lists all kinds at once, so that a slow platform costs the time
-// of one call.
+// fetchLists lists all kinds of configuration, and the reports, at once, so
+// that a slow platform costs the time of one call.
 func (w *Watcher) fetchLists(ctx context.Context) (map[api.Kind]api.List, error) {
-	lists := make([]api.List, len(api.ConfigKinds))
-	results := make([]error, len(api.ConfigKinds))
+	kinds := append([]api.Kind{api.KindReport}, api.ConfigKinds...)
+	lists := make([]api.List, len(kinds))
+	results := make([]error, len(kinds))
 	var group sync.WaitGroup
-	for i, kind := range api.ConfigKinds {
+	for i, kind := range kinds {
 		group.Go(func() { lists[i], results[i] = w.Platform.List(ctx, kind) })
 	}
 	group.Wait()
 	byKind := make(map[api.Kind]api.List, len(lists))
-	for i, kind := range api.ConfigKinds {
+	for i, kind := range kinds {
 		if results[i] != nil {
 			return nil, results[i]
 		}
