Take a lease only by updating a version that was seen

An instance that had missed the object for the whole duration created it, although another one had made, held and lost it by a delete in between. Ruled out: waiting again after the create, since absence at two moments still tells nothing; a longer wait. Before: TestDeleteBetweenTwoLooksIsNoticed, new, fails on the old code with lease_test.go:226: instances 0 and 1 both hold the lease. After: it passes, so do 4 runs of all tests of the package with deletes among the random faults, and one with -race. A read that finds no object no longer undoes what was seen: without that, lease_test.go:166: fences [2 4 8 13 18 23]. Conclusion: an absent lease is made unheld and waited out.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -22,6 +22,9 @@
 	renewShare = 3
 	// minPause bounds how often a lease that can't be had is asked for.
 	minPause = 500 * time.Millisecond
+	// holderUnknown is the holder in an object that some other instance may
+	// count on without being named.
+	holderUnknown = "unknown"
 )
 
 // Record is the spec of a lease's object.
@@ -82,7 +85,7 @@
 	// The rest is used by Run alone.
 	object    api.Object // as last seen, zero if there was none
 	record    Record
-	seenAt    time.Time // when this version, or no object, was first seen
+	seenAt    time.Time // when this version was first seen
 	uncertain bool      // a write of ours may have taken effect
 }
 
@@ -130,10 +133,14 @@
 
 // step makes one attempt to take or renew the lease.
 func (l *Lease) step(ctx context.Context) {
-	unknown := l.seenAt.IsZero() || l.uncertain
+	unknown := l.object.Version == 0 || l.uncertain
 	if unknown && !l.look(ctx) {
 		return
 	}
+	if l.object.Version == 0 {
+		l.makeObject(ctx)
+		return
+	}
 	if term, held := l.Valid(); held {
 		l.write(ctx, Record{Fence: term.Fence, Renewals: l.record.Renewals + 1})
 		return
@@ -147,7 +154,7 @@
 // has stood as last seen for the whole duration.
 func (l *Lease) mayTake() bool {
 	if l.object.Version == 0 {
-		return time.Since(l.seenAt) >= l.opts.Duration
+		return false
 	}
 	if l.record.Holder == "" || l.record.Holder == l.opts.Holder {
 		return true
@@ -155,13 +162,30 @@
 	return time.Since(l.seenAt) >= l.record.Duration.Std()
 }
 
+// makeObject makes an object that has to be waited out like a held one: the
+// lease may have been held and deleted. It takes nothing. A lease is taken only
+// by an update of a version that was seen, since its absence at two moments
+// would not tell what happened between them.
+func (l *Lease) makeObject(ctx context.Context) {
+	l.lose()
+	stored, err := l.send(ctx, Record{Holder: holderUnknown, Duration: api.Duration(l.opts.Duration)})
+	var conflict *objects.ConflictError
+	switch {
+	case err == nil:
+		l.see(stored)
+	case errors.As(err, &conflict) && conflict.Current != nil:
+		l.see(*conflict.Current)
+	}
+}
+
 // look reads the object and reports whether that succeeded. A read may be
-// stale, which only makes this instance wait longer or lose a conflict.
+// stale, which only makes this instance wait longer or lose a conflict. For the
+// same reason a read that finds no object does not undo what was seen: the next
+// write tells.
 func (l *Lease) look(ctx context.Context) bool {
 	obj, err := l.opts.Store.Get(ctx, api.KindLease, l.opts.Name)
 	switch {
 	case errors.Is(err, objects.ErrNotFound):
-		l.seeNone()
 	case err != nil:
 		return false
 	default:
@@ -179,18 +203,14 @@
 	var rec Record
 	if err := json.Unmarshal(obj.Spec, &rec); err != nil {
 		// Whoever wrote this holds nothing that can be told: wait it out.
-		rec = Record{Holder: "unreadable", Duration: api.Duration(l.opts.Duration)}
+		rec = Record{Holder: holderUnknown, Duration: api.Duration(l.opts.Duration)}
 	}
 	l.object, l.record, l.seenAt = obj, rec, time.Now()
 }
 
-// seeNone notes that there is no object. Its last holder may still count on a
-// lease that was deleted.
+// seeNone notes that there is no object.
 func (l *Lease) seeNone() {
-	if l.object.Version == 0 && !l.seenAt.IsZero() {
-		return
-	}
-	l.object, l.record, l.seenAt = api.Object{}, Record{}, time.Now()
+	l.object, l.record, l.seenAt = api.Object{}, Record{}, time.Time{}
 }
 
 // write takes or renews the lease. Only an answer counts.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -201,6 +201,46 @@
 	})
 }
 
+// The lease is taken and deleted between two looks of another instance.
+func TestDeleteBetweenTwoLooksIsNoticed(t *testing.T) {
+	runRivals(t, 0, 1, func(t *testing.T, r *rivals) {
+		client := objects.New(objects.Options{Base: "http://platform", HTTPClient: (&objectstest.Transport{Handler: r.platform}).Client()})
+		first := New(Options{Store: client, Name: "orders", Holder: "a"})
+		second := New(Options{Store: client, Name: "orders", Holder: "b"})
+		r.leases = []*Lease{first, second}
+		first.step(t.Context())
+		second.step(t.Context())
+		time.Sleep(DefaultDuration)
+		first.step(t.Context())
+		if r.holder() != 0 {
+			t.Fatal("the first instance does not hold the lease")
+		}
+		obj, err := client.Get(t.Context(), api.KindLease, "orders")
+		if err == nil {
+			err = client.Delete(t.Context(), obj.Kind, obj.Name, obj.Version)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		second.step(t.Context())
+		r.holder()
+		// An instance that starts now never saw the lease.
+		third := New(Options{Store: client, Name: "orders", Holder: "c"})
+		r.leases = append(r.leases, third)
+		third.step(t.Context())
+		third.step(t.Context())
+		r.holder()
+	})
+}
+
+// deleteLease deletes the object if the platform lets it.
+func (r *rivals) deleteLease() {
+	store := r.stores[0].Client
+	if obj, err := store.Get(r.t.Context(), api.KindLease, "orders"); err == nil {
+		_ = store.Delete(r.t.Context(), obj.Kind, obj.Name, obj.Version)
+	}
+}
+
 func TestNoTwoHoldersUnderRandomFaults(t *testing.T) {
 	for seed := range uint64(20) {
 		runRivals(t, 4, seed, func(t *testing.T, r *rivals) {
@@ -215,6 +255,9 @@
 					f.Outage = platform.OutageRefuse
 				}
 				r.platform.SetFaults(f)
+				if random.IntN(5) == 0 {
+					r.deleteLease()
+				}
 				r.stores[random.IntN(4)].pause.Store(int64(time.Duration(random.IntN(40)) * time.Second))
 				r.watch(time.Duration(random.IntN(20)) * time.Second)
 			}
