--- a/decision/apply.go
+++ b/decision/apply.go
@@ -92,7 +92,7 @@
 	r.first = true
 	r.delivered++
 	c.servers[r.server].pending -= r.uncached
-	c.observeFirstToken(r, max(e.After, 0))
+	c.observeFirstToken(r, min(max(e.After, 0), maxSample))
 }
 
 func (c *Core) applyProgress(e *Progress) {
@@ -170,6 +170,7 @@
 		return
 	}
 	r.failures++
+	r.failedOn = r.server
 	if r.failures >= c.opts.MaxAttempts {
 		c.refuse(i, outcome.AttemptsSpent, out)
 		return
@@ -220,8 +221,13 @@
 	cl.budget = min(cl.budget+retryShare, retryBurst)
 }
 
-// maxTokens bounds token counts that come from outside.
-const maxTokens = 1 << 24
+// Bounds of values that come from outside.
+const (
+	maxTokens = 1 << 24
+	maxWaited = 24 * time.Hour
+	// maxSample bounds one measured time.
+	maxSample = time.Minute
+)
 
 func (c *Core) applyTicket(t *Ticket, out *Output) {
 	if i, ok := c.byID[t.ID]; ok && !c.reopens(i, t) {
@@ -270,13 +276,13 @@
 func (c *Core) reopens(i int32, t *Ticket) bool { return i == markReferred && t.Referred }
 
 func (c *Core) fill(r *request, t *Ticket) {
-	*r = request{ticket: *t, class: none, server: none, attempt: t.Attempt}
+	*r = request{ticket: *t, class: none, server: none, failedOn: none, attempt: t.Attempt}
 	r.ticket.PromptTokens = clampTokens(t.PromptTokens)
 	r.ticket.MaxTokens = clampTokens(t.MaxTokens)
 	r.ticket.PrefixTokens = clampTokens(t.PrefixTokens)
 	r.delivered = clampTokens(t.Delivered)
 	r.started = r.delivered > 0 || t.Attempt > 0 || t.Server != ""
-	r.arrived = c.now - max(t.Waited, 0)
+	r.arrived = c.now - min(max(t.Waited, 0), maxWaited)
 	r.queued = c.now
 	r.deadline = farFuture
 	if t.Deadline > 0 && t.Deadline < farFuture-c.now {
--- a/decision/tables.go
+++ b/decision/tables.go
@@ -45,11 +45,12 @@
 
 	attempt   uint32
 	failures  int
-	delivered int  // tokens that the caller has
-	started   bool // some attempt may have started
-	first     bool // this attempt's first token came
-	uncached  int  // prompt tokens to compute at this attempt
-	ahead     int  // prompt tokens that the server had to compute before
+	failedOn  int32 // server of the last failed attempt
+	delivered int   // tokens that the caller has
+	started   bool  // some attempt may have started
+	first     bool  // this attempt's first token came
+	uncached  int   // prompt tokens to compute at this attempt
+	ahead     int   // prompt tokens that the server had to compute before
 	charged   float64
 	why       outcome.Reason // for the next grant
 }
@@ -67,8 +68,11 @@
 	preemptible int
 	// reserve is the number of free slots that the class leaves to the tiers
 	// above it.
-	reserve   int
-	nextFloor time.Duration // when a floor below one slot allows the next grant
+	reserve int
+	// promisedBelow is the number of slots that lower tiers use of their
+	// floors.
+	promisedBelow int
+	nextFloor     time.Duration // when a floor below one slot allows the next grant
 
 	lengths  histogram // answer lengths in tokens
 	hold     mean      // seconds for which a request holds a slot
