--- a/config/fleet_test.go
+++ b/config/fleet_test.go
@@ -131,16 +131,23 @@
 	<-m.done
 }
 
-// guard fails the test if a resource's spec version ever falls.
+// guard fails the test if a resource's spec version ever falls, or if a
+// deleted resource comes back with a version that it had before.
 func (m *member) guard(ctx context.Context, s *Store) {
 	highest := make(map[string]int64)
+	gone := make(map[string]bool)
 	for {
 		changed := s.Changed()
-		for name, server := range s.Snapshot().BackendServers {
-			if server.SpecVersion < highest[name] {
-				m.fleet.t.Errorf("instance %d: %s fell from version %d to %d", m.index, name, highest[name], server.SpecVersion)
+		servers := s.Snapshot().BackendServers
+		for name, server := range servers {
+			if server.SpecVersion < highest[name] || gone[name] && server.SpecVersion == highest[name] {
+				m.fleet.t.Errorf("instance %d: %s went from version %d to %d", m.index, name, highest[name], server.SpecVersion)
 			}
-			highest[name] = server.SpecVersion
+			highest[name], gone[name] = server.SpecVersion, false
+		}
+		for name := range highest {
+			_, exists := servers[name]
+			gone[name] = !exists
 		}
 		select {
 		case <-changed:
