--- a/decision/preempt.go
+++ b/decision/preempt.go
@@ -8,15 +8,16 @@
 
 const (
 	// preemptAhead is the slack under which a request preempts, or that many
-	// ticks if they are longer.
+	// ticks if they are longer, up to maxPreemptAhead.
 	preemptAhead      = 20 * time.Millisecond
 	preemptAheadTicks = 2
+	maxPreemptAhead   = 100 * time.Millisecond
 )
 
 // preempt is the system that stops running requests of lower tiers for those
 // that would otherwise start too late.
 func (c *Core) preempt(out *Output) {
-	ahead := max(preemptAhead, preemptAheadTicks*(c.now-c.prev))
+	ahead := c.ahead()
 	for _, k := range c.byTier {
 		cl := &c.classes[k]
 		if cl.Tier > c.shed {
@@ -24,19 +25,26 @@
 		}
 		for cl.waiting > 0 {
 			head, _ := c.earliest(cl)
-			if head.startBy-c.now > ahead || !c.preemptFor(head.row, out) {
+			if head.startBy-c.now > ahead {
 				break
 			}
+			victim := c.victim(cl)
+			if victim == none {
+				break
+			}
+			c.preemptFor(head.row, victim, out)
 		}
 	}
 }
 
+// ahead is the slack under which a request is at its latest start.
+func (c *Core) ahead() time.Duration {
+	ticks := min(preemptAheadTicks*(c.now-c.prev), maxPreemptAhead)
+	return max(preemptAhead, ticks)
+}
+
 // preemptFor gives a victim's slot to the waiting row.
-func (c *Core) preemptFor(i int32, out *Output) bool {
-	victim := c.victim(&c.classes[c.rows[i].class])
-	if victim == none {
-		return false
-	}
+func (c *Core) preemptFor(i, victim int32, out *Output) {
 	v := &c.rows[victim]
 	s := v.server
 	out.Preemptions = append(out.Preemptions, Preemption{
@@ -49,15 +57,13 @@
 	c.stop(victim)
 	v.started = true
 	c.settle(v, v.uncached)
+	c.explainRefusal(v, outcome.Preempted)
 	c.requeue(victim, outcome.Preempted)
-	r := &c.rows[i]
-	r.uncached = r.ticket.PromptTokens + r.delivered
-	c.grant(i, s, false, out)
-	return true
+	c.grantOn(i, s, out)
 }
 
 // victim returns the running row to preempt for a class: idempotent, of the
-// lowest tier, beyond its class's floor, the least computed.
+// lowest tier, beyond its class's floor, the least work thrown away.
 func (c *Core) victim(high *class) int32 {
 	best := none
 	for _, i := range c.running {
@@ -82,13 +88,19 @@
 	if tx, ty := c.classes[x.class].Tier, c.classes[y.class].Tier; tx != ty {
 		return tx > ty
 	}
-	return computed(x) < computed(y)
+	return c.thrownAway(x) < c.thrownAway(y)
 }
 
-// computed is the work that a preemption may throw away, in tokens.
-func computed(r *request) int {
-	if !r.first {
-		return 0
+// thrownAway is the work that a preemption throws away, in tokens: what was
+// prefilled so far, or what has to be prefilled again.
+func (c *Core) thrownAway(r *request) int {
+	if r.first {
+		return max(r.ticket.PromptTokens-r.ticket.PrefixTokens, 0) + r.delivered
 	}
-	return r.uncached + r.delivered
+	expected := max(c.pool.first.at(float64(r.uncached+r.ahead)), minWork)
+	done := min(seconds(c.now-r.granted)/expected, 1)
+	return int(done * float64(r.uncached))
 }
+
+// minWork keeps the expected time to the first token above zero, in seconds.
+const minWork = 0.001
