Let an instance be killed, and its connections be replaced

Ruled out: ending Run's context, which leaves gracefully; closing listeners from outside, which leaves the instance's own calls to the platform and the backend servers alive after its death. Also: a request whose connection was cut at the drain timeout could start a background call after Proxy.Wait; open handlers are waited for now. Before: no kill. Conclusion: without the new options nothing changes for the daemon.

--- a/instance/duties.go
+++ b/instance/duties.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"net/netip"
 	"time"
 
@@ -161,7 +160,7 @@
 	})
 	i.orders = orders.New(orders.Options{
 		Lease:   i.lease,
-		Engine:  &orders.HTTPEngine{Client: &http.Client{}},
+		Engine:  &orders.HTTPEngine{Client: httpClient(i.opts.Dial)},
 		Desired: func() []orders.Desired { return orders.FromSnapshot(i.store.Snapshot(), s.Instance.DataCentre) },
 		Log:     i.log,
 	})
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -51,6 +51,11 @@
 	// Identity is used between instances in place of the files that the
 	// settings name. Nil reads the files.
 	Identity *peer.Identity
+	// Transport carries the messages between instances in place of QUIC, for
+	// tests. The instance closes it.
+	Transport Transport
+	// Dial connects to the platform and to backend servers. Nil means TCP.
+	Dial engine.DialFunc
 }
 
 // Instance is one entry instance.
@@ -73,17 +78,22 @@
 	claims   *idempotency.Claims
 	inFlight *proxy.InFlight
 
-	transport closingTransport
+	transport Transport
 	callers   net.Listener
 	operators net.Listener
 
 	index   atomic.Pointer[routing.Index]
 	leaving atomic.Bool
+	open    *openRequests
+
+	killOnce sync.Once
+	killed   chan struct{}
 }
 
-// closingTransport is a transport that holds resources.
-type closingTransport interface {
+// Transport is a transport between instances that holds resources.
+type Transport interface {
 	peer.Transport
+	// Close drops everything at once, without a word to the peers.
 	Close() error
 }
 
@@ -93,7 +103,7 @@
 	if opts.Log == nil {
 		opts.Log = slog.New(slog.DiscardHandler)
 	}
-	i := &Instance{opts: opts, log: opts.Log}
+	i := &Instance{opts: opts, log: opts.Log, open: newOpenRequests(), killed: make(chan struct{})}
 	if err := i.listen(); err != nil {
 		i.closeListeners()
 		return nil, err
@@ -122,6 +132,7 @@
 	i.objects = objects.New(objects.Options{
 		Base:        "http://" + s.Platform.Address,
 		CallTimeout: s.Platform.CallTimeout.Std(),
+		HTTPClient:  httpClient(i.opts.Dial),
 	})
 	i.members = membership.New(membership.Options{
 		Name:       s.Instance.Name,
@@ -145,7 +156,7 @@
 		Log:        i.log,
 	})
 	i.local = scheduler.NewLocal(scheduler.LocalOptions{DataCentre: s.Instance.DataCentre})
-	i.engine = engine.NewClient(nil)
+	i.engine = engine.NewClient(i.opts.Dial)
 	i.poller = observe.NewPoller(observe.Options{Engine: i.engine, Targets: i.pollTargets, Sink: i.local})
 	i.inFlight = proxy.NewInFlight()
 	i.assembleDuties()
@@ -206,8 +217,9 @@
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
+	case <-i.killed:
 	}
-	i.leave(callers)
+	i.end(callers)
 	_ = operatorsServer.Close()
 	stop()
 	tasks.Wait()
@@ -218,6 +230,16 @@
 	return nil
 }
 
+// end leaves gracefully, unless the instance was killed.
+func (i *Instance) end(callers *http.Server) {
+	select {
+	case <-i.killed:
+		i.crash(callers)
+	default:
+		i.leave(callers)
+	}
+}
+
 // leave refuses new requests and waits for the open ones.
 func (i *Instance) leave(callers *http.Server) {
 	i.leaving.Store(true)
@@ -229,6 +251,7 @@
 		i.log.Warn("open requests were cut at the drain timeout", "error", err)
 		_ = callers.Close()
 	}
+	i.open.wait()
 	i.proxy.Wait()
 }
 
@@ -255,7 +278,7 @@
 
 func (i *Instance) callersServer() *http.Server {
 	return &http.Server{
-		Handler:           i.proxy.Handler(),
+		Handler:           i.open.handler(i.proxy.Handler()),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    i.opts.Settings.Limits.HeaderBytes + headerSlack,
 	}
--- a/instance/listen.go
+++ b/instance/listen.go
@@ -21,13 +21,17 @@
 	if i.operators, err = net.Listen("tcp", s.Listen.Operators); err != nil {
 		return errors.Wrap(err, "listen.operators")
 	}
+	if i.opts.Transport != nil {
+		i.transport = i.opts.Transport
+		return nil
+	}
 	if i.transport, err = listenPeers(s, i.opts.Identity); err != nil {
 		return errors.Wrap(err, "listen.peers")
 	}
 	return nil
 }
 
-func listenPeers(s settings.Settings, identity *peer.Identity) (closingTransport, error) {
+func listenPeers(s settings.Settings, identity *peer.Identity) (Transport, error) {
 	if s.Listen.Peers == "" {
 		return noPeers{}, nil
 	}
