Kill and restart instances of the demo

Ruled out: a second harness beside the demo. Before: the demo's instances lived as long as the demo.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -16,8 +14,10 @@
 	"bergamotpin.example/bergamotpin/instance"
 	"bergamotpin.example/bergamotpin/load"
 	"bergamotpin.example/bergamotpin/peer"
-	"bergamotpin.example/bergamotpin/settings"
+	"bergamotpin.example/bergamotpin/peer/memory"
+	"bergamotpin.example/bergamotpin/standin/engine"
 	"bergamotpin.example/bergamotpin/standin/platform"
+	"bergamotpin.example/bergamotpin/standin/service"
 )
 
 // loopback is the address on which everything listens, at free ports.
@@ -37,16 +37,23 @@
 	Instances int
 	Seed      uint64
 	Log       *slog.Logger
+	// Network carries the messages between instances in place of QUIC. Nil
+	// means QUIC.
+	Network *memory.Network
+	// StallTimeout replaces the instances' default if it is set.
+	StallTimeout api.Duration
 }
 
 // Demo is a running system. Close ends it.
 type Demo struct {
-	opts      Options
-	platform  *platform.Server
-	backends  *backends
-	instances []*instance.Instance
-	servers   []*http.Server
-
+	opts     Options
+	platform *platform.Server
+	backends *backends
+	nodes    []*Node
+	identity *peer.Identity
+	servers  []*http.Server
+
+	ctx     context.Context // ends the instances
 	stop    context.CancelFunc
 	running sync.WaitGroup // instances
 	serving sync.WaitGroup // outside systems
@@ -58,6 +65,7 @@
 		opts.Log = slog.New(slog.DiscardHandler)
 	}
 	d := &Demo{opts: opts, platform: platform.New(platform.Options{Seed: opts.Seed})}
+	d.ctx, d.stop = context.WithCancel(context.Background())
 	if err := d.start(ctx); err != nil {
 		d.Close()
 		return nil, err
@@ -94,65 +102,41 @@
 	return listener.Addr().String(), nil
 }
 
-func (d *Demo) startInstances(platformAddress string) error {
-	authority, err := peer.NewAuthority()
-	if err != nil {
-		return err
-	}
-	identity, err := authority.Issue(netip.MustParseAddr("127.0.0.1"))
-	if err != nil {
-		return err
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	d.stop = stop
-	for n := range d.opts.Instances {
-		s := d.settings(n, platformAddress)
-		i, err := instance.Start(instance.Options{Settings: s, Identity: &identity, Log: d.opts.Log.With("instance", s.Instance.Name)})
-		if err != nil {
-			return err
-		}
-		d.instances = append(d.instances, i)
-		d.running.Go(func() { d.run(ctx, i) })
-	}
-	return nil
-}
-
 func (d *Demo) run(ctx context.Context, i *instance.Instance) {
 	if err := i.Run(ctx); err != nil {
 		d.opts.Log.Error("instance failed", "error", err)
 	}
 }
 
-func (d *Demo) settings(n int, platformAddress string) settings.Settings {
-	s := settings.Default()
-	s.Instance.DataCentre = dataCentre(n % d.opts.Fleet.DataCentres)
-	s.Instance.Name = fmt.Sprintf("%s-%d", s.Instance.DataCentre, n/d.opts.Fleet.DataCentres+1)
-	s.Listen = settings.Listen{Callers: loopback, Operators: loopback, Peers: loopback}
-	s.Platform.Address = platformAddress
-	s.Limits.DrainTimeout = drainTimeout
-	for _, i := range d.instances {
-		s.Peers.Seeds = append(s.Peers.Seeds, i.Peers().String())
-	}
-	return s
-}
-
-func dataCentre(n int) string { return fmt.Sprintf("dc%d", n+1) }
-
 // Callers returns the addresses on which callers are served.
 func (d *Demo) Callers() []string {
 	var out []string
-	for _, i := range d.instances {
-		out = append(out, i.Callers().String())
+	for _, n := range d.nodes {
+		out = append(out, n.instance.Callers().String())
 	}
 	return out
 }
 
 // Operators returns the address of one instance's operators' API.
-func (d *Demo) Operators() string { return d.instances[0].Operators().String() }
+func (d *Demo) Operators() string { return d.nodes[0].instance.Operators().String() }
 
 // Platform returns the stand-in platform, for its faults.
 func (d *Demo) Platform() *platform.Server { return d.platform }
 
+// Nodes returns the entry instances. The caller must not change the list.
+func (d *Demo) Nodes() []*Node { return d.nodes }
+
+// Engines returns the stand-in engines, for their faults.
+func (d *Demo) Engines() []*engine.Server { return d.backends.engines }
+
+// Services returns the stand-in services, for their faults.
+func (d *Demo) Services() []*service.Server { return d.backends.services }
+
+// Checks asks the stand-ins what they ran.
+func (d *Demo) Checks() load.Checks {
+	return load.Checks{KeyRuns: d.backends.keyRuns, PromptRuns: d.backends.promptRuns}
+}
+
 // Load sends the workload for a time and returns what came of it.
 func (d *Demo) Load(ctx context.Context, duration time.Duration, onProgress func(load.Progress)) (load.Report, error) {
 	return load.Run(ctx, load.Options{
@@ -160,7 +144,7 @@
 		Duration:   duration,
 		Workload:   d.opts.Workload,
 		Seed:       d.opts.Seed,
-		Checks:     load.Checks{KeyRuns: d.backends.keyRuns, PromptRuns: d.backends.promptRuns},
+		Checks:     d.Checks(),
 		OnProgress: onProgress,
 	})
 }
@@ -169,8 +153,8 @@
 func (d *Demo) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	for _, i := range d.instances {
-		if err := awaitReady(ctx, i.Operators().String()); err != nil {
+	for _, n := range d.nodes {
+		if err := awaitReady(ctx, n.instance.Operators().String()); err != nil {
 			return err
 		}
 	}
@@ -179,9 +163,7 @@
 
 // Close ends everything and returns after it ended.
 func (d *Demo) Close() {
-	if d.stop != nil {
-		d.stop()
-	}
+	d.stop()
 	d.running.Wait()
 	for _, s := range d.servers {
 		_ = s.Close()
