Take a small system through random faults from a seed

Ruled out: a simulator; this runs the real instances of package demo with faults at the stand-ins and on the network in memory. Before: nothing. Conclusion: partial; the auditor of package decision is not hooked up yet.

--- /dev/null
+++ b/chaos/load.go
@@ -0,0 +1,145 @@
+package chaos
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"time"
+
+	"bergamotpin.example/bergamotpin/load"
+	"bergamotpin.example/bergamotpin/standin/answer"
+)
+
+const (
+	// probeTime is for how long requests of each class are sent to see that it
+	// is served.
+	probeTime = 300 * time.Millisecond
+	// seedsApart separates the requests of runs with neighbouring seeds.
+	seedsApart = 1_000_000
+	// noAnswer is load's reason for a request without an outcome.
+	noAnswer = "no_answer"
+)
+
+// loaded is what came of a load.
+type loaded struct {
+	report load.Report
+	notRun []answer.Digest
+	err    error
+}
+
+// send sends a workload to the instances that run now.
+func (r *run) send(ctx context.Context, w load.Workload, duration time.Duration) <-chan loaded {
+	r.chunks++
+	var out loaded
+	checks := r.demo.Checks()
+	promptRuns := checks.PromptRuns
+	checks.PromptRuns = func(prompt answer.Digest) int {
+		out.notRun = append(out.notRun, prompt)
+		return promptRuns(prompt)
+	}
+	opts := load.Options{
+		Duration: duration,
+		Drain:    Patience,
+		Workload: w,
+		Seed:     r.opts.Seed*seedsApart + uint64(r.chunks),
+		Checks:   checks,
+	}
+	for _, n := range r.alive() {
+		opts.Addresses = append(opts.Addresses, n.Instance().Callers().String())
+	}
+	done := make(chan loaded, 1)
+	go func() {
+		out.report, out.err = load.Run(ctx, opts)
+		done <- out
+	}()
+	return done
+}
+
+// burst returns the step's workload.
+func (r *run) burst(draws []fault) load.Workload {
+	w := r.workload
+	for _, f := range draws {
+		if f.bursts {
+			class := pick(r.random, w.Classes).Name
+			w = w.WithBurst(class, load.Burst{At: faultsAfter, For: loadTime - faultsAfter, Times: loadBurst})
+		}
+	}
+	return w
+}
+
+// takeLoad takes the outcomes of a load.
+func (s *step) takeLoad(l loaded) error {
+	if l.err != nil {
+		return l.err
+	}
+	s.result.Requests += l.report.Requests
+	s.result.Completed += l.report.Completed
+	s.result.Refused += l.report.Refused
+	s.result.Unknown += l.report.Unknown
+	s.result.Abandoned += l.report.Abandoned
+	s.run.notRun = append(s.run.notRun, l.notRun...)
+	for violation, count := range l.report.ByViolation {
+		s.fail(Answers, fmt.Sprintf("%s %d times", violation, count))
+	}
+	for _, class := range l.report.Classes {
+		if n := class.Unknowns[noAnswer]; n > 0 {
+			s.fail(Answered, fmt.Sprintf("%d requests of class %s have no outcome after %v", n, class.Class, Patience))
+		}
+		s.checkNothingCut(class)
+	}
+	return nil
+}
+
+// checkNothingCut requires of a step with a drain alone that every request got
+// a certain outcome.
+func (s *step) checkNothingCut(class load.ClassReport) {
+	if s.drain != nil && len(s.draws) == 1 && class.Unknown > 0 {
+		s.fail(Draining, fmt.Sprintf("%d requests of class %s ended unknown over a drain: %v", class.Unknown, class.Class, class.Unknowns))
+	}
+}
+
+// checkServed sends a little load until a request of each class completed.
+func (s *step) checkServed(ctx context.Context) error {
+	waiting := make(map[string]load.ClassReport)
+	for _, class := range s.run.workload.Classes {
+		waiting[class.Name] = load.ClassReport{}
+	}
+	deadline := time.Now().Add(Patience)
+	for len(waiting) > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
+		l := <-s.run.send(ctx, s.run.workload, probeTime)
+		if err := s.takeLoad(l); err != nil {
+			return err
+		}
+		for _, class := range l.report.Classes {
+			if class.Completed > 0 {
+				delete(waiting, class.Class)
+			} else if _, still := waiting[class.Class]; still {
+				waiting[class.Class] = class
+			}
+		}
+	}
+	for name, last := range waiting {
+		s.fail(Served, fmt.Sprintf("no request of class %s completed, last refusals %v, unknown %v", name, last.Refusals, last.Unknowns))
+	}
+	return nil
+}
+
+// checkRuns asks the backend servers again what they ran.
+func (s *step) checkRuns() {
+	promptRuns := s.run.demo.Checks().PromptRuns
+	for _, prompt := range s.run.notRun {
+		if promptRuns(prompt) > 0 {
+			s.fail(Answers, fmt.Sprintf("prompt %x ran, its caller was told that it was not run", prompt))
+		}
+	}
+	runs := make(map[string]int)
+	for _, sv := range s.run.demo.Services() {
+		for key, count := range sv.Counters().ByKey {
+			runs[key] += count
+		}
+	}
+	maps.DeleteFunc(runs, func(_ string, count int) bool { return count <= 1 })
+	for key, count := range runs {
+		s.fail(AtMostOnce, fmt.Sprintf("key %s ran %d times", key, count))
+	}
+}
