Send tickets to the one scheduler of their pool

Cause: each instance still scheduled for itself. Ruled out: polling every engine from every instance: reports and cache events are of use only to the pool's scheduler. Before: scheduler.Local behind the proxy. Conclusion: one queue a pool, over instances.

--- a/cmd/bergamotpin/demo.go
+++ b/cmd/bergamotpin/demo.go
@@ -12,6 +12,7 @@
 	"bergamotpin.example/bergamotpin/demo"
 	"bergamotpin.example/bergamotpin/load"
 	"bergamotpin.example/bergamotpin/settings"
+	"bergamotpin.example/bergamotpin/standin/engine"
 )
 
 // demoInstances is the number of entry instances, as each user has them.
@@ -24,6 +25,7 @@
 	json     bool
 	workload string
 	verbose  bool
+	pressure float64
 }
 
 func demoCommand(app *kingpin.Application) command {
@@ -33,6 +35,7 @@
 	cmd.Flag("seed", "Seed of all draws.").Default("1").Uint64Var(&f.seed)
 	cmd.Flag("json", "Print the report as one line of JSON.").BoolVar(&f.json)
 	cmd.Flag("workload", "Whose workload and fleet: covor or andina.").Default("covor").EnumVar(&f.workload, "covor", "andina")
+	cmd.Flag("pressure", "Scale the load to this share of what the engines yield at best. 0 leaves it as it is.").Float64Var(&f.pressure)
 	cmd.Flag("verbose", "Show the instances' logs.").BoolVar(&f.verbose)
 	return command{cmd.FullCommand(), f.run}
 }
@@ -50,6 +53,10 @@
 	if f.workload == "andina" {
 		opts.Fleet = load.FleetAgendaAndina
 	}
+	if f.pressure > 0 {
+		best := float64(opts.Fleet.Engines) * engine.Options{}.TokensPerSecond()
+		opts.Workload = opts.Workload.ScaleTo(f.pressure * best)
+	}
 	if f.verbose {
 		opts.Log = newLog(settings.Default().Log)
 	}
--- a/instance/counters.go
+++ b/instance/counters.go
@@ -13,6 +13,9 @@
 	out = append(out, i.claimReadings()...)
 	out = append(out, i.orderReadings()...)
 	out = append(out, i.peerReadings()...)
+	for event, count := range i.remote.Counters() {
+		out = append(out, reading("scheduler_events", "event", event.String(), int64(count)))
+	}
 	for event, count := range i.members.Counters() {
 		out = append(out, reading("membership_events", "event", event.String(), int64(count)))
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,6 +68,7 @@
 	store    *config.Store
 	agent    *config.Agent
 	local    *scheduler.Local
+	remote   *scheduler.Remote
 	engine   *engine.Client
 	proxy    *proxy.Proxy
 	poller   *observe.Poller
@@ -175,10 +177,16 @@
 	s := i.opts.Settings
 	i.engine = engine.NewClient(i.opts.Dial)
 	i.local = scheduler.NewLocal(scheduler.LocalOptions{DataCentre: s.Instance.DataCentre})
+	i.remote = scheduler.NewRemote(scheduler.RemoteOptions{
+		Transport: i.transport,
+		Members:   i.members,
+		Pools:     i.local,
+		Log:       i.log,
+	})
 	i.poller = observe.NewPoller(observe.Options{Engine: i.engine, Targets: i.pollTargets, Sink: i.local})
 	i.proxy = proxy.New(proxy.Options{
 		Index:     i.index.Load,
-		Scheduler: i.local,
+		Scheduler: i.remote,
 		Engine:    i.engine,
 		Claims:    i.claims,
 		InFlight:  i.inFlight,
@@ -215,6 +223,7 @@
 	tasks.Go(func() { i.poller.Run(background) })
 	tasks.Go(func() { i.metrics.NewMirror(i.readings).Run(background) })
 	tasks.Go(func() { i.members.Run(background) })
+	tasks.Go(func() { i.remote.Run(background) })
 	tasks.Go(func() { i.register(background) })
 	tasks.Go(func() { i.trackReadiness(background) })
 	tasks.Go(func() { i.reporter.Run(background) })
@@ -325,11 +334,14 @@
 	}
 }
 
-// pollTargets lists the backend servers of the own data centre.
+// pollTargets lists the engines of the own data centre whose pools this
+// instance schedules.
 func (i *Instance) pollTargets() []observe.Target {
+	dataCentre := i.opts.Settings.Instance.DataCentre
+	schedules := func(model string) bool { return i.holds(model, dataCentre, 1) }
 	var targets []observe.Target
 	for _, b := range i.store.Snapshot().BackendServers {
-		if b.Spec.Service || b.Spec.DataCentre != i.opts.Settings.Instance.DataCentre {
+		if b.Spec.Service || b.Spec.DataCentre != dataCentre || !slices.ContainsFunc(b.Spec.Models, schedules) {
 			continue
 		}
 		targets = append(targets, observe.Target{Server: b.Name, Address: b.Spec.Address, Models: b.Spec.Models})
