Limit plain services by the whole answer; learn no times from claims

Cause: plain services report no first token, so nothing lowered their limit; a claim after a change of scheduler counted from the claim. Ruled out: counting an End without a first token as a first token (its time is not one). Before: TestPlainServiceGetsALowerLimit sees limit 32.

--- a/decision/apply.go
+++ b/decision/apply.go
@@ -300,6 +300,7 @@
 	r := &c.rows[i]
 	r.started = true
 	c.run(i, c.server(r.ticket.Server))
+	c.rows[i].claimed = true
 }
 
 // applyRepeated takes a ticket of a known request. A claim of a later attempt
--- a/decision/observe.go
+++ b/decision/observe.go
@@ -6,8 +6,8 @@
 	"bergamotpin.example/bergamotpin/outcome"
 )
 
-// lateShare is the part of a class's first-token target that a server may use
-// up by itself.
+// lateShare is the part of a class's target for the first token, or for the
+// whole answer where there is none, that a server may use up by itself.
 const lateShare = 0.5
 
 // maxGapWeight bounds the tokens for which one report of progress counts.
@@ -33,12 +33,16 @@
 	}
 	c.pool.first.add(prompt, seconds(after))
 	s.window.firsts++
-	target := c.classes[r.class].FirstToken
-	if target > 0 && after > max(time.Duration(float64(target)*lateShare), lateFloor) {
+	if isLate(after, c.classes[r.class].FirstToken) {
 		s.window.late++
 	}
 }
 
+// isLate reports whether a server used up its share of a target.
+func isLate(after, target time.Duration) bool {
+	return target > 0 && after > max(time.Duration(float64(target)*lateShare), lateFloor)
+}
+
 func (c *Core) observeGap(r *request, e *Progress) {
 	s := &c.servers[r.server]
 	if e.Gap <= 0 {
@@ -62,9 +66,7 @@
 	if tokens > 0 {
 		cl.lengths.add(tokens)
 	}
-	hold := seconds(c.now - r.granted)
-	cl.hold.add(hold, 1)
-	c.pool.hold.add(hold, 1)
+	c.observeHold(r)
 	used := max(clampTokens(e.PromptTokens)-clampTokens(e.CachedTokens), 0) + tokens
 	c.settle(r, used)
 	if r.ticket.Prefix != 0 && e.CachedTokens == 0 && e.PromptTokens > 0 {
@@ -73,6 +75,30 @@
 	c.noteGrant(r, r.server)
 }
 
+// observeHold learns for how long a request holds its slot. It learns nothing
+// from a claim: the request began before the core knew of it.
+func (c *Core) observeHold(r *request) {
+	if r.claimed {
+		return
+	}
+	if !r.first {
+		c.observeWhole(r)
+	}
+	hold := seconds(c.now - r.granted)
+	c.classes[r.class].hold.add(hold, 1)
+	c.pool.hold.add(hold, 1)
+}
+
+// observeWhole judges a server by the whole answer where there is no first
+// token, as with plain services.
+func (c *Core) observeWhole(r *request) {
+	s := &c.servers[r.server]
+	s.window.firsts++
+	if isLate(c.now-r.granted, c.classes[r.class].WholeAnswer) {
+		s.window.late++
+	}
+}
+
 func (c *Core) observeFailure(r *request, f *Failure) {
 	s := &c.servers[r.server]
 	c.settle(r, r.uncached)
--- a/decision/place_test.go
+++ b/decision/place_test.go
@@ -69,6 +69,28 @@
 	}
 }
 
+// TestPlainServiceGetsALowerLimit has a service whose answers take 50 ms for each
+// request that it runs, and a target of 1 s.
+func TestPlainServiceGetsALowerLimit(t *testing.T) {
+	cfg := poolOf(32)
+	cfg.Classes[1].WholeAnswer = time.Second
+	h := newHarness(t, Options{}, cfg)
+	ends := make(map[int][]Grant)
+	for tick := range 4000 {
+		for _, g := range ends[tick] {
+			h.in.Ends = append(h.in.Ends, End{ID: g.ID, Attempt: g.Attempt})
+		}
+		h.submit(max(0, 40-h.core.waiting), "batch")
+		for _, g := range h.tick(10 * time.Millisecond).Grants {
+			took := 5 * len(h.core.running)
+			ends[tick+took] = append(ends[tick+took], g)
+		}
+	}
+	if got := h.core.servers[0].limit(); got < 6 || got > 14 {
+		t.Errorf("limit %d, want about 10", got)
+	}
+}
+
 func TestReportsCorrectTheCount(t *testing.T) {
 	h := newHarness(t, Options{}, poolOf(8))
 	for range 20 {
--- a/decision/tables.go
+++ b/decision/tables.go
@@ -50,6 +50,7 @@
 	started   bool  // some attempt may have started
 	first     bool  // this attempt's first token came
 	trial     bool  // granted beyond the server's limit
+	claimed   bool  // this attempt was granted by another scheduler
 	uncached  int   // prompt tokens to compute at this attempt
 	ahead     int   // prompt tokens that the server had to compute before
 	charged   float64
@@ -158,6 +159,7 @@
 	r.heard = c.now
 	r.first = false
 	r.trial = false
+	r.claimed = false
 	c.running = append(c.running, i)
 	cl := &c.classes[r.class]
 	cl.running++
