Admit before preempting; probe beside a full pool; release servers set aside

Cause: 15000 random sequences (go test ./decision -run Invariants -rapid.checks=15000 -rapid.seed 77) found a middle tier that preempted at the tick at which the highest was then refused, and a request that waited for ever because the one server left was set aside. Preemption now runs after admission and leaves a victim for each request that waits above; a probe is granted though every slot is taken; servers come back when more than half of the pool would be aside because others left. The random events no longer repeat a ticket later than a request is remembered. Before: the two failures.

--- a/decision/admit.go
+++ b/decision/admit.go
@@ -7,8 +7,7 @@
 )
 
 // admit is the system that refuses: new requests that cannot meet their
-// bounds, the overflow of the queue, and, if any of these was refused for
-// capacity, all that still wait in lower tiers.
+// bounds, and the overflow of the queue.
 func (c *Core) admit(out *Output) {
 	if !c.hasServer() {
 		c.refuseAll(outcome.NoBackendServer, out)
@@ -19,7 +18,6 @@
 	for c.waiting > c.opts.MaxQueue {
 		c.refuseForCapacity(c.worst(), outcome.QueueFull, out)
 	}
-	c.evictBelow(out)
 }
 
 func (c *Core) hasServer() bool {
@@ -115,7 +113,8 @@
 	panic("decision: no waiting row in a queue that is too long")
 }
 
-// evictBelow refuses what waits in tiers below a refused one.
+// evictBelow is the system that refuses what waits in tiers below a refused or
+// preempted one.
 func (c *Core) evictBelow(out *Output) {
 	if c.shed == noTier || c.noRule {
 		return
--- a/decision/apply_test.go
+++ b/decision/apply_test.go
@@ -131,6 +131,17 @@
 	}
 }
 
+func TestClaimsTeachNoTimes(t *testing.T) {
+	h := newHarness(t, Options{}, poolOf(2))
+	id := h.submit(1, "batch", func(t *Ticket) { t.Server, t.Attempt = "s0", 1 })
+	h.tick(0)
+	h.in.Ends = append(h.in.Ends, End{ID: id, Attempt: 1, PromptTokens: 10, Tokens: 500})
+	h.tick(time.Millisecond)
+	if h.core.pool.hold.weight != 0 {
+		t.Errorf("learnt that 500 tokens take %v s", h.core.pool.hold.value)
+	}
+}
+
 func TestLostEndFreesItsSlot(t *testing.T) {
 	opts := Options{RunningLife: time.Minute}
 	h := newHarness(t, opts, poolOf(1))
--- a/decision/chaos_test.go
+++ b/decision/chaos_test.go
@@ -27,14 +27,15 @@
 	out     Output
 	config  Config
 	tickets []Ticket
-	issued  []time.Duration // when each ticket was made
-	grants  []Grant         // all grants ever made, so that late events name ended ones
+	issued  []time.Duration          // when each ticket was first heard of
+	early   map[uint64]time.Duration // when tickets to come were withdrawn
+	grants  []Grant                  // all grants ever made, so that late events name ended ones
 	nextID  uint64
 }
 
 func newChaos(t fataler, data []byte) *chaos {
 	opts := Options{Seed: 1, MaxQueue: 8, Explain: 4, RunningLife: time.Minute}
-	c := &chaos{t: t, core: New(opts), auditor: NewAuditor(opts), data: data}
+	c := &chaos{t: t, core: New(opts), auditor: NewAuditor(opts), data: data, early: make(map[uint64]time.Duration)}
 	c.config = Config{
 		Classes: []Class{
 			{Name: "urgent", Tier: 0, FirstToken: time.Second, BetweenTokens: 50 * time.Millisecond},
@@ -116,7 +117,11 @@
 	}
 	binary.BigEndian.PutUint64(t.ID[:], c.nextID)
 	c.tickets = append(c.tickets, t)
-	c.issued = append(c.issued, c.now)
+	heard := c.now
+	if at, ok := c.early[c.nextID]; ok {
+		heard = at
+	}
+	c.issued = append(c.issued, heard)
 	c.in.Tickets = append(c.in.Tickets, t)
 }
 
@@ -172,6 +177,9 @@
 	t := c.tickets[len(c.tickets)-1-c.byte()%len(c.tickets)]
 	if c.byte()%8 == 0 {
 		binary.BigEndian.PutUint64(t.ID[:], c.nextID+1) // before its ticket
+		if _, ok := c.early[c.nextID+1]; !ok {
+			c.early[c.nextID+1] = c.now
+		}
 	}
 	c.in.Withdrawals = append(c.in.Withdrawals, Withdrawal{ID: t.ID})
 }
--- a/decision/core.go
+++ b/decision/core.go
@@ -77,8 +77,9 @@
 	c.order()
 	c.place(out)
 	c.tryMore(out)
-	c.preempt(out)
 	c.admit(out)
+	c.preempt(out)
+	c.evictBelow(out)
 	c.finish(out)
 }
 
--- a/decision/doc.go
+++ b/decision/doc.go
@@ -21,12 +21,13 @@
 //   - place gives free slots away: floors first, then the highest tier, then
 //     the least slack, with organisations in turn by tokens over weight; the
 //     server with the least expected time to the first token wins;
+//   - admit refuses, at their arrival, requests whose expected wait passes their
+//     latest start, and reviews the queue when the pool shrank; another data
+//     centre's free slots are used first;
 //   - preempt stops idempotent requests of lower tiers for those at their
 //     latest start, the least work thrown away first;
-//   - admit refuses, at their arrival, requests whose expected wait passes their
-//     latest start, reviews the queue when the pool shrank, and evicts what
-//     waits below a refused request; another data centre's free slots are used
-//     first;
+//   - evictBelow refuses what waits below a request that was refused for
+//     capacity, or preempted, at this tick;
 //   - finish forgets old requests and works out when the next tick is due.
 //
 // Placement comes before admission, so that nothing is refused while a slot
--- a/decision/estimate.go
+++ b/decision/estimate.go
@@ -153,11 +153,16 @@
 // freeFor counts the slots that are free or that the class may take from lower
 // tiers.
 func (c *Core) freeFor(cl *class) int {
-	free := max(c.capacity-c.busy-cl.reserve-cl.heldBelow, 0)
+	return max(c.capacity-c.busy-cl.reserve-cl.heldBelow, 0) + c.victimsFor(cl)
+}
+
+// victimsFor counts the running requests that may be preempted for a class.
+func (c *Core) victimsFor(cl *class) int {
+	n := 0
 	for k := range c.classes {
-		free += c.takeable(cl, &c.classes[k])
+		n += c.takeable(cl, &c.classes[k])
 	}
-	return free
+	return n
 }
 
 // takeable counts the running requests of a lower class that may be preempted
--- a/decision/limit.go
+++ b/decision/limit.go
@@ -47,6 +47,7 @@
 		}
 		c.setAside(s, median)
 	}
+	c.releaseAside()
 	c.recount()
 }
 
@@ -116,7 +117,29 @@
 }
 
 func (c *Core) maySetAside() bool {
-	all, aside := 0, 0
+	all, aside := c.countAside()
+	return 2*(aside+1) <= all
+}
+
+// releaseAside brings servers back while more than half of the pool is set
+// aside, because others left.
+func (c *Core) releaseAside() {
+	all, aside := c.countAside()
+	for i := range c.servers {
+		s := &c.servers[i]
+		if 2*aside <= all {
+			return
+		}
+		if s.aside && !s.gone && !s.Drain {
+			c.bringBack(s)
+			aside--
+		}
+	}
+}
+
+// countAside counts the servers that are configured to take work, and those of
+// them that are set aside.
+func (c *Core) countAside() (all, aside int) {
 	for i := range c.servers {
 		s := &c.servers[i]
 		if s.gone || s.Drain {
@@ -127,7 +150,7 @@
 			aside++
 		}
 	}
-	return 2*(aside+1) <= all
+	return all, aside
 }
 
 // bringBack returns a server to the pool with a low limit.
--- a/decision/limit_test.go
+++ b/decision/limit_test.go
@@ -46,6 +46,27 @@
 	}
 }
 
+// TestServerSetAsideIsProbedBesideAFullPool also takes away the other server.
+func TestServerSetAsideIsProbedBesideAFullPool(t *testing.T) {
+	for _, drop := range []bool{false, true} {
+		cfg := poolOf(4, 4)
+		h := newHarness(t, Options{}, cfg)
+		for range 3 {
+			h.submit(8, "batch")
+			h.tick(10 * time.Millisecond)
+			h.fail("s1", outcome.ServerUnreachable, true)
+		}
+		h.submit(50, "batch")
+		if drop {
+			h.in.Config = &Config{Classes: cfg.Classes, Servers: cfg.Servers[1:]}
+		}
+		h.tick(5 * time.Second)
+		if len(h.running["s1"]) == 0 {
+			t.Errorf("other server dropped: %v; no request went to the server set aside", drop)
+		}
+	}
+}
+
 func TestAtMostHalfOfAPoolIsSetAside(t *testing.T) {
 	h := newHarness(t, Options{}, poolOf(4, 4, 4, 4, 4))
 	for range 200 {
--- a/decision/order.go
+++ b/decision/order.go
@@ -101,6 +101,8 @@
 	switch {
 	case floor || free > cl.reserve:
 		return c.nextRow(cl)
+	case free <= 0 && c.anyProbeDue():
+		return c.nextRow(cl)
 	case free <= 0:
 		return none
 	}
--- a/decision/place.go
+++ b/decision/place.go
@@ -66,6 +66,21 @@
 	return 0
 }
 
+func (c *Core) probeDue(s *server) bool {
+	return s.aside && s.inFlight == 0 && c.now >= s.asideAt+s.backoff
+}
+
+// anyProbeDue reports whether a server that is set aside takes a probe.
+func (c *Core) anyProbeDue() bool {
+	for k := range c.servers {
+		s := &c.servers[k]
+		if !s.gone && !s.Drain && c.probeDue(s) {
+			return true
+		}
+	}
+	return false
+}
+
 // free reports whether the server has a slot for the request. A server that is
 // set aside takes one idempotent request at a time as a probe.
 func (c *Core) free(s *server, r *request) bool {
@@ -73,7 +88,7 @@
 		return false
 	}
 	if s.aside {
-		return r.ticket.Idempotent && s.inFlight == 0 && c.now >= s.asideAt+s.backoff
+		return r.ticket.Idempotent && c.probeDue(s)
 	}
 	return s.load() < s.limit()
 }
--- a/decision/preempt.go
+++ b/decision/preempt.go
@@ -15,17 +15,23 @@
 )
 
 // preempt is the system that stops running requests of lower tiers for those
-// that would otherwise start too late.
+// that would otherwise start too late. It runs after admission, so that tiers
+// below one that was refused at this tick get nothing, and leaves a victim for
+// each request that waits in the tiers above.
 func (c *Core) preempt(out *Output) {
 	ahead := c.ahead()
+	above, same, tier := 0, 0, noTier
 	for _, k := range c.byTier {
 		cl := &c.classes[k]
 		if cl.Tier > c.shed {
 			return
 		}
+		if cl.Tier != tier {
+			above, same, tier = above+same, 0, cl.Tier
+		}
 		for cl.waiting > 0 {
 			head, _ := c.earliest(cl)
-			if head.startBy-c.now > ahead {
+			if head.startBy-c.now > ahead || c.victimsFor(cl) <= above {
 				break
 			}
 			victim := c.victim(cl)
@@ -34,6 +40,7 @@
 			}
 			c.preemptFor(head.row, victim, out)
 		}
+		same += cl.waiting
 	}
 }
 
--- a/decision/preempt_test.go
+++ b/decision/preempt_test.go
@@ -83,6 +83,34 @@
 	}
 }
 
+// TestPreemptionLeavesVictimsForTheTiersAbove has one victim, a middle request at
+// its latest start, and a higher one that has just come.
+func TestPreemptionLeavesVictimsForTheTiersAbove(t *testing.T) {
+	cfg := poolOf(4)
+	cfg.Classes[1].Floor = 0.75
+	cfg.Classes = append(cfg.Classes, Class{Name: "middle", Tier: 1, FirstToken: time.Second})
+	h := newHarness(t, Options{}, cfg)
+	h.steady(100, 50*time.Millisecond, 1, "batch")
+	h.submit(4, "batch")
+	h.tick(0)
+	h.submit(1, "middle")
+	for range 92 {
+		h.tick(10 * time.Millisecond)
+	}
+	urgent := h.submit(1, "urgent")
+	for range 150 {
+		for _, g := range h.tick(10 * time.Millisecond).Grants {
+			if g.ID != urgent && !g.Floor {
+				t.Fatalf("%+v before the highest tier", g)
+			}
+			if g.ID == urgent {
+				return
+			}
+		}
+	}
+	t.Error("the highest tier got no slot")
+}
+
 func TestPreemptedRequestContinues(t *testing.T) {
 	h := newHarness(t, Options{}, poolOf(2))
 	h.submit(2, "batch")
