--- a/decision/limit_test.go
+++ b/decision/limit_test.go
@@ -67,6 +67,24 @@
 	}
 }
 
+// TestServersComeBackWhenOthersLeave submits a request that can be no probe.
+func TestServersComeBackWhenOthersLeave(t *testing.T) {
+	cfg := poolOf(4, 4)
+	h := newHarness(t, Options{}, cfg)
+	for range 3 {
+		h.submit(8, "batch")
+		h.tick(10 * time.Millisecond)
+		h.fail("s1", outcome.ServerUnreachable, true)
+		h.end(10)
+	}
+	h.in.Config = &Config{Classes: cfg.Classes, Servers: cfg.Servers[1:]}
+	h.submit(1, "urgent", func(t *Ticket) { t.Idempotent = false })
+	h.tick(10 * time.Millisecond)
+	if len(h.running["s1"]) == 0 {
+		t.Error("the only server left is still set aside")
+	}
+}
+
 func TestAtMostHalfOfAPoolIsSetAside(t *testing.T) {
 	h := newHarness(t, Options{}, poolOf(4, 4, 4, 4, 4))
 	for range 200 {
