--- a/instance/instance.go
+++ b/instance/instance.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,6 +52,11 @@
 	// Identity is used between instances in place of the files that the
 	// settings name. Nil reads the files.
 	Identity *peer.Identity
+	// Transport carries the messages between instances in place of QUIC, for
+	// tests. The instance closes it.
+	Transport Transport
+	// Dial connects to the platform and to backend servers. Nil means TCP.
+	Dial engine.DialFunc
 }
 
 // Instance is one entry instance.
@@ -62,6 +68,7 @@
 	store    *config.Store
 	agent    *config.Agent
 	local    *scheduler.Local
+	remote   *scheduler.Remote
 	engine   *engine.Client
 	proxy    *proxy.Proxy
 	poller   *observe.Poller
@@ -74,17 +81,22 @@
 	claims   *idempotency.Claims
 	inFlight *proxy.InFlight
 
-	transport closingTransport
+	transport Transport
 	callers   net.Listener
 	operators net.Listener
 
 	index   atomic.Pointer[routing.Index]
 	leaving atomic.Bool
+	open    *openRequests
+
+	killOnce sync.Once
+	killed   chan struct{}
 }
 
-// closingTransport is a transport that holds resources.
-type closingTransport interface {
+// Transport is a transport between instances that holds resources.
+type Transport interface {
 	peer.Transport
+	// Close drops everything at once, without a word to the peers.
 	Close() error
 }
 
@@ -94,7 +106,7 @@
 	if opts.Log == nil {
 		opts.Log = slog.New(slog.DiscardHandler)
 	}
-	i := &Instance{opts: opts, log: opts.Log}
+	i := &Instance{opts: opts, log: opts.Log, open: newOpenRequests(), killed: make(chan struct{})}
 	if err := i.listen(); err != nil {
 		i.closeListeners()
 		return nil, err
@@ -130,6 +142,7 @@
 	i.objects = objects.New(objects.Options{
 		Base:        "http://" + s.Platform.Address,
 		CallTimeout: s.Platform.CallTimeout.Std(),
+		HTTPClient:  httpClient(i.opts.Dial),
 	})
 	i.claims = idempotency.New(idempotency.Options{Store: i.objects, Retention: s.Limits.KeyRetention.Std()})
 	i.inFlight = proxy.NewInFlight()
@@ -162,12 +175,18 @@
 
 func (i *Instance) assembleProxy() {
 	s := i.opts.Settings
-	i.engine = engine.NewClient(nil)
+	i.engine = engine.NewClient(i.opts.Dial)
 	i.local = scheduler.NewLocal(scheduler.LocalOptions{DataCentre: s.Instance.DataCentre})
+	i.remote = scheduler.NewRemote(scheduler.RemoteOptions{
+		Transport: i.transport,
+		Members:   i.members,
+		Pools:     i.local,
+		Log:       i.log,
+	})
 	i.poller = observe.NewPoller(observe.Options{Engine: i.engine, Targets: i.pollTargets, Sink: i.local})
 	i.proxy = proxy.New(proxy.Options{
 		Index:     i.index.Load,
-		Scheduler: i.local,
+		Scheduler: i.remote,
 		Engine:    i.engine,
 		Claims:    i.claims,
 		InFlight:  i.inFlight,
@@ -204,6 +223,7 @@
 	tasks.Go(func() { i.poller.Run(background) })
 	tasks.Go(func() { i.metrics.NewMirror(i.readings).Run(background) })
 	tasks.Go(func() { i.members.Run(background) })
+	tasks.Go(func() { i.remote.Run(background) })
 	tasks.Go(func() { i.register(background) })
 	tasks.Go(func() { i.trackReadiness(background) })
 	tasks.Go(func() { i.reporter.Run(background) })
@@ -223,8 +243,9 @@
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
+	case <-i.killed:
 	}
-	i.leave(callers)
+	i.end(callers)
 	_ = operatorsServer.Close()
 	stop()
 	tasks.Wait()
@@ -235,6 +256,16 @@
 	return nil
 }
 
+// end leaves gracefully, unless the instance was killed.
+func (i *Instance) end(callers *http.Server) {
+	select {
+	case <-i.killed:
+		i.crash(callers)
+	default:
+		i.leave(callers)
+	}
+}
+
 // leave refuses new requests and waits for the open ones.
 func (i *Instance) leave(callers *http.Server) {
 	i.leaving.Store(true)
@@ -246,6 +277,7 @@
 		i.log.Warn("open requests were cut at the drain timeout", "error", err)
 		_ = callers.Close()
 	}
+	i.open.wait()
 	i.proxy.Wait()
 }
 
@@ -272,7 +304,7 @@
 
 func (i *Instance) callersServer() *http.Server {
 	return &http.Server{
-		Handler:           i.proxy.Handler(),
+		Handler:           i.open.handler(i.proxy.Handler()),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    i.opts.Settings.Limits.HeaderBytes + headerSlack,
 	}
@@ -302,11 +334,14 @@
 	}
 }
 
-// pollTargets lists the backend servers of the own data centre.
+// pollTargets lists the engines of the own data centre whose pools this
+// instance schedules.
 func (i *Instance) pollTargets() []observe.Target {
+	dataCentre := i.opts.Settings.Instance.DataCentre
+	schedules := func(model string) bool { return i.holds(model, dataCentre, 1) }
 	var targets []observe.Target
 	for _, b := range i.store.Snapshot().BackendServers {
-		if b.Spec.Service || b.Spec.DataCentre != i.opts.Settings.Instance.DataCentre {
+		if b.Spec.Service || b.Spec.DataCentre != dataCentre || !slices.ContainsFunc(b.Spec.Models, schedules) {
 			continue
 		}
 		targets = append(targets, observe.Target{Server: b.Name, Address: b.Spec.Address, Models: b.Spec.Models})
