--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -158,9 +158,12 @@
 			}
 		}
 		g.table.apply(from, now)
+		// An exchange of records brings what others know.
+		g.table.quiet = len(updates) > maxUpdates+1
 		for _, r := range updates {
 			g.table.apply(r, now)
 		}
+		g.table.quiet = false
 	})
 }
 
--- a/membership/table.go
+++ b/membership/table.go
@@ -47,6 +47,7 @@
 	count     func(Event)
 	entries   map[netip.AddrPort]*entry
 	revision  uint64
+	quiet     bool // what is applied now is known to others already
 
 	digested  uint64 // revision of the cached digests
 	digestsBy map[string]uint64
@@ -78,6 +79,9 @@
 
 // spread returns how often a change is to be sent on.
 func (t *table) spread() int {
+	if t.quiet {
+		return 0
+	}
 	return gossipFactor * bits.Len(uint(len(t.entries)+1))
 }
 
--- a/peer/memory/endpoint.go
+++ b/peer/memory/endpoint.go
@@ -84,6 +84,9 @@
 	if err := e.awaitThaw(ctx); err != nil {
 		return nil, err
 	}
+	if e.ctx.Err() != nil {
+		return nil, peer.ErrClosed
+	}
 	e.counters.Sent(kind, peer.RequestHeaderBytes+len(body))
 	arrives := e.travel(ctx, way{e.local, to})
 	target := e.network.endpoint(to)
--- a/peer/memory/network_test.go
+++ b/peer/memory/network_test.go
@@ -68,3 +68,17 @@
 		})
 	}
 }
+
+func TestClosedEndpointSendsNothing(t *testing.T) {
+	n := New(1)
+	a, b := n.Listen(addrA), n.Listen(addrB)
+	b.Handle(peer.KindTickets, answerOK)
+	a.Close()
+	if _, err := call(a, addrB); !errors.Is(err, peer.ErrClosed) {
+		t.Errorf("got %v", err)
+	}
+	if got := len(b.Counters().Received); got != 0 {
+		t.Errorf("%d kinds received", got)
+	}
+	b.Close()
+}
--- a/scheduler/cluster_test.go
+++ b/scheduler/cluster_test.go
@@ -149,12 +149,19 @@
 	return out
 }
 
+// kill ends an instance without a word.
 func (c *cluster) kill(a netip.AddrPort) {
+	c.nodes[a].endpoint.Close()
+	c.end(a)
+}
+
+// end stops an instance as a graceful shutdown does.
+func (c *cluster) end(a netip.AddrPort) {
 	n := c.nodes[a]
 	delete(c.nodes, a)
 	n.stop()
-	n.endpoint.Close()
 	n.tasks.Wait()
+	n.endpoint.Close()
 	n.local.Close()
 }
 
--- a/scheduler/remote.go
+++ b/scheduler/remote.go
@@ -129,8 +129,9 @@
 	return r
 }
 
-// Run follows the view until ctx ends. It returns after all goroutines of the
-// Remote ended. Open sessions get no further verdict.
+// Run follows the view until ctx ends. Then it withdraws the open sessions at
+// their schedulers and returns after all goroutines of the Remote ended. Open
+// sessions get no further verdict.
 func (r *Remote) Run(ctx context.Context) {
 	r.start(r.askPressures)
 	for {
@@ -139,12 +140,37 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
+			r.withdrawAll()
 			r.stop()
 			return
 		}
 	}
 }
 
+// withdrawAll gives back the capacity of every open session, without waiting
+// longer than for one answer.
+func (r *Remote) withdrawAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.sessions {
+		s.withdraw()
+		s.finish()
+	}
+	var sends sync.WaitGroup
+	for _, d := range r.destinations {
+		_, reports := d.take()
+		for _, part := range reports.split() {
+			sends.Go(func() {
+				// Who does not hear of it drops the sessions of a silent instance.
+				_, _ = ask[reportBatch, hostAnswer](r.ctx, r, d.to, peer.KindReports, part, d.limit())
+			})
+		}
+	}
+	r.mu.Unlock()
+	sends.Wait()
+	r.mu.Lock()
+}
+
 func (r *Remote) stop() {
 	r.mu.Lock()
 	r.closed = true
--- a/scheduler/slope_test.go
+++ b/scheduler/slope_test.go
@@ -56,6 +56,9 @@
 	var out loadCost
 	before := heapKB()
 	runPools(t, []int{instances}, pools, func(t *testing.T, c *cluster) {
+		for i := range pools {
+			c.request(c.live()[i%instances], false, serviceTime)
+		}
 		gap := time.Second / time.Duration(rate)
 		turns := int(loadTime / gap)
 		c.load(turns, gap)
