--- a/lease/lease.go
+++ b/lease/lease.go
@@ -22,6 +22,9 @@
 	renewShare = 3
 	// minPause bounds how often a lease that can't be had is asked for.
 	minPause = 500 * time.Millisecond
+	// holderUnknown is the holder in an object that some other instance may
+	// count on without being named.
+	holderUnknown = "unknown"
 )
 
 // Record is the spec of a lease's object.
@@ -59,10 +62,6 @@
 	Taken, Renewed, Unanswered, Lost atomic.Int64
 }
 
-// vacantHolder is the holder of an object that was made for nobody. It has to be
-// waited out as any other.
-const vacantHolder = "vacant"
-
 // Term is a time for which the lease is held.
 type Term struct {
 	// Fence is above the number of each earlier term.
@@ -87,7 +86,6 @@
 	object    api.Object // as last seen, zero if there was none
 	record    Record
 	seenAt    time.Time // when this version was first seen
-	looked    bool      // the object, or its absence, was seen
 	uncertain bool      // a write of ours may have taken effect
 }
 
@@ -135,41 +133,20 @@
 
 // step makes one attempt to take or renew the lease.
 func (l *Lease) step(ctx context.Context) {
-	unknown := !l.looked || l.uncertain
+	unknown := l.object.Version == 0 || l.uncertain
 	if unknown && !l.look(ctx) {
 		return
 	}
+	if l.object.Version == 0 {
+		l.makeObject(ctx)
+		return
+	}
 	if term, held := l.Valid(); held {
 		l.write(ctx, Record{Fence: term.Fence, Renewals: l.record.Renewals + 1})
 		return
 	}
 	if l.mayTake() || l.look(ctx) && l.mayTake() {
 		l.write(ctx, Record{})
-		return
-	}
-	if l.object.Version == 0 {
-		l.createVacant(ctx)
-	}
-}
-
-// createVacant makes the missing object, held by nobody. The holder of one that
-// was deleted may still count on it, so that the lease is taken only after the
-// new object has stood for the whole duration. Absence itself can't be timed:
-// between two looks an object may have come and gone.
-func (l *Lease) createVacant(ctx context.Context) {
-	raw, err := json.Marshal(Record{Holder: vacantHolder, Duration: api.Duration(l.opts.Duration)})
-	if err != nil {
-		return
-	}
-	stored, err := l.opts.Store.Create(ctx, api.Object{Kind: api.KindLease, Name: l.opts.Name, Spec: raw})
-	var conflict *objects.ConflictError
-	switch {
-	case err == nil:
-		l.see(stored)
-	case errors.As(err, &conflict) && conflict.Current != nil:
-		l.see(*conflict.Current)
-	default:
-		l.uncertain = true
 	}
 }
 
@@ -185,13 +162,30 @@
 	return time.Since(l.seenAt) >= l.record.Duration.Std()
 }
 
+// makeObject makes an object that has to be waited out like a held one: the
+// lease may have been held and deleted. It takes nothing. A lease is taken only
+// by an update of a version that was seen, since its absence at two moments
+// would not tell what happened between them.
+func (l *Lease) makeObject(ctx context.Context) {
+	l.lose()
+	stored, err := l.send(ctx, Record{Holder: holderUnknown, Duration: api.Duration(l.opts.Duration)})
+	var conflict *objects.ConflictError
+	switch {
+	case err == nil:
+		l.see(stored)
+	case errors.As(err, &conflict) && conflict.Current != nil:
+		l.see(*conflict.Current)
+	}
+}
+
 // look reads the object and reports whether that succeeded. A read may be
-// stale, which only makes this instance wait longer or lose a conflict.
+// stale, which only makes this instance wait longer or lose a conflict. For the
+// same reason a read that finds no object does not undo what was seen: the next
+// write tells.
 func (l *Lease) look(ctx context.Context) bool {
 	obj, err := l.opts.Store.Get(ctx, api.KindLease, l.opts.Name)
 	switch {
 	case errors.Is(err, objects.ErrNotFound):
-		l.seeNone()
 	case err != nil:
 		return false
 	default:
@@ -203,20 +197,21 @@
 
 // see notes a version of the object. Older ones are ignored.
 func (l *Lease) see(obj api.Object) {
-	l.looked = true
 	if obj.Version <= l.object.Version {
 		return
 	}
 	var rec Record
 	if err := json.Unmarshal(obj.Spec, &rec); err != nil {
 		// Whoever wrote this holds nothing that can be told: wait it out.
-		rec = Record{Holder: "unreadable", Duration: api.Duration(l.opts.Duration)}
+		rec = Record{Holder: holderUnknown, Duration: api.Duration(l.opts.Duration)}
 	}
 	l.object, l.record, l.seenAt = obj, rec, time.Now()
 }
 
 // seeNone notes that there is no object.
-func (l *Lease) seeNone() { l.object, l.record, l.looked = api.Object{}, Record{}, true }
+func (l *Lease) seeNone() {
+	l.object, l.record, l.seenAt = api.Object{}, Record{}, time.Time{}
+}
 
 // write takes or renews the lease. Only an answer counts.
 func (l *Lease) write(ctx context.Context, rec Record) {
@@ -261,6 +256,9 @@
 	}
 	obj := l.object
 	obj.Kind, obj.Name, obj.Spec = api.KindLease, l.opts.Name, raw
+	if obj.Version == 0 {
+		return l.opts.Store.Create(ctx, obj)
+	}
 	return l.opts.Store.Update(ctx, obj)
 }
 
