Audit a pool's decisions on request, count them by reason

Cause: the random-fault run can't check that no higher tier is shed for a lower one, and operators did not see the schedulers' reasons. Ruled out: always auditing (it costs about as much as deciding). Before: no hook, no pool counters. After: LocalOptions.Audit, instance.Options .Audit, and pool_* counters by model and reason; go test ./scheduler ./chaos passes. Conclusion: the chaos run can wire it.

--- a/instance/counters.go
+++ b/instance/counters.go
@@ -1,7 +1,9 @@
 package instance
 
 import (
+	"bergamotpin.example/bergamotpin/decision"
 	"bergamotpin.example/bergamotpin/metrics"
+	"bergamotpin.example/bergamotpin/outcome"
 	"bergamotpin.example/bergamotpin/peer"
 )
 
@@ -13,6 +15,7 @@
 	out = append(out, i.claimReadings()...)
 	out = append(out, i.orderReadings()...)
 	out = append(out, i.peerReadings()...)
+	out = append(out, i.poolReadings()...)
 	for event, count := range i.remote.Counters() {
 		out = append(out, reading("scheduler_events", "event", event.String(), int64(count)))
 	}
@@ -23,7 +26,7 @@
 }
 
 func reading(name, label, value string, count int64) metrics.Reading {
-	return metrics.Reading{Name: name, Label: label, Value: value, Count: count}
+	return metrics.Reading{Name: name, Tags: [2]metrics.Tag{{Label: label, Value: value}}, Count: count}
 }
 
 func (i *Instance) configReadings() []metrics.Reading {
@@ -105,3 +108,33 @@
 	}
 	return out
 }
+
+// poolReadings sums up the decisions of the pools that this instance schedules
+// or scheduled.
+func (i *Instance) poolReadings() []metrics.Reading {
+	var out []metrics.Reading
+	for model, s := range i.local.Stats() {
+		out = append(out,
+			reading("pool_tickets", "model", model, int64(s.Tickets)),
+			reading("pool_grants", "model", model, int64(s.Grants)),
+			reading("pool_preemptions", "model", model, int64(s.Preemptions)),
+			reading("pool_referrals", "model", model, int64(s.Referrals)),
+			reading("pool_servers_set_aside", "model", model, int64(s.SetAside)))
+		out = append(out, byReason("pool_refusals", model, s.Refusals)...)
+		out = append(out, byReason("pool_retries", model, s.Retries)...)
+	}
+	return out
+}
+
+// byReason returns the counts of one pool that are not zero.
+func byReason(name, model string, counts decision.Counts) []metrics.Reading {
+	var out []metrics.Reading
+	for _, r := range outcome.Reasons() {
+		if counts.Of(r) == 0 {
+			continue
+		}
+		tags := [2]metrics.Tag{{Label: "model", Value: model}, {Label: "reason", Value: r.String()}}
+		out = append(out, metrics.Reading{Name: name, Tags: tags, Count: int64(counts.Of(r))})
+	}
+	return out
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -16,6 +16,7 @@
 
 	"bergamotpin.example/bergamotpin/api"
 	"bergamotpin.example/bergamotpin/config"
+	"bergamotpin.example/bergamotpin/decision"
 	"bergamotpin.example/bergamotpin/drain"
 	"bergamotpin.example/bergamotpin/engine"
 	"bergamotpin.example/bergamotpin/idempotency"
@@ -52,6 +53,9 @@
 	// Identity is used between instances in place of the files that the
 	// settings name. Nil reads the files.
 	Identity *peer.Identity
+	// Audit is called for each decision that breaks a rule of package decision.
+	// Nil checks nothing.
+	Audit func(model string, v decision.Violation)
 	// Transport carries the messages between instances in place of QUIC, for
 	// tests. The instance closes it.
 	Transport Transport
@@ -176,7 +180,7 @@
 func (i *Instance) assembleProxy() {
 	s := i.opts.Settings
 	i.engine = engine.NewClient(i.opts.Dial)
-	i.local = scheduler.NewLocal(scheduler.LocalOptions{DataCentre: s.Instance.DataCentre})
+	i.local = scheduler.NewLocal(scheduler.LocalOptions{DataCentre: s.Instance.DataCentre, Audit: i.opts.Audit})
 	i.remote = scheduler.NewRemote(scheduler.RemoteOptions{
 		Transport: i.transport,
 		Members:   i.members,
--- a/metrics/mirror.go
+++ b/metrics/mirror.go
@@ -9,13 +9,18 @@
 
 // Reading is the present value of a counter that a part keeps itself.
 type Reading struct {
-	// Name is the counter's name, Label and Value its tag.
-	Name  string
-	Label string
-	Value string
+	Name string
+	// Tags tell counters of one name apart. A tag without a label is left out.
+	Tags  [maxTags]Tag
 	Count int64
 }
 
+// maxTags is how many tags a reading may have.
+const maxTags = 2
+
+// Tag is a label with its value.
+type Tag struct{ Label, Value string }
+
 // Mirror shows the counters that other parts keep. Their packages stay free of
 // a metrics library, so that others can embed them.
 type Mirror struct {
@@ -24,7 +29,10 @@
 	shown map[mirrorKey]mirrored
 }
 
-type mirrorKey struct{ name, label, value string }
+type mirrorKey struct {
+	name string
+	tags [maxTags]Tag
+}
 
 // mirrored is a counter and how much of it was reported.
 type mirrored struct {
@@ -53,7 +61,7 @@
 
 func (m *Mirror) report() {
 	for _, r := range m.read() {
-		key := mirrorKey{r.Name, r.Label, r.Value}
+		key := mirrorKey{r.Name, r.Tags}
 		shown, ok := m.shown[key]
 		if !ok {
 			shown.counter = m.counter(r)
@@ -65,8 +73,11 @@
 }
 
 func (m *Mirror) counter(r Reading) tally.Counter {
-	if r.Label == "" {
-		return m.scope.Counter(r.Name)
+	tags := make(map[string]string, maxTags)
+	for _, t := range r.Tags {
+		if t.Label != "" {
+			tags[t.Label] = t.Value
+		}
 	}
-	return m.scope.Tagged(map[string]string{r.Label: r.Value}).Counter(r.Name)
+	return m.scope.Tagged(tags).Counter(r.Name)
 }
--- a/scheduler/local.go
+++ b/scheduler/local.go
@@ -18,6 +18,9 @@
 	DataCentre string
 	Tick       time.Duration
 	Core       decision.Options
+	// Audit is called for each decision that breaks a rule of package decision.
+	// Nil checks nothing. It costs about as much as the decisions themselves.
+	Audit func(model string, v decision.Violation)
 }
 
 // Local schedules pools in this process, one decision core a model. It is safe
@@ -92,6 +95,10 @@
 		return p
 	}
 	p := newPool(decision.New(l.opts.Core), l.opts.Tick)
+	if l.opts.Audit != nil {
+		p.auditor = decision.NewAuditor(l.opts.Core)
+		p.audit = func(v decision.Violation) { l.opts.Audit(model, v) }
+	}
 	p.next.Config = shared(poolConfig(l.snapshot, l.opts.DataCentre, model), l.parts)
 	l.pools[model] = p
 	if !l.closed {
@@ -126,3 +133,14 @@
 	sortConfig(cfg)
 	return cfg
 }
+
+// Stats returns what each pool's core did so far, by model.
+func (l *Local) Stats() map[string]decision.Stats {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]decision.Stats, len(l.pools))
+	for model, p := range l.pools {
+		out[model] = p.lastStats()
+	}
+	return out
+}
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -21,12 +21,16 @@
 	mu       sync.Mutex
 	next     *decision.Input
 	sessions map[decision.RequestID]*localSession
+	stats    decision.Stats // after the last tick
 	pressure decision.Pressure
 
 	// Owned by the loop.
 	current *decision.Input
 	out     decision.Output
 	start   time.Time
+	// auditor is nil if nothing is checked.
+	auditor *decision.Auditor
+	audit   func(v decision.Violation)
 	// nextTick is when the timer fires, since start, or 0.
 	nextTick time.Duration
 }
@@ -138,15 +142,34 @@
 	p.next, p.current = p.current, p.next
 	p.mu.Unlock()
 
-	p.core.Tick(time.Since(p.start), p.current, &p.out)
+	now := time.Since(p.start)
+	p.core.Tick(now, p.current, &p.out)
+	p.check(now)
 	p.current.Reset()
 
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pressure = p.core.Pressure()
+	p.stats = p.core.Stats()
 	p.deliver()
 }
 
+// check audits the last tick.
+func (p *pool) check(now time.Duration) {
+	if p.auditor == nil {
+		return
+	}
+	for _, v := range p.auditor.Check(now, p.current, &p.out, p.core.Capacity()) {
+		p.audit(v)
+	}
+}
+
+func (p *pool) lastStats() decision.Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stats
+}
+
 // deliver hands the output to the sessions. The caller holds mu.
 func (p *pool) deliver() {
 	for _, d := range p.out.Preemptions {
