Report progress once a second

Cause: at the target an instance has some 105 open streams; progress reports four times a second of each would cost more than the budget for control. Ruled out: no progress at all (the core learns servers' limits from it, and a lost end is found by its absence).

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -117,8 +117,14 @@
 	return out
 }
 
-// Operators returns the address of one instance's operators' API.
-func (d *Demo) Operators() string { return d.nodes[0].instance.Operators().String() }
+// Operators returns the addresses of the instances' operators' API.
+func (d *Demo) Operators() []string {
+	var out []string
+	for _, n := range d.nodes {
+		out = append(out, n.instance.Operators().String())
+	}
+	return out
+}
 
 // Platform returns the stand-in platform, for its faults.
 func (d *Demo) Platform() *platform.Server { return d.platform }
--- a/proxy/completion.go
+++ b/proxy/completion.go
@@ -22,7 +22,7 @@
 	// resumeDelay is the time before a resume.
 	resumeDelay = 20 * time.Millisecond
 	// progressInterval is the time between two progress reports.
-	progressInterval = 250 * time.Millisecond
+	progressInterval = time.Second
 )
 
 // completionExchange sends a completion as a stream and relays its frames.
