--- a/instance/instance.go
+++ b/instance/instance.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 
 	"bergamotpin.example/bergamotpin/api"
 	"bergamotpin.example/bergamotpin/config"
+	"bergamotpin.example/bergamotpin/decision"
 	"bergamotpin.example/bergamotpin/drain"
 	"bergamotpin.example/bergamotpin/engine"
 	"bergamotpin.example/bergamotpin/idempotency"
@@ -51,6 +53,9 @@
 	// Identity is used between instances in place of the files that the
 	// settings name. Nil reads the files.
 	Identity *peer.Identity
+	// Audit is called for each decision that breaks a rule of package decision.
+	// Nil checks nothing.
+	Audit func(model string, v decision.Violation)
 	// Transport carries the messages between instances in place of QUIC, for
 	// tests. The instance closes it.
 	Transport Transport
@@ -67,6 +72,7 @@
 	store    *config.Store
 	agent    *config.Agent
 	local    *scheduler.Local
+	remote   *scheduler.Remote
 	engine   *engine.Client
 	proxy    *proxy.Proxy
 	poller   *observe.Poller
@@ -174,11 +180,17 @@
 func (i *Instance) assembleProxy() {
 	s := i.opts.Settings
 	i.engine = engine.NewClient(i.opts.Dial)
-	i.local = scheduler.NewLocal(scheduler.LocalOptions{DataCentre: s.Instance.DataCentre})
+	i.local = scheduler.NewLocal(scheduler.LocalOptions{DataCentre: s.Instance.DataCentre, Audit: i.opts.Audit})
+	i.remote = scheduler.NewRemote(scheduler.RemoteOptions{
+		Transport: i.transport,
+		Members:   i.members,
+		Pools:     i.local,
+		Log:       i.log,
+	})
 	i.poller = observe.NewPoller(observe.Options{Engine: i.engine, Targets: i.pollTargets, Sink: i.local})
 	i.proxy = proxy.New(proxy.Options{
 		Index:     i.index.Load,
-		Scheduler: i.local,
+		Scheduler: i.remote,
 		Engine:    i.engine,
 		Claims:    i.claims,
 		InFlight:  i.inFlight,
@@ -215,6 +227,7 @@
 	tasks.Go(func() { i.poller.Run(background) })
 	tasks.Go(func() { i.metrics.NewMirror(i.readings).Run(background) })
 	tasks.Go(func() { i.members.Run(background) })
+	tasks.Go(func() { i.remote.Run(background) })
 	tasks.Go(func() { i.register(background) })
 	tasks.Go(func() { i.trackReadiness(background) })
 	tasks.Go(func() { i.reporter.Run(background) })
@@ -325,11 +338,14 @@
 	}
 }
 
-// pollTargets lists the backend servers of the own data centre.
+// pollTargets lists the engines of the own data centre whose pools this
+// instance schedules.
 func (i *Instance) pollTargets() []observe.Target {
+	dataCentre := i.opts.Settings.Instance.DataCentre
+	schedules := func(model string) bool { return i.holds(model, dataCentre, 1) }
 	var targets []observe.Target
 	for _, b := range i.store.Snapshot().BackendServers {
-		if b.Spec.Service || b.Spec.DataCentre != i.opts.Settings.Instance.DataCentre {
+		if b.Spec.Service || b.Spec.DataCentre != dataCentre || !slices.ContainsFunc(b.Spec.Models, schedules) {
 			continue
 		}
 		targets = append(targets, observe.Target{Server: b.Name, Address: b.Spec.Address, Models: b.Spec.Models})
