chaos: change the configuration beside the faults

Ruled out: three faults a step, which says less about each. Before: changes only as a fault. After: half of the steps write a class first; a broken key or prompt is reported once.

--- /dev/null
+++ b/chaos/monitor_test.go
@@ -0,0 +1,38 @@
+package chaos
+
+import (
+	"testing"
+
+	"bergamotpin.example/bergamotpin/api"
+	"bergamotpin.example/bergamotpin/config"
+)
+
+func entries(versions map[string]int64) map[string]config.Entry[api.RouteSpec] {
+	out := make(map[string]config.Entry[api.RouteSpec])
+	for name, version := range versions {
+		out[name] = config.Entry[api.RouteSpec]{Name: name, SpecVersion: version}
+	}
+	return out
+}
+
+func TestFallenVersionsAreFound(t *testing.T) {
+	before := entries(map[string]int64{"a": 3, "b": 5})
+	tests := []struct {
+		name  string
+		after map[string]int64
+		want  int
+	}{
+		{"unchanged", map[string]int64{"a": 3, "b": 5}, 0},
+		{"risen and new", map[string]int64{"a": 4, "b": 5, "c": 1}, 0},
+		{"fallen", map[string]int64{"a": 2, "b": 5}, 1},
+		{"gone", map[string]int64{"b": 5}, 1},
+		{"both", map[string]int64{"b": 4}, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := fallen(before, entries(test.after)); len(got) != test.want {
+				t.Errorf("%v, want %d complaints", got, test.want)
+			}
+		})
+	}
+}
--- a/chaos/run.go
+++ b/chaos/run.go
@@ -49,6 +49,8 @@
 	chunks   int // of load, so that each has requests of its own
 	// notRun holds the prompts whose callers were told that they did not run.
 	notRun []answer.Digest
+	// reported names what was found in an earlier step already.
+	reported map[string]bool
 }
 
 // Run brings the system up, takes it through the steps and ends it. Broken
@@ -67,6 +69,7 @@
 		workload: shortWorkload(),
 		network:  memory.New(opts.Seed),
 		accepted: make(acceptances),
+		reported: make(map[string]bool),
 	}
 	report := Report{Seed: opts.Seed, Instances: minInstances + r.random.IntN(maxInstances-minInstances+1)}
 	if err := r.start(ctx, report.Instances); err != nil {
--- a/chaos/step.go
+++ b/chaos/step.go
@@ -30,6 +30,7 @@
 	twoFaults    = 0.6 // rather than one
 	together     = 0.5 // of two: at the same time
 	staysDown    = 0.25
+	alsoChange   = 0.5                    // an operator's change besides, just before the faults
 	maxPlatform  = 500 * time.Millisecond // latency
 	maxStaleness = 2 * time.Second
 )
@@ -87,6 +88,9 @@
 	}
 	s.load = s.run.send(ctx, s.run.burst(s.draws), duration)
 	sleep(ctx, faultsAfter)
+	if s.run.random.Float64() < alsoChange {
+		s.result.Faults = append(s.result.Faults, "(change-class"+s.changeClass(ctx)+")")
+	}
 	for i, f := range s.draws {
 		if i > 0 && s.apart {
 			sleep(ctx, faultsApart)
