--- a/bench/replay_test.go
+++ b/bench/replay_test.go
@@ -9,14 +9,17 @@
 
 	"bergamotpin.example/bergamotpin/api"
 	"bergamotpin.example/bergamotpin/decision"
+	"bergamotpin.example/bergamotpin/load"
 )
 
 // replayCase states what a trace's replay must come to.
 type replayCase struct {
 	// Recorded is the command that recorded the trace.
-	Recorded string          `json:"recorded"`
-	Trace    string          `json:"trace"`
-	Engines  int             `json:"engines"`
+	Recorded string `json:"recorded"`
+	Trace    string `json:"trace"`
+	Engines  int    `json:"engines"`
+	// Slow runs every third engine at half speed.
+	Slow     bool            `json:"slow"`
 	Classes  []replayClass   `json:"classes"`
 	Outcomes []replayOutcome `json:"outcomes"`
 	// Wasted is the greatest share of wasted tokens. Zero means no bound.
@@ -74,14 +77,14 @@
 	}
 }
 
-func readTraceFile(t *testing.T, name string) []TraceRecord {
+func readTraceFile(t *testing.T, name string) []load.TraceRecord {
 	t.Helper()
 	f, err := os.Open(filepath.Join("testdata", name))
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer f.Close()
-	trace, err := ReadTrace(f)
+	trace, err := load.ReadTrace(f)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -90,7 +93,7 @@
 
 func (c replayCase) workload() Workload {
 	w := Workload{
-		Name: c.Trace, Engines: engines(c.Engines, false),
+		Name: c.Trace, Engines: engines(c.Engines, c.Slow),
 		Duration: time.Minute, Drain: 10 * time.Minute,
 	}
 	for _, class := range c.Classes {
@@ -118,7 +121,18 @@
 	if c.Overload && !shed(r) {
 		t.Error("no request was refused, want overload")
 	}
-	checkOutcomes(t, c, r, len(trace))
+	checkOutcomes(t, c, r, modelCalls(trace))
+}
+
+// modelCalls counts the requests that a replay plays.
+func modelCalls(trace []load.TraceRecord) int {
+	calls := 0
+	for _, record := range trace {
+		if !record.Service {
+			calls++
+		}
+	}
+	return calls
 }
 
 func shed(r Result) bool {
--- a/bench/run_test.go
+++ b/bench/run_test.go
@@ -2,8 +2,7 @@
 
 import (
 	"encoding/json"
-	"os"
-	"strconv"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -13,37 +12,6 @@
 
 const testSeed = 1
 
-// TestPrint prints the tables of the workloads that BENCH names, run with the
-// seed BENCH_SEED.
-func TestPrint(t *testing.T) {
-	names := os.Getenv("BENCH")
-	if names == "" {
-		t.Skip("set BENCH to a comma-separated list of workloads, or to all")
-	}
-	var chosen []Workload
-	for _, w := range Workloads() {
-		if names == "all" || strings.Contains(names, w.Name) {
-			chosen = append(chosen, w)
-		}
-	}
-	if err := RunSuite(chosen, printSeed(t)).WriteText(os.Stdout); err != nil {
-		t.Fatal(err)
-	}
-}
-
-func printSeed(t *testing.T) uint64 {
-	t.Helper()
-	text := os.Getenv("BENCH_SEED")
-	if text == "" {
-		return testSeed
-	}
-	seed, err := strconv.ParseUint(text, 10, 64)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return seed
-}
-
 func TestSuiteWritesJSON(t *testing.T) {
 	s := RunSuite([]Workload{short(CovorAuction(), 5*time.Second)}, testSeed)
 	var text strings.Builder
@@ -109,3 +77,22 @@
 		}
 	}
 }
+
+func TestAgendaOrder(t *testing.T) {
+	var a agenda
+	rng := rand.New(rand.NewPCG(testSeed, 0))
+	for i := range 1000 {
+		a.push(event{at: time.Duration(rng.IntN(50)), request: int32(i)})
+		if i%3 == 0 {
+			a.pop()
+		}
+	}
+	var last event
+	for len(a.heap) > 0 {
+		e := a.pop()
+		if e.at < last.at || e.at == last.at && e.request < last.request {
+			t.Fatalf("event %d at %d came after event %d at %d", e.request, e.at, last.request, last.at)
+		}
+		last = e
+	}
+}
