Bound the progress reports of an instance

Cause: progress costs 37.7 bytes sent for each second of a stream whose scheduler is another instance (140 streams over the demo's 7 instances, 8 s with no start or end: 18,318 bytes from the 60 such streams); at the target's 104 streams an instance that is 3.9 KB/s sent and as much received. Ruled out: a longer interval for all (few streams can afford the second). Before: each stream once a second. After: at most 50 a second from an instance, by the number of its open streams (unit test; not measured under 100 streams). Conclusion: 1.9 KB/s at the target by calculation.

--- a/proxy/completion.go
+++ b/proxy/completion.go
@@ -21,8 +21,15 @@
 	maxResumes = 3
 	// resumeDelay is the time before a resume.
 	resumeDelay = 20 * time.Millisecond
-	// progressInterval is the time between two progress reports.
-	progressInterval = time.Second
+	// minProgressInterval is the time between two progress reports of a stream
+	// at the least.
+	minProgressInterval = time.Second
+	// maxProgressInterval is that at the most. It stays far below the time for
+	// which a scheduler keeps a silent request.
+	maxProgressInterval = 10 * time.Second
+	// progressShare is what each open stream adds to the interval, so that an
+	// instance sends at most 50 reports a second.
+	progressShare = 20 * time.Millisecond
 )
 
 // completionExchange sends a completion as a stream and relays its frames.
@@ -57,6 +64,8 @@
 
 func (x *completionExchange) attempt(ctx context.Context, session scheduler.Session, server netip.AddrPort, v scheduler.Verdict) result {
 	x.session = session
+	x.proxy.streams.Add(1)
+	defer x.proxy.streams.Add(-1)
 	a := &attempt{
 		number: v.Attempt,
 		name:   x.call.attemptID(v.Attempt),
@@ -211,13 +220,19 @@
 		x.session.FirstToken(a.number, now.Sub(a.sent))
 		return
 	}
-	if elapsed := now.Sub(a.reported); elapsed >= progressInterval {
+	if elapsed := now.Sub(a.reported); elapsed >= x.proxy.progressInterval() {
 		x.session.Progress(a.number, a.since, elapsed/time.Duration(a.since))
 		a.reported = now
 		a.since = 0
 	}
 }
 
+// progressInterval is the time between two progress reports of each stream.
+func (p *Proxy) progressInterval() time.Duration {
+	shared := time.Duration(p.streams.Load()) * progressShare
+	return min(max(shared, minProgressInterval), maxProgressInterval)
+}
+
 func (x *completionExchange) end(a *attempt) decision.End {
 	e := decision.End{ID: x.call.id, Attempt: a.number, Tokens: x.delivered, PromptTokens: x.call.promptTokens}
 	if u := x.gathered.usage; u != nil {
--- a/proxy/dispatch_test.go
+++ b/proxy/dispatch_test.go
@@ -167,3 +167,17 @@
 		t.Errorf("failures %+v", s.failures)
 	}
 }
+
+func TestProgressReportsOfAnInstanceAreBounded(t *testing.T) {
+	p := New(Options{})
+	for _, streams := range []int64{1, 50, 104, 400, 100_000} {
+		p.streams.Store(streams)
+		interval := p.progressInterval()
+		if interval < minProgressInterval || interval > maxProgressInterval {
+			t.Errorf("%d streams: interval %v", streams, interval)
+		}
+		if perSecond := float64(streams) / interval.Seconds(); streams <= 400 && perSecond > 50 {
+			t.Errorf("%d streams: %.0f reports a second", streams, perSecond)
+		}
+	}
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bergamotpin.example/bergamotpin/engine"
@@ -44,6 +45,8 @@
 	Options
 	// background counts cancel calls that outlive their request.
 	background sync.WaitGroup
+	// streams counts the attempts at streamed completions that are open.
+	streams atomic.Int64
 }
 
 // New returns a proxy.
