Write that a drained server is empty although reads are stale

A stale read showed the spec before the drain, the edit left it alone, and the report counted as written; and a request that was counted and then turned away made an empty server look busy again. Ruled out: InForce in config (it tells an edit that did nothing from one that did). Before: TestStaleReadDoesNotHideAnEmptyServer 'unexpected end of JSON input', TestEmptyServerStaysEmpty 'status false, InFlight, 2 in flight'. After: both pass, go test -count=2 ./drain. Conclusion: an older spec is an error that is tried again; once empty at a spec version, nothing more is reported.

--- a/drain/reporter.go
+++ b/drain/reporter.go
@@ -143,6 +143,10 @@
 func (r *Reporter) report(ctx context.Context, s Server, t total) {
 	condition := conditionOf(s, t)
 	last, known := r.written[s.Name]
+	if known && last.server == s && last.condition.Status {
+		// An empty server stays empty: what is counted later is turned away.
+		return
+	}
 	same := known && last.server == s && last.condition == condition && last.inFlight == t.inFlight
 	turned := !known || last.server != s || last.condition.Status != condition.Status
 	if same || !turned && time.Since(last.at) < WriteInterval {
@@ -169,10 +173,15 @@
 	return c
 }
 
-// write sets the status, unless the platform has another spec by now. A server
+// errStaleRead reports a read that is older than the spec it is about.
+var errStaleRead = errors.New("drain: the platform answered with an older spec")
+
+// write sets the status, unless the platform has a later spec by now. A server
 // that was deleted needs none.
 func (r *Reporter) write(ctx context.Context, w written) error {
+	stale := false
 	err := objects.UpdateStatus(ctx, r.opts.Status, api.KindBackendServer, w.server.Name, func(spec int64, s *api.Status) {
+		stale = spec < w.server.SpecVersion
 		if spec != w.server.SpecVersion {
 			return
 		}
@@ -182,6 +191,9 @@
 	if errors.Is(err, objects.ErrNotFound) {
 		return nil
 	}
+	if err == nil && stale {
+		return errStaleRead
+	}
 	return err
 }
 
--- a/drain/reporter_test.go
+++ b/drain/reporter_test.go
@@ -190,3 +190,35 @@
 		g.expect(true, ReasonEmpty, 0)
 	})
 }
+
+// TestStaleReadDoesNotHideAnEmptyServer drains an idle server while reads lag.
+func TestStaleReadDoesNotHideAnEmptyServer(t *testing.T) {
+	runGroup(t, 3, func(t *testing.T, g *group) {
+		g.drain(false)
+		time.Sleep(time.Minute)
+		g.platform.SetFaults(platform.Faults{StaleReads: api.Duration(2 * time.Second)})
+		g.drain(true, g.instances...)
+		time.Sleep(10 * time.Second)
+		g.platform.SetFaults(platform.Faults{})
+		time.Sleep(time.Minute)
+		g.expect(true, ReasonEmpty, 0)
+	})
+}
+
+// TestEmptyServerStaysEmpty counts a request that is turned away at the server
+// after the server was told to be empty, while reads lag.
+func TestEmptyServerStaysEmpty(t *testing.T) {
+	runGroup(t, 3, func(t *testing.T, g *group) {
+		g.drain(true, g.instances...)
+		time.Sleep(2 * Interval)
+		g.expect(true, ReasonEmpty, 0)
+		g.platform.SetFaults(platform.Faults{StaleReads: api.Duration(Interval + Interval/2)})
+		g.instances[1].inFlight.Store(2)
+		time.Sleep(Interval)
+		g.instances[1].inFlight.Store(0)
+		time.Sleep(10 * time.Second)
+		g.platform.SetFaults(platform.Faults{})
+		time.Sleep(time.Minute)
+		g.expect(true, ReasonEmpty, 0)
+	})
+}
