Keep connections to the platform

Cause: the default transport keeps two idle connections a host and asks the environment for a proxy; an instance makes many calls at a time. Ruled out: HTTP/2 to the platform, which it need not speak. Before: with the default transport TestConnectionsAreKeptForManyCallsAtATime fails with client_test.go:171: 92 connections for 3 times 32 calls. After: it passes 5 times over. Conclusion: NewHTTPClient is the default; callers with a dial function of their own use it too.

--- a/objects/client.go
+++ b/objects/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -22,6 +23,9 @@
 	defaultCallTimeout = 2 * time.Second
 	defaultWatchIdle   = 30 * time.Second
 	defaultRetryAfter  = time.Second
+	dialTimeout        = time.Second
+	idleConnTimeout    = 90 * time.Second
+	maxIdleConns       = 128
 	// maxObjectAnswerBytes leaves room for the envelope and for JSON escapes.
 	maxObjectAnswerBytes = 4 * api.MaxObjectBytes
 	maxListAnswerBytes   = 64 << 20
@@ -32,7 +36,8 @@
 type Options struct {
 	// Base is the platform's address, such as "http://10.0.0.1:8080".
 	Base string
-	// HTTPClient carries the calls. It must not follow redirects of writes.
+	// HTTPClient carries the calls. It must not follow redirects of writes. Nil
+	// means NewHTTPClient(nil).
 	HTTPClient *http.Client
 	// CallTimeout bounds each call but a watch.
 	CallTimeout time.Duration
@@ -65,7 +70,7 @@
 		watchIdle: o.WatchIdle,
 	}
 	if c.http == nil {
-		c.http = &http.Client{CheckRedirect: refuseRedirect}
+		c.http = NewHTTPClient(nil)
 	}
 	if c.timeout <= 0 {
 		c.timeout = defaultCallTimeout
@@ -76,6 +81,24 @@
 	return c
 }
 
+// DialFunc makes a connection, as net.Dialer.DialContext does.
+type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewHTTPClient returns a client that follows no redirect, uses no proxy and
+// keeps enough connections for all calls of an instance, so that none has to be
+// made for each. A nil dial connects over TCP.
+func NewHTTPClient(dial DialFunc) *http.Client {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	transport := &http.Transport{
+		DialContext:         dial,
+		MaxIdleConnsPerHost: maxIdleConns,
+		IdleConnTimeout:     idleConnTimeout,
+	}
+	return &http.Client{Transport: transport, CheckRedirect: refuseRedirect}
+}
+
 func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 // Get returns an object. The answer may be older than the last write.
--- a/objects/client_test.go
+++ b/objects/client_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -134,3 +137,37 @@
 		t.Errorf("error %v", err)
 	}
 }
+
+func TestConnectionsAreKeptForManyCallsAtATime(t *testing.T) {
+	const calls = 32
+	var made atomic.Int64
+	var together sync.WaitGroup
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		together.Done()
+		together.Wait() // all calls are under way at once
+		_, _ = io.WriteString(w, "{}")
+	}))
+	srv.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			made.Add(1)
+		}
+	}
+	srv.Start()
+	t.Cleanup(srv.Close)
+	c := New(Options{Base: srv.URL, CallTimeout: time.Minute})
+	for range 3 {
+		together.Add(calls)
+		var group sync.WaitGroup
+		for range calls {
+			group.Go(func() {
+				if _, err := c.Get(t.Context(), api.KindLease, "a"); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		group.Wait()
+	}
+	if got := made.Load(); got > calls+calls/2 {
+		t.Errorf("%d connections for 3 times %d calls", got, calls)
+	}
+}
