Say how fast a change spreads from one watcher

Cause: docs/CONFIGURATION.md gave the tests' bounds, not what was measured. Ruled out: figures from other sizes of fleets than the tests'. Before: under 100 ms and under 10 s.

--- a/config/agent_test.go
+++ b/config/agent_test.go
@@ -107,7 +107,7 @@
 		f.put("s", 3)
 		time.Sleep(5 * time.Millisecond)
 		f.outage()
-		f.expect("s", 3, 100*time.Millisecond)
+		t.Logf("in force everywhere after %v", f.expect("s", 3, 100*time.Millisecond))
 		time.Sleep(time.Hour)
 		f.expect("s", 3, 0)
 		f.noFaults()
@@ -211,7 +211,7 @@
 		f.cutWatches()
 		time.Sleep(30 * time.Second)
 		f.put("s", 2)
-		f.expect("s", 2, 100*time.Millisecond)
+		t.Logf("in force everywhere after %v", f.expect("s", 2, 100*time.Millisecond))
 	})
 }
 
@@ -226,7 +226,7 @@
 		f.put("s", 2)
 		time.Sleep(100 * time.Millisecond)
 		f.network.SetLoss(0.2)
-		f.expect("s", 2, 10*time.Second)
+		t.Logf("in force everywhere after %v", f.expect("s", 2, 10*time.Second))
 	})
 }
 
