Test that leaving and draining cut nothing, over real instances

Cause: the promises on shutdown and drain were tested by parts only. Ruled out: virtual time (these run real listeners). Before: no such test. After: a stream of 100 tokens is whole over its instance's leave and over the drain of every engine, and the status tells an engine to be empty only when it runs nothing.

--- /dev/null
+++ b/demo/leave_test.go
@@ -0,0 +1,164 @@
+package demo
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"bergamotpin.example/bergamotpin/api"
+	"bergamotpin.example/bergamotpin/client"
+	"bergamotpin.example/bergamotpin/load"
+)
+
+func startSmall(t *testing.T) *Demo {
+	t.Helper()
+	d, err := Start(t.Context(), Options{
+		Workload:  load.CovorulDrept(-1),
+		Fleet:     load.Fleet{DataCentres: 1, Engines: 2, Services: 1},
+		Instances: 2,
+		Seed:      1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// openStream asks for an answer of that many tokens and reads its first frame.
+func openStream(t *testing.T, d *Demo, tokens int) (*http.Response, *bufio.Scanner) {
+	t.Helper()
+	body := fmt.Sprintf(`{"model":"histories","stream":true,"metadata":{"answer_tokens":"%d"},"messages":[{"role":"user","content":"x"}]}`, tokens)
+	req, err := http.NewRequest(http.MethodPost, "http://"+d.Callers()[0]+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+d.opts.Workload.Organisations[0].Key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := bufio.NewScanner(resp.Body)
+	if resp.StatusCode != http.StatusOK || !lines.Scan() {
+		t.Fatalf("status %d, first line %q", resp.StatusCode, lines.Text())
+	}
+	return resp, lines
+}
+
+// wantWhole reads a stream to its end and counts its frames.
+func wantWhole(t *testing.T, resp *http.Response, lines *bufio.Scanner, tokens int) {
+	t.Helper()
+	defer resp.Body.Close()
+	frames, last := 1, ""
+	for lines.Scan() {
+		if strings.HasPrefix(lines.Text(), "data: {") {
+			frames++
+		}
+		if lines.Text() != "" {
+			last = lines.Text()
+		}
+	}
+	if last != "data: [DONE]" || frames < tokens {
+		t.Errorf("%d frames, the last line is %q", frames, last)
+	}
+}
+
+func TestLeavingInstanceFinishesItsStreams(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	d := startSmall(t)
+	defer d.Close()
+	resp, lines := openStream(t, d, 100)
+	n := d.Nodes()[0]
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		n.Leave()
+	}()
+	wantWhole(t, resp, lines, 100)
+	<-left
+	http.DefaultClient.CloseIdleConnections()
+}
+
+func TestDrainedServerFinishesItsStreams(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	d := startSmall(t)
+	defer d.Close()
+	resp, lines := openStream(t, d, 100)
+	operators := client.New(d.Operators()[0], "")
+	for _, name := range []string{"engine-01", "engine-02"} {
+		setDrain(t, operators, name)
+	}
+	awaitDrained(t, operators, "engine-01", "engine-02")
+	started := d.Engines()[0].Counters().Started + d.Engines()[1].Counters().Started
+	if started != 1 {
+		t.Errorf("%d requests started", started)
+	}
+	for _, e := range d.Engines() {
+		if running := e.Counters().Running; running != 0 {
+			t.Errorf("told to be empty with %d running", running)
+		}
+	}
+	wantWhole(t, resp, lines, 100)
+	http.DefaultClient.CloseIdleConnections()
+}
+
+func setDrain(t *testing.T, c *client.Client, name string) {
+	t.Helper()
+	obj, err := c.Get(t.Context(), api.KindBackendServer, name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var spec api.BackendServerSpec
+	if err := api.DecodeSpec(obj.Spec, &spec); err != nil {
+		t.Fatal(err)
+	}
+	spec.Drain = true
+	if obj.Spec, err = json.Marshal(spec); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := c.Apply(t.Context(), obj, false); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// awaitDrained returns once the status says that the servers are empty.
+func awaitDrained(t *testing.T, c *client.Client, names ...string) {
+	t.Helper()
+	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(readyPoll) {
+		drained := 0
+		for _, name := range names {
+			if isDrained(t, c, name) {
+				drained++
+			}
+		}
+		if drained == len(names) {
+			return
+		}
+	}
+	t.Fatalf("%v were not told to be empty", names)
+}
+
+func isDrained(t *testing.T, c *client.Client, name string) bool {
+	t.Helper()
+	obj, err := c.Get(t.Context(), api.KindBackendServer, name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var status api.Status
+	if len(obj.Status) > 0 {
+		if err := json.Unmarshal(obj.Status, &status); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, condition := range status.Conditions {
+		if condition.Type == api.ConditionDrained {
+			return condition.Status && condition.SpecVersion == obj.SpecVersion
+		}
+	}
+	return false
+}
