Forget announced leavers in drains; keep empty answers; share connections

Ruled out: forgetting at the announcement (its requests still run until it is out of the view). After: tests of proxy, idempotency and demo pass.

--- a/idempotency/record.go
+++ b/idempotency/record.go
@@ -56,7 +56,7 @@
 	}
 	r.State = stateCompleted
 	r.Status = o.Status
-	r.Body = o.Body
+	r.Body, r.Truncated = o.Body, o.Truncated
 	if len(o.Body) > MaxStoredBody {
 		r.Body, r.Truncated = nil, true
 	}
--- a/instance/duties.go
+++ b/instance/duties.go
@@ -12,6 +12,7 @@
 	"bergamotpin.example/bergamotpin/idempotency"
 	"bergamotpin.example/bergamotpin/lease"
 	"bergamotpin.example/bergamotpin/membership"
+	"bergamotpin.example/bergamotpin/objects"
 	"bergamotpin.example/bergamotpin/orders"
 	"bergamotpin.example/bergamotpin/placement"
 	"bergamotpin.example/bergamotpin/settings"
@@ -126,6 +127,33 @@
 	}
 }
 
+// followLeavers tells the drain reporter of instances that ended as announced,
+// so that it does not wait for their counts.
+func (i *Instance) followLeavers(ctx context.Context) {
+	leaving := make(map[netip.AddrPort]bool)
+	for {
+		changed := i.members.Changed()
+		view := i.members.View()
+		for address := range leaving {
+			if _, present := view.Find(address); !present {
+				i.drains.Forget(address)
+				delete(leaving, address)
+			}
+		}
+		for _, m := range view.Members {
+			leaving[m.Address] = m.State == membership.Leaving
+			if !leaving[m.Address] {
+				delete(leaving, m.Address)
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // trackReadiness tells the other instances whether this one may hold duties.
 func (i *Instance) trackReadiness(ctx context.Context) {
 	for {
@@ -162,7 +190,7 @@
 	})
 	i.orders = orders.New(orders.Options{
 		Lease:   i.lease,
-		Engine:  &orders.HTTPEngine{Client: httpClient(i.opts.Dial)},
+		Engine:  &orders.HTTPEngine{Client: objects.NewHTTPClient(i.opts.Dial)},
 		Desired: func() []orders.Desired { return orders.FromSnapshot(i.store.Snapshot(), s.Instance.DataCentre) },
 		Log:     i.log,
 	})
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -146,7 +146,7 @@
 	i.objects = objects.New(objects.Options{
 		Base:        "http://" + s.Platform.Address,
 		CallTimeout: s.Platform.CallTimeout.Std(),
-		HTTPClient:  httpClient(i.opts.Dial),
+		HTTPClient:  objects.NewHTTPClient(i.opts.Dial),
 	})
 	i.claims = idempotency.New(idempotency.Options{Store: i.objects, Retention: s.Limits.KeyRetention.Std()})
 	i.inFlight = proxy.NewInFlight()
@@ -232,6 +232,7 @@
 	tasks.Go(func() { i.trackReadiness(background) })
 	tasks.Go(func() { i.reporter.Run(background) })
 	tasks.Go(func() { i.drains.Run(background) })
+	tasks.Go(func() { i.followLeavers(background) })
 	tasks.Go(func() { i.sweeper.Run(background) })
 	tasks.Go(func() { i.lease.Run(background, i.wantsOrders) })
 	tasks.Go(func() { i.orders.Run(background) })
--- a/instance/kill.go
+++ b/instance/kill.go
@@ -4,7 +4,6 @@
 	"net/http"
 
 	"bergamotpin.example/bergamotpin/config"
-	"bergamotpin.example/bergamotpin/engine"
 )
 
 // Kill ends the instance as a crash does: nothing is announced, handed over or
@@ -26,15 +25,3 @@
 
 // Ready reports whether the instance takes requests.
 func (i *Instance) Ready() bool { return i.ready() }
-
-// httpClient returns a client whose connections come from dial, or from the
-// standard library if dial is nil.
-func httpClient(dial engine.DialFunc) *http.Client {
-	client := &http.Client{
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
-	if dial != nil {
-		client.Transport = &http.Transport{DialContext: dial}
-	}
-	return client
-}
--- a/proxy/claim.go
+++ b/proxy/claim.go
@@ -53,7 +53,7 @@
 	case idempotency.InProgress:
 		return claimed{}, nil, known(outcome.KeyInProgress, "a request with this key is in progress")
 	case idempotency.Completed:
-		if claim.Outcome.Body == nil {
+		if claim.Outcome.Truncated {
 			return claimed{}, nil, known(outcome.KeyCompleted, "the request with this key ran; its answer is not kept")
 		}
 		return claimed{}, &claim.Outcome, nil
@@ -83,12 +83,13 @@
 	return r
 }
 
-// settle keeps the outcome of a held claim. It does not hold up the answer.
-func (p *Proxy) settle(h claimed, refusal *Refusal, status int, body []byte) {
+// settle keeps the outcome of a held claim: o, if the request was completed. It
+// does not hold up the answer.
+func (p *Proxy) settle(h claimed, refusal *Refusal, o idempotency.Outcome) {
 	if !h.held {
 		return
 	}
-	o := idempotency.Outcome{Final: outcome.Completed, Status: status, Body: body}
+	o.Final = outcome.Completed
 	if refusal != nil {
 		o = idempotency.Outcome{Final: outcome.Refused}
 		if refusal.mayHaveStarted {
--- a/proxy/claim_test.go
+++ b/proxy/claim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"bergamotpin.example/bergamotpin/api"
@@ -43,6 +44,19 @@
 	}
 }
 
+// An answer without a body is an answer; one that can't be kept is not.
+func TestWhatCanNotBeKeptIsNotReplayed(t *testing.T) {
+	f := newFixture(t, 1)
+	key := map[string]string{HeaderKey: "k"}
+	body := strings.Replace(prompted("once", true, 6), `"stream"`, `"tools":[{}],"stream"`, 1)
+	f.post(t, "/v1/chat/completions", body, key)
+	f.proxy.Wait()
+	resp, answer := f.post(t, "/v1/chat/completions", body, key)
+	if resp.StatusCode != 409 || !strings.Contains(answer, `"reason":"key_completed"`) {
+		t.Errorf("status %d, %s", resp.StatusCode, answer)
+	}
+}
+
 func TestKeyOfAnotherRequestIsAConflict(t *testing.T) {
 	f := newFixture(t, 0)
 	f.issue(t, "k", "{}")
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bergamotpin.example/bergamotpin/engineapi"
+	"bergamotpin.example/bergamotpin/idempotency"
 	"bergamotpin.example/bergamotpin/outcome"
 )
 
@@ -66,21 +67,20 @@
 			ticket.Idempotent = false
 		}
 		refusal = p.dispatch(ctx, c, x, ticket)
-		status, body := x.kept()
-		p.settle(held, refusal, status, body)
+		p.settle(held, refusal, x.kept())
 	}
 	p.finishCompletion(w, x, refusal)
 }
 
 // kept returns the answer as a repeat with the same key gets it.
-func (x *completionExchange) kept() (int, []byte) {
+func (x *completionExchange) kept() idempotency.Outcome {
 	if x.passed != nil {
-		return x.passed.Status, x.passed.Body
+		return idempotency.Outcome{Status: x.passed.Status, Body: x.passed.Body}
 	}
 	if !x.prompt.plainText() {
-		return http.StatusOK, nil
+		return idempotency.Outcome{Status: http.StatusOK, Truncated: true}
 	}
-	return http.StatusOK, x.gathered.body()
+	return idempotency.Outcome{Status: http.StatusOK, Body: x.gathered.body()}
 }
 
 // finishCompletion writes the end of the answer and counts it.
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -12,6 +12,7 @@
 	"bergamotpin.example/bergamotpin/decision"
 	"bergamotpin.example/bergamotpin/engine"
 	"bergamotpin.example/bergamotpin/engineapi"
+	"bergamotpin.example/bergamotpin/idempotency"
 	"bergamotpin.example/bergamotpin/outcome"
 	"bergamotpin.example/bergamotpin/scheduler"
 )
@@ -123,7 +124,7 @@
 	}
 	if refusal == nil {
 		refusal = p.dispatch(ctx, c, x, c.ticket())
-		p.settle(held, refusal, x.status, x.answer)
+		p.settle(held, refusal, idempotency.Outcome{Status: x.status, Body: x.answer})
 	}
 	class := p.Metrics.Class(c.class.Name)
 	if refusal != nil {
