Test with a common OpenAI client library

Cause: callers use client libraries; base address and key must be all they need. Ruled out: hand-written requests only (they follow our reading of the protocol). Before: no such test. After: go-openai lists models, completes, streams with usage and gets a typed error (TestCommonClientLibrary).

--- /dev/null
+++ b/proxy/openai_test.go
@@ -0,0 +1,79 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/sashabaranov/go-openai"
+)
+
+// A common client library works unchanged: base address and key are all that
+// it needs.
+func TestCommonClientLibrary(t *testing.T) {
+	f := newFixture(t, 1)
+	cfg := openai.DefaultConfig("secret")
+	cfg.BaseURL = f.address + "/v1"
+	client := openai.NewClientWithConfig(cfg)
+	request := openai.ChatCompletionRequest{
+		Model:     "loom",
+		MaxTokens: 8,
+		Messages:  []openai.ChatCompletionMessage{{Role: openai.ChatMessageRoleUser, Content: "What is a kilim?"}},
+	}
+
+	models, err := client.ListModels(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(models.Models) != 2 || models.Models[0].ID != "loom" {
+		t.Errorf("models %+v", models.Models)
+	}
+	whole, err := client.CreateChatCompletion(t.Context(), request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	streamed, usage := readStreamWith(t, client, request)
+	if want := whole.Choices[0].Message.Content; streamed != want || want == "" {
+		t.Errorf("streamed %q, whole %q", streamed, want)
+	}
+	if usage != whole.Usage.TotalTokens || usage == 0 {
+		t.Errorf("usage %d, whole %+v", usage, whole.Usage)
+	}
+
+	request.Model = "silk"
+	_, err = client.CreateChatCompletion(t.Context(), request)
+	var refused *openai.APIError
+	if !errors.As(err, &refused) || refused.HTTPStatusCode != 404 || refused.Code != "unknown_model" {
+		t.Errorf("got %v", err)
+	}
+}
+
+// readStreamWith returns a streamed answer's text and its total tokens.
+func readStreamWith(t *testing.T, client *openai.Client, request openai.ChatCompletionRequest) (string, int) {
+	t.Helper()
+	request.StreamOptions = &openai.StreamOptions{IncludeUsage: true}
+	stream, err := client.CreateChatCompletionStream(context.Background(), request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stream.Close()
+	var text strings.Builder
+	tokens := 0
+	for {
+		chunk, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return text.String(), tokens
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		if chunk.Usage != nil {
+			tokens = chunk.Usage.TotalTokens
+		}
+		for _, c := range chunk.Choices {
+			text.WriteString(c.Delta.Content)
+		}
+	}
+}
