--- a/chaos/run.go
+++ b/chaos/run.go
@@ -26,6 +26,9 @@
 	// is the factor of its rates.
 	shorter = 6
 	more    = 4
+	// slots is how many requests an engine runs at a time: few, so that a burst
+	// is more than the fleet can take.
+	slots = 6
 	// longestAnswer bounds the answers, in tokens.
 	longestAnswer = 120
 	// stallTimeout bounds how long an instance waits for a frame.
@@ -44,11 +47,14 @@
 	network  *memory.Network
 	demo     *demo.Demo
 	monitor  *monitor
+	audits   audits
 	accepted acceptances
 	writes   int // of operators, so that each differs
 	chunks   int // of load, so that each has requests of its own
 	// notRun holds the prompts whose callers were told that they did not run.
 	notRun []answer.Digest
+	// reported names what was found in an earlier step already.
+	reported map[string]bool
 }
 
 // Run brings the system up, takes it through the steps and ends it. Broken
@@ -67,6 +73,7 @@
 		workload: shortWorkload(),
 		network:  memory.New(opts.Seed),
 		accepted: make(acceptances),
+		reported: make(map[string]bool),
 	}
 	report := Report{Seed: opts.Seed, Instances: minInstances + r.random.IntN(maxInstances-minInstances+1)}
 	if err := r.start(ctx, report.Instances); err != nil {
@@ -89,6 +96,7 @@
 	w := load.AgendaAndina().Shorten(shorter).Scale(more)
 	for i := range w.Classes {
 		w.Classes[i].Answer.Max = longestAnswer
+		w.Classes[i].ComeBack = comeBack
 	}
 	return w
 }
@@ -101,6 +109,8 @@
 		Seed:         r.opts.Seed,
 		Log:          r.opts.Log,
 		Network:      r.network,
+		Slots:        slots,
+		Audit:        r.audits.note,
 		StallTimeout: api.Duration(stallTimeout),
 	})
 	if err != nil {
