Explain decisions to operators

Cause: every decision should be explainable; the core's records were not to be seen. Ruled out: logging them (they are many, and off by default). Before: no way to read them.

--- a/client/client.go
+++ b/client/client.go
@@ -127,6 +127,13 @@
 	return lines.Err()
 }
 
+// Explain returns the kept explanations of a request, or all if it is "".
+func (c *Client) Explain(ctx context.Context, request string) ([]api.Explanation, error) {
+	var out []api.Explanation
+	err := c.call(ctx, http.MethodGet, "/api/explain?"+url.Values{"request": {request}}.Encode(), nil, &out)
+	return out, err
+}
+
 func path(kind api.Kind, name string) string {
 	return "/api/" + url.PathEscape(string(kind)) + "/" + url.PathEscape(name)
 }
--- /dev/null
+++ b/cmd/bergamotpin/explain.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/go-faster/errors"
+
+	"bergamotpin.example/bergamotpin/client"
+)
+
+func explainCommand(app *kingpin.Application) command {
+	cmd := app.Command("explain", "Show how decisions about a request came about, as JSON lines. Any instance of its data centre may have scheduled it: name them all. Needs limits.explain_records.")
+	addresses := cmd.Flag("operators", "Operators' address of an instance. Repeat for several.").
+		Default("127.0.0.1:8081").Envar("BERGAMOTPIN_OPERATORS").Strings()
+	token := cmd.Flag("token", "Operators' token.").Envar("BERGAMOTPIN_TOKEN").String()
+	request := cmd.Arg("request", "The id in the answer's header Bergamotpin-Request. Without it all that is kept is shown.").String()
+	return command{cmd.FullCommand(), func(ctx context.Context) error {
+		return explainAll(ctx, *addresses, *token, *request)
+	}}
+}
+
+func explainAll(ctx context.Context, addresses []string, token, request string) error {
+	enc := json.NewEncoder(os.Stdout)
+	found := 0
+	for _, address := range addresses {
+		explanations, err := client.New(address, token).Explain(ctx, request)
+		if err != nil {
+			return errors.Wrap(err, address)
+		}
+		for _, e := range explanations {
+			found++
+			if err := enc.Encode(e); err != nil {
+				return err
+			}
+		}
+	}
+	if found == 0 {
+		return errors.New("nothing is kept of this request")
+	}
+	return nil
+}
--- a/cmd/bergamotpin/main.go
+++ b/cmd/bergamotpin/main.go
@@ -55,6 +55,7 @@
 		getCommand(app),
 		watchCommand(app),
 		drainCommand(app),
+		explainCommand(app),
 		versionCommand(app),
 	}
 	chosen, err := app.Parse(os.Args[1:])
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -24,6 +24,9 @@
 // loopback is the address on which everything listens, at free ports.
 const loopback = "127.0.0.1:0"
 
+// explainRecords is how many decisions each pool can explain.
+const explainRecords = 1000
+
 // drainTimeout bounds how long an instance finishes its streams at the end.
 const drainTimeout = api.Duration(10 * time.Second)
 
--- a/demo/node.go
+++ b/demo/node.go
@@ -188,6 +188,7 @@
 	if d.opts.Network != nil {
 		s.Listen.Peers = fmt.Sprintf("10.0.0.%d:%d", number+1, memoryPort)
 	}
+	s.Limits.ExplainRecords = explainRecords
 	s.Platform.Address = platformAddress
 	s.Limits.DrainTimeout = drainTimeout
 	if d.opts.StallTimeout > 0 {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -180,7 +180,11 @@
 func (i *Instance) assembleProxy() {
 	s := i.opts.Settings
 	i.engine = engine.NewClient(i.opts.Dial)
-	i.local = scheduler.NewLocal(scheduler.LocalOptions{DataCentre: s.Instance.DataCentre, Audit: i.opts.Audit})
+	i.local = scheduler.NewLocal(scheduler.LocalOptions{
+		DataCentre: s.Instance.DataCentre,
+		Core:       decision.Options{Seed: seedOf(s.Instance.Name), Explain: s.Limits.ExplainRecords},
+		Audit:      i.opts.Audit,
+	})
 	i.remote = scheduler.NewRemote(scheduler.RemoteOptions{
 		Transport: i.transport,
 		Members:   i.members,
@@ -321,6 +325,7 @@
 		Metrics:   i.metrics.Handler(),
 		Ready:     i.ready,
 		TokenHash: i.opts.Settings.Operators.TokenHash,
+		Explain:   i.explain,
 	})
 }
 
--- a/operators/doc.go
+++ b/operators/doc.go
@@ -13,6 +13,7 @@
 //	GET    /api/{kind}/{name}                api.Object
 //	PUT    /api/{kind}/{name}?version=N      write; N is 0 to create; dryRun=true only checks
 //	DELETE /api/{kind}/{name}?version=N      delete
+//	GET    /api/explain?request=ID           list of api.Explanation
 //	GET    /api/watch?from=N                 stream of api.WatchEvent
 //
 // The resources need the operators' token, except on a loopback address for
--- a/operators/operators.go
+++ b/operators/operators.go
@@ -29,6 +29,8 @@
 	Objects Objects
 	Metrics http.Handler
 	Ready   func() bool
+	// Explain returns the explanations of a request, or of all if it is "".
+	Explain func(request string) []api.Explanation
 	// TokenHash is the SHA-256 sum of the token in hexadecimal, or "" for none.
 	TokenHash string
 }
@@ -43,6 +45,7 @@
 	mux.HandleFunc("GET /readyz", s.ready)
 	mux.Handle("GET /metrics", opts.Metrics)
 	mux.HandleFunc("GET /api/watch", s.guard(s.watch))
+	mux.HandleFunc("GET /api/explain", s.guard(s.explain))
 	mux.HandleFunc("GET /api/{kind}", s.guard(s.list))
 	mux.HandleFunc("GET /api/{kind}/{name}", s.guard(s.get))
 	mux.HandleFunc("PUT /api/{kind}/{name}", s.guard(s.put))
@@ -72,6 +75,10 @@
 	}
 }
 
+func (s server) explain(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, http.StatusOK, s.Explain(r.URL.Query().Get("request")))
+}
+
 func (s server) list(w http.ResponseWriter, r *http.Request) {
 	kind, ok := pathKind(w, r)
 	if !ok {
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -15,6 +15,8 @@
 	core *decision.Core
 	tick time.Duration
 	wake chan struct{}
+	// queries asks the loop for the core's explain records.
+	queries chan chan []decision.Record
 	// inform says that events came which can wait for informDelay.
 	inform chan struct{}
 
@@ -48,6 +50,7 @@
 		tick:     tick,
 		wake:     make(chan struct{}, 1),
 		inform:   make(chan struct{}, 1),
+		queries:  make(chan chan []decision.Record),
 		next:     &decision.Input{},
 		current:  &decision.Input{},
 		sessions: make(map[decision.RequestID]*localSession),
@@ -93,6 +96,9 @@
 		case <-done:
 			return
 		case <-p.wake:
+		case answer := <-p.queries:
+			answer <- p.core.Records()
+			continue
 		case <-p.inform:
 			p.due(timer, informDelay)
 			continue
--- a/settings/check.go
+++ b/settings/check.go
@@ -15,6 +15,9 @@
 	cause string
 }
 
+// maxExplainRecords bounds the records of a pool. One takes up to 2 KB.
+const maxExplainRecords = 100_000
+
 // check returns the first fault, or nil.
 func check(s Settings) *fault {
 	checks := []func(Settings) *fault{
@@ -139,6 +142,9 @@
 	if s.Limits.HeaderBytes <= 0 {
 		return &fault{"limits.header_bytes", "must be above 0"}
 	}
+	if s.Limits.ExplainRecords < 0 || s.Limits.ExplainRecords > maxExplainRecords {
+		return &fault{"limits.explain_records", "must be from 0 to 100000"}
+	}
 	durations := []struct {
 		key   string
 		value api.Duration
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -72,6 +72,9 @@
 	DrainTimeout api.Duration `toml:"drain_timeout"`
 	// KeyRetention is how long the outcome of an idempotency key is kept.
 	KeyRetention api.Duration `toml:"key_retention"`
+	// ExplainRecords is how many decisions each pool can explain. Zero keeps
+	// none.
+	ExplainRecords int `toml:"explain_records"`
 }
 
 // Log sets the logs.
