--- a/scheduler/cluster_test.go
+++ b/scheduler/cluster_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,6 +46,8 @@
 	runs    map[decision.RequestID]int
 	reasons map[outcome.Reason]int
 	waits   []time.Duration // until the first grant
+	hung    int             // requests without an end at instances that run
+	lies    int             // refusals as not run of requests that ran
 	callers sync.WaitGroup
 }
 
@@ -54,6 +57,7 @@
 	local    *Local
 	remote   *Remote
 	endpoint *memory.Endpoint
+	over     atomic.Bool
 	stop     context.CancelFunc
 	tasks    sync.WaitGroup
 }
@@ -159,6 +163,7 @@
 func (c *cluster) end(a netip.AddrPort) {
 	n := c.nodes[a]
 	delete(c.nodes, a)
+	n.over.Store(true)
 	n.stop()
 	n.tasks.Wait()
 	n.endpoint.Close()
@@ -233,6 +238,9 @@
 		defer c.mu.Unlock()
 		c.open--
 		c.ended[final]++
+		if final == outcome.Abandoned && !n.over.Load() {
+			c.hung++
+		}
 	})
 }
 
@@ -247,6 +255,9 @@
 			case Refused:
 				c.mu.Lock()
 				c.reasons[v.Reason]++
+				if v.Final == outcome.Refused && attempt > 0 {
+					c.lies++
+				}
 				c.mu.Unlock()
 				return v.Final
 			case Preempted:
