--- a/proxy/openai_test.go
+++ b/proxy/openai_test.go
@@ -18,9 +18,9 @@
 	cfg.BaseURL = f.address + "/v1"
 	client := openai.NewClientWithConfig(cfg)
 	request := openai.ChatCompletionRequest{
-		Model:     "loom",
-		MaxTokens: 8,
-		Messages:  []openai.ChatCompletionMessage{{Role: openai.ChatMessageRoleUser, Content: "What is a kilim?"}},
+		Model:               "loom",
+		MaxCompletionTokens: 8,
+		Messages:            []openai.ChatCompletionMessage{{Role: openai.ChatMessageRoleUser, Content: "What is a kilim?"}},
 	}
 
 	models, err := client.ListModels(t.Context())
