--- a/cmd/bergamotpin/demo.go
+++ b/cmd/bergamotpin/demo.go
@@ -26,6 +26,7 @@
 	workload string
 	verbose  bool
 	pressure float64
+	faults   bool
 }
 
 func demoCommand(app *kingpin.Application) command {
@@ -36,6 +37,7 @@
 	cmd.Flag("json", "Print the report as one line of JSON.").BoolVar(&f.json)
 	cmd.Flag("workload", "Whose workload and fleet: covor or andina.").Default("covor").EnumVar(&f.workload, "covor", "andina")
 	cmd.Flag("pressure", "Scale the load to this share of what the engines yield at best. 0 leaves it as it is.").Float64Var(&f.pressure)
+	cmd.Flag("faults", "Take a small system through random faults and check what its users were promised.").BoolVar(&f.faults)
 	cmd.Flag("verbose", "Show the instances' logs.").BoolVar(&f.verbose)
 	return command{cmd.FullCommand(), f.run}
 }
@@ -64,6 +66,9 @@
 }
 
 func (f *demoFlags) run(ctx context.Context) error {
+	if f.faults {
+		return runFaults(ctx, f.seed)
+	}
 	d, err := demo.Start(ctx, f.options())
 	if err != nil {
 		return err
--- /dev/null
+++ b/cmd/bergamotpin/faults.go
@@ -0,0 +1,26 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/go-faster/errors"
+
+	"bergamotpin.example/bergamotpin/chaos"
+)
+
+// runFaults takes a small system through random faults and prints each step.
+func runFaults(ctx context.Context, seed uint64) error {
+	fmt.Println("seed", seed)
+	report, err := chaos.Run(ctx, chaos.Options{
+		Seed:   seed,
+		OnStep: func(s chaos.Step) { fmt.Println(s) },
+	})
+	if err != nil {
+		return err
+	}
+	if broken := report.Failures(); broken > 0 {
+		return errors.Errorf("%d promises broken", broken)
+	}
+	return nil
+}
--- a/cmd/bergamotpin/load.go
+++ b/cmd/bergamotpin/load.go
@@ -21,6 +21,7 @@
 	seed      uint64
 	workload  string
 	record    string
+	plot      string
 	json      bool
 }
 
@@ -32,6 +33,7 @@
 	cmd.Flag("seed", "Seed of all draws.").Default("1").Uint64Var(&f.seed)
 	cmd.Flag("workload", "Whose workload: covor or andina.").Default("covor").EnumVar(&f.workload, "covor", "andina")
 	cmd.Flag("record", "File for the trace, as JSON lines.").StringVar(&f.record)
+	cmd.Flag("plot", "File for a plot of the times to the first token, as SVG.").StringVar(&f.plot)
 	cmd.Flag("json", "Print the report as one line of JSON.").BoolVar(&f.json)
 	return command{cmd.FullCommand(), f.run}
 }
@@ -67,9 +69,27 @@
 	if err := closeRecord(); err != nil {
 		return errors.Wrap(err, "trace")
 	}
+	if err := f.writePlot(report); err != nil {
+		return errors.Wrap(err, "plot")
+	}
 	return printReport(report, f.json)
 }
 
+func (f *loadFlags) writePlot(report load.Report) error {
+	if f.plot == "" {
+		return nil
+	}
+	file, err := os.Create(f.plot)
+	if err != nil {
+		return err
+	}
+	if err := report.WriteSVG(file); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return file.Close()
+}
+
 // checkLoopback refuses addresses outside this machine.
 func (f *loadFlags) checkLoopback() error {
 	for _, a := range f.addresses {
--- a/cmd/bergamotpin/main.go
+++ b/cmd/bergamotpin/main.go
@@ -58,6 +58,7 @@
 		explainCommand(app),
 		versionCommand(app),
 	}
+	addExamples(app)
 	chosen, err := app.Parse(os.Args[1:])
 	if err != nil {
 		fail(&exitError{exitUsage, err})
