--- a/cmd/bergamotpin/main.go
+++ b/cmd/bergamotpin/main.go
@@ -55,8 +55,10 @@
 		getCommand(app),
 		watchCommand(app),
 		drainCommand(app),
+		explainCommand(app),
 		versionCommand(app),
 	}
+	addExamples(app)
 	chosen, err := app.Parse(os.Args[1:])
 	if err != nil {
 		fail(&exitError{exitUsage, err})
