--- a/instance/instance.go
+++ b/instance/instance.go
@@ -14,7 +14,6 @@
 
 	"github.com/go-faster/errors"
 
-	"bergamotpin.example/bergamotpin/api"
 	"bergamotpin.example/bergamotpin/config"
 	"bergamotpin.example/bergamotpin/decision"
 	"bergamotpin.example/bergamotpin/drain"
@@ -40,10 +39,6 @@
 	headerSlack = 64 << 10
 	// headerTimeout bounds the time in which a header arrives.
 	headerTimeout = 10 * time.Second
-	// announceTimeout bounds the announcement of a leave.
-	announceTimeout = 2 * time.Second
-	// answerBytes bounds an answer that is taken whole.
-	answerBytes = 32 << 20
 )
 
 // Options sets up an instance.
@@ -132,85 +127,6 @@
 	return l.Addr().(*net.TCPAddr).AddrPort()
 }
 
-// assemble builds the parts, each from those before it. Nothing runs yet.
-func (i *Instance) assemble() {
-	i.assembleBase()
-	i.assembleConfig()
-	i.assembleDuties()
-	i.assembleProxy()
-}
-
-func (i *Instance) assembleBase() {
-	s := i.opts.Settings
-	i.metrics = metrics.New(s.Instance.Name, s.Instance.DataCentre)
-	i.objects = objects.New(objects.Options{
-		Base:        "http://" + s.Platform.Address,
-		CallTimeout: s.Platform.CallTimeout.Std(),
-		HTTPClient:  objects.NewHTTPClient(i.opts.Dial),
-	})
-	i.claims = idempotency.New(idempotency.Options{Store: i.objects, Retention: s.Limits.KeyRetention.Std()})
-	i.inFlight = proxy.NewInFlight()
-	i.members = membership.New(membership.Options{
-		Name:       s.Instance.Name,
-		DataCentre: s.Instance.DataCentre,
-		Transport:  i.transport,
-		Hints:      i,
-		Seeds:      seedAddresses(s.Peers.Seeds),
-		Seed:       seedOf(s.Instance.Name),
-		Log:        i.log,
-	})
-}
-
-func (i *Instance) assembleConfig() {
-	s := i.opts.Settings
-	i.store = config.NewStore()
-	i.index.Store(routing.NewIndex(i.store.Snapshot()))
-	i.agent = config.NewAgent(config.Options{
-		Store:      i.store,
-		Platform:   i.objects,
-		Transport:  i.transport,
-		DataCentre: s.Instance.DataCentre,
-		Peers:      i.configPeers,
-		Watches:    i.watchesPlatform,
-		Seed:       seedOf(s.Instance.Name),
-		Log:        i.log,
-	})
-}
-
-func (i *Instance) assembleProxy() {
-	s := i.opts.Settings
-	i.engine = engine.NewClient(i.opts.Dial)
-	i.local = scheduler.NewLocal(scheduler.LocalOptions{
-		DataCentre: s.Instance.DataCentre,
-		Core:       decision.Options{Seed: seedOf(s.Instance.Name), Explain: s.Limits.ExplainRecords},
-		Audit:      i.opts.Audit,
-	})
-	i.remote = scheduler.NewRemote(scheduler.RemoteOptions{
-		Transport: i.transport,
-		Members:   i.members,
-		Pools:     i.local,
-		Log:       i.log,
-	})
-	i.poller = observe.NewPoller(observe.Options{Engine: i.engine, Targets: i.pollTargets, Sink: i.local})
-	i.proxy = proxy.New(proxy.Options{
-		Index:     i.index.Load,
-		Scheduler: i.remote,
-		Engine:    i.engine,
-		Claims:    i.claims,
-		InFlight:  i.inFlight,
-		Metrics:   i.metrics,
-		Limits: proxy.Limits{
-			BodyBytes:    s.Limits.BodyBytes,
-			AnswerBytes:  answerBytes,
-			HeaderBytes:  s.Limits.HeaderBytes,
-			BodyTimeout:  s.Limits.BodyTimeout.Std(),
-			StallTimeout: s.Limits.StallTimeout.Std(),
-		},
-		Ready:   i.store.Ready,
-		Leaving: i.leaving.Load,
-	})
-}
-
 // ready tells the balancer whether to send requests here.
 func (i *Instance) ready() bool { return i.store.Ready() && !i.leaving.Load() }
 
@@ -290,18 +206,6 @@
 	i.proxy.Wait()
 }
 
-// announceLeave tells peers and the platform. Both are best effort: an instance
-// that goes silent is found out by its missing heartbeats.
-func (i *Instance) announceLeave() {
-	i.members.SetReady(false)
-	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
-	defer cancel()
-	if err := i.members.Leave(ctx); err != nil {
-		i.log.Warn("the leave was not announced", "error", err)
-	}
-	_ = i.objects.Register(ctx, i.listed(api.InstanceLeaving))
-}
-
 func (i *Instance) close() {
 	i.claims.Close()
 	i.local.Close()
