Bound the time in which a caller takes what is written

Cause: a caller that stops reading blocked its handler in a write for ever; the stall timer freed the engine, but the request, its session and its count at the backend server stayed. Ruled out: the server's WriteTimeout (it bounds the whole answer, and would cut long streams). Before: TestCallerWhoStopsReadingIsLeft ran into the test's timeout of 15 s. After: passes; limits.caller_timeout, 30 s by default, bounds each write.

--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -1,6 +1,9 @@
 package proxy
 
-import "net/http"
+import (
+	"net/http"
+	"time"
+)
 
 // answer takes the frames of a completion towards the caller.
 type answer interface {
@@ -17,11 +20,13 @@
 	w         http.ResponseWriter
 	control   *http.ResponseController
 	wantUsage bool
-	begun     bool
+	// timeout bounds each write.
+	timeout time.Duration
+	begun   bool
 }
 
-func newStreamAnswer(w http.ResponseWriter, wantUsage bool) *streamAnswer {
-	return &streamAnswer{w: w, control: http.NewResponseController(w), wantUsage: wantUsage}
+func newStreamAnswer(w http.ResponseWriter, wantUsage bool, timeout time.Duration) *streamAnswer {
+	return &streamAnswer{w: w, control: http.NewResponseController(w), wantUsage: wantUsage, timeout: timeout}
 }
 
 func (a *streamAnswer) frame(c *chunk, data string) error {
@@ -39,6 +44,8 @@
 		h.Set("Cache-Control", "no-cache")
 		a.w.WriteHeader(http.StatusOK)
 	}
+	// In-memory writers of tests have no deadlines.
+	_ = a.control.SetWriteDeadline(time.Now().Add(a.timeout))
 	if _, err := a.w.Write([]byte("data: " + data + "\n\n")); err != nil {
 		return err
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -22,6 +22,8 @@
 	HeaderBytes  int
 	BodyTimeout  time.Duration
 	StallTimeout time.Duration
+	// CallerTimeout bounds the time in which a caller takes what is written.
+	CallerTimeout time.Duration
 }
 
 // Options sets up a Proxy. All fields are required.
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -40,6 +40,9 @@
 	snapshot *config.Snapshot
 	local    *scheduler.Local
 	proxy    *Proxy
+	// writeBuffer is the size of the kernel's buffer towards callers, in bytes.
+	// Zero leaves it as it is.
+	writeBuffer int
 }
 
 func newFixture(t *testing.T, engines int) *fixture {
@@ -117,12 +120,18 @@
 		Metrics:   m,
 		Limits: Limits{
 			BodyBytes: 1 << 16, AnswerBytes: 1 << 20, HeaderBytes: 4096,
-			BodyTimeout: 200 * time.Millisecond, StallTimeout: 2 * time.Second,
+			BodyTimeout: 200 * time.Millisecond, StallTimeout: 2 * time.Second, CallerTimeout: 5 * time.Second,
 		},
 		Ready:   func() bool { return true },
 		Leaving: func() bool { return false },
 	})
-	server := httptest.NewServer(f.proxy.Handler())
+	server := httptest.NewUnstartedServer(f.proxy.Handler())
+	server.Config.ConnState = func(c net.Conn, state http.ConnState) {
+		if tcp, ok := c.(*net.TCPConn); ok && state == http.StateNew && f.writeBuffer > 0 {
+			_ = tcp.SetWriteBuffer(f.writeBuffer)
+		}
+	}
+	server.Start()
 	t.Cleanup(func() {
 		server.Close()
 		f.proxy.Wait()
@@ -389,3 +398,30 @@
 		t.Errorf("status %d, %s", resp.StatusCode, answer)
 	}
 }
+
+// A caller that stops reading must not hold its engine for ever.
+func TestCallerWhoStopsReadingIsLeft(t *testing.T) {
+	f := newFixture(t, 1)
+	f.writeBuffer = 4096
+	f.proxy.Limits.CallerTimeout = 200 * time.Millisecond
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.address, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := conn.(*net.TCPConn).SetReadBuffer(4096); err != nil {
+		t.Fatal(err)
+	}
+	body := prompted("loom", true, 100_000)
+	head := "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer secret\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"
+	if _, err := io.WriteString(conn, head+body); err != nil {
+		t.Fatal(err)
+	}
+	for f.engines[0].Counters().Started == 0 || f.proxy.InFlight.Count("engine-a") > 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.proxy.Wait()
+	if c := f.engines[0].Counters(); c.Cancelled != 1 {
+		t.Errorf("got %+v", c)
+	}
+}
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -56,7 +56,7 @@
 	}
 	x := &completionExchange{proxy: p, call: c, prompt: request}
 	if request.known.Stream {
-		x.answer = newStreamAnswer(w, request.known.StreamOptions.IncludeUsage)
+		x.answer = newStreamAnswer(w, request.known.StreamOptions.IncludeUsage, p.Limits.CallerTimeout)
 	} else {
 		x.answer = &wholeAnswer{w: w, gathered: &x.gathered}
 	}
--- a/settings/check.go
+++ b/settings/check.go
@@ -152,6 +152,7 @@
 		{"platform.call_timeout", s.Platform.CallTimeout},
 		{"limits.body_timeout", s.Limits.BodyTimeout},
 		{"limits.stall_timeout", s.Limits.StallTimeout},
+		{"limits.caller_timeout", s.Limits.CallerTimeout},
 		{"limits.drain_timeout", s.Limits.DrainTimeout},
 		{"limits.key_retention", s.Limits.KeyRetention},
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -68,6 +68,8 @@
 	BodyTimeout api.Duration `toml:"body_timeout"`
 	// StallTimeout bounds the time between two frames of a backend server.
 	StallTimeout api.Duration `toml:"stall_timeout"`
+	// CallerTimeout bounds the time in which a caller takes what is written.
+	CallerTimeout api.Duration `toml:"caller_timeout"`
 	// DrainTimeout bounds how long a leaving instance finishes its streams.
 	DrainTimeout api.Duration `toml:"drain_timeout"`
 	// KeyRetention is how long the outcome of an idempotency key is kept.
@@ -94,12 +96,13 @@
 		},
 		Platform: Platform{CallTimeout: api.Duration(2 * time.Second)},
 		Limits: Limits{
-			BodyBytes:    4 << 20,
-			HeaderBytes:  16 << 10,
-			BodyTimeout:  api.Duration(10 * time.Second),
-			StallTimeout: api.Duration(10 * time.Second),
-			DrainTimeout: api.Duration(10 * time.Minute),
-			KeyRetention: api.Duration(24 * time.Hour),
+			BodyBytes:     4 << 20,
+			HeaderBytes:   16 << 10,
+			BodyTimeout:   api.Duration(10 * time.Second),
+			StallTimeout:  api.Duration(10 * time.Second),
+			CallerTimeout: api.Duration(30 * time.Second),
+			DrainTimeout:  api.Duration(10 * time.Minute),
+			KeyRetention:  api.Duration(24 * time.Hour),
 		},
 		Log: Log{Level: "info", Format: "text"},
 	}
