Bound the writes of whole answers too

Cause: only streamed answers were bounded. Ruled out: clearing the bound before each request: net/http does so itself after each (TestWriteBoundEndsWithItsRequest passes without it). Before: a whole answer to a caller that does not read blocked. After: bounded like a frame; the tests of proxy pass.

--- a/proxy/claim.go
+++ b/proxy/claim.go
@@ -109,20 +109,20 @@
 	w.Header().Set(HeaderReplayed, "true")
 	p.Metrics.Class(c.class.Name).Final(outcome.Completed)
 	if stream && o.Status == http.StatusOK {
-		replayStream(w, o.Body, p.Limits.CallerTimeout)
+		p.replayStream(w, o.Body)
 		return
 	}
-	pass(w, o.Status, contentType(o.Body), o.Body)
+	p.pass(w, o.Status, contentType(o.Body), o.Body)
 }
 
 // replayStream sends a kept completion as a stream of one frame.
-func replayStream(w http.ResponseWriter, body []byte, timeout time.Duration) {
+func (p *Proxy) replayStream(w http.ResponseWriter, body []byte) {
 	var kept completion
 	if err := json.Unmarshal(body, &kept); err != nil || len(kept.Choices) == 0 {
-		pass(w, http.StatusOK, contentType(body), body)
+		p.pass(w, http.StatusOK, contentType(body), body)
 		return
 	}
-	answer := newStreamAnswer(w, false, timeout)
+	answer := newStreamAnswer(w, false, p.Limits.CallerTimeout)
 	choice := kept.Choices[0]
 	frame := replayedChunk{ID: kept.ID, Object: "chat.completion.chunk", Created: kept.Created, Model: kept.Model}
 	frame.Choices = []replayedChoice{{Delta: choice.Message, FinishReason: choice.FinishReason}}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -425,3 +425,17 @@
 		t.Errorf("got %+v", c)
 	}
 }
+
+// The bound of one request's writes must not end the next one on the same
+// connection.
+func TestWriteBoundEndsWithItsRequest(t *testing.T) {
+	f := newFixture(t, 1)
+	f.proxy.Limits.CallerTimeout = 100 * time.Millisecond
+	if resp, _ := f.post(t, "/v1/chat/completions", prompted("loom", true, 2), nil); resp.StatusCode != 200 {
+		t.Fatalf("status %d", resp.StatusCode)
+	}
+	time.Sleep(150 * time.Millisecond)
+	if resp, _ := f.post(t, "/v1/chat/completions", "{", nil); resp.StatusCode != 400 {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -95,10 +95,11 @@
 		return
 	}
 	if x.passed != nil {
-		pass(w, x.passed.Status, x.passed.ContentType, x.passed.Body)
+		p.pass(w, x.passed.Status, x.passed.ContentType, x.passed.Body)
 		class.Final(outcome.Completed)
 		return
 	}
+	p.boundWrite(w)
 	if err := x.answer.finish(); err != nil {
 		class.Wasted(x.delivered)
 		class.Final(outcome.Abandoned)
@@ -135,7 +136,8 @@
 }
 
 // pass writes a backend server's own answer.
-func pass(w http.ResponseWriter, status int, contentType string, body []byte) {
+func (p *Proxy) pass(w http.ResponseWriter, status int, contentType string, body []byte) {
+	p.boundWrite(w)
 	if contentType != "" {
 		w.Header().Set("Content-Type", contentType)
 	}
@@ -144,6 +146,12 @@
 	_, _ = w.Write(body)
 }
 
+// boundWrite bounds the time of the next write.
+func (p *Proxy) boundWrite(w http.ResponseWriter) {
+	// In-memory writers of tests have no deadlines.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(p.Limits.CallerTimeout))
+}
+
 // modelList is the answer of GET /v1/models in the OpenAI protocol.
 type modelList struct {
 	Object string      `json:"object"`
@@ -169,5 +177,5 @@
 	for _, name := range index.Models(org) {
 		list.Data = append(list.Data, modelItem{ID: name, Object: "model", OwnedBy: "bergamotpin"})
 	}
-	pass(w, http.StatusOK, "application/json", encode(list))
+	p.pass(w, http.StatusOK, "application/json", encode(list))
 }
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -134,7 +134,7 @@
 		}
 		return
 	}
-	pass(w, x.status, x.content, x.answer)
+	p.pass(w, x.status, x.content, x.answer)
 	class.Final(outcome.Completed)
 	class.Target(c.metWhole(time.Now()))
 }
