bench: drop what waits for a scheduler that is replaced twice

Cause: random workloads counted grants of requests that the audit took for unknown or ended. Two driver faults: messages to a scheduler that a second fault replaced reached the new one, and an End that its preemption had crossed was taken as the request's end, although the core drops it by contract (its own TestPreemptedRequestContinues): the entry instance withdraws the request. Run: go test ./bench passes.

--- a/bench/audit.go
+++ b/bench/audit.go
@@ -120,6 +120,14 @@
 	}
 }
 
+// ended takes the end of an attempt. One that its preemption crossed on the way
+// is dropped: the request waits until its entry instance withdraws it.
+func (a *audit) ended(i int32) {
+	if a.standing[i] != standingWaiting {
+		a.gone(i)
+	}
+}
+
 func (a *audit) gone(i int32) {
 	if a.standing[i] != standingNone {
 		a.set(i, standingGone)
--- a/bench/schedule.go
+++ b/bench/schedule.go
@@ -40,7 +40,7 @@
 			PromptTokens: d.requests[e.request].prompt,
 		}
 		d.in.Ends = append(d.in.Ends, end)
-		d.audit.gone(e.request)
+		d.audit.ended(e.request)
 	case eventFailure:
 		d.in.Failures = append(d.in.Failures, e.message.failure)
 		d.audit.failed(e.request, d.now)
@@ -167,6 +167,7 @@
 func (d *driver) replaceScheduler() {
 	d.schedulerDown = false
 	d.decider = d.policy.New(d.seed + 1)
+	d.in.Reset()
 	d.in.Config = d.config()
 	d.audit.forget(d.now)
 	for i := range d.requests {
