Keep the core from indexing a queue that moved; keep the longest wait

MaxWait began anew at a new scheduler. A request was refused for its deadline at its first tick although the deadline had not passed. Ruled out: the bookings (they are right to add lanes).

--- a/decision/apply.go
+++ b/decision/apply.go
@@ -267,7 +267,7 @@
 		return
 	}
 	c.setBounds(r)
-	if r.startBy < c.now && r.bound == outcome.DeadlinePassed {
+	if r.deadline <= c.now {
 		c.refuse(i, outcome.DeadlinePassed, out)
 		return
 	}
--- a/decision/estimate.go
+++ b/decision/estimate.go
@@ -69,7 +69,11 @@
 		r.bind(addClamped(r.arrived, slack), outcome.Infeasible)
 	}
 	if cl.MaxWait > 0 {
-		r.bind(addClamped(r.queued, cl.MaxWait), outcome.WaitExceeded)
+		from := r.queued
+		if r.attempt == 0 {
+			from = r.arrived
+		}
+		r.bind(addClamped(from, cl.MaxWait), outcome.WaitExceeded)
 	}
 	if r.deadline != farFuture {
 		r.bind(r.deadline-duration(c.serviceSeconds(r)), outcome.DeadlinePassed)
--- a/decision/expire.go
+++ b/decision/expire.go
@@ -27,9 +27,10 @@
 
 func (c *Core) expireClass(cl *class, out *Output) {
 	for k := len(cl.active) - 1; k >= 0; k-- {
-		q := &cl.queues[cl.active[k]]
-		for len(q.heap) > 0 && q.heap[0].startBy < c.now {
-			i := q.heap[0].row
+		// A refusal may add lanes, so the lane is looked up each time.
+		lane := cl.active[k]
+		for len(cl.queues[lane].heap) > 0 && cl.queues[lane].heap[0].startBy < c.now {
+			i := cl.queues[lane].heap[0].row
 			c.refuseForCapacity(i, c.rows[i].bound, out)
 		}
 	}
