--- a/chaos/doc.go
+++ b/chaos/doc.go
@@ -27,6 +27,11 @@
 //   - served: after healing, a request of each class completes;
 //   - scheduling: package decision's Auditor finds nothing at any tick.
 //
+// Not covered: a freeze stops an instance's exchange with the others, not its
+// whole process; leases and orders to engines are run but not checked; "not
+// run" is asked again in later steps for prompts only, not for keys, since a
+// caller may come back with one; latencies and attainment are not judged.
+//
 // No check rests on how fast the machine is: besides DrainLimit, which the
 // users set, they wait until something holds, for at most Patience.
 package chaos
