Take no stale read for a deletion

Ruled out: the stand-in (its conditional updates were right; traced write by write); statusAttempts (no conflict in the trace). Failed try: writing again each 10 s that a server is empty, against an older count that comes last; TestServerIsEmptyWhenAllInstancesCountNone forbids calls at rest, rightly. Conclusion: what is gone leaves the configuration; only that ends a report.

--- a/config/reporter.go
+++ b/config/reporter.go
@@ -190,6 +190,11 @@
 		p.reported = p.reported || err == nil
 		p.complete = complete && err == nil
 	}
+	if errors.Is(err, objects.ErrNotFound) {
+		// It was deleted meanwhile, or the read is older than the resource. It is
+		// looked at again while it is in the configuration.
+		err = nil
+	}
 	r.progress[rec.Key] = p
 	return err
 }
@@ -231,9 +236,6 @@
 		s.Reach = counts
 	})
 	switch {
-	case errors.Is(err, objects.ErrNotFound):
-		// It was deleted meanwhile.
-		return nil
 	case err != nil:
 		return err
 	case !edited:
--- a/drain/reporter.go
+++ b/drain/reporter.go
@@ -176,8 +176,9 @@
 // errStaleRead reports a read that is older than the spec it is about.
 var errStaleRead = errors.New("drain: the platform answered with an older spec")
 
-// write sets the status, unless the platform has a later spec by now. A server
-// that was deleted needs none.
+// write sets the status, unless the platform has a later spec by now. It fails
+// if the read finds no server: that may be stale too. A server that was deleted
+// leaves the configuration, and is not reported on any more.
 func (r *Reporter) write(ctx context.Context, w written) error {
 	stale := false
 	err := objects.UpdateStatus(ctx, r.opts.Status, api.KindBackendServer, w.server.Name, func(spec int64, s *api.Status) {
@@ -188,9 +189,6 @@
 		objects.SetCondition(s, w.condition)
 		s.InFlight = w.inFlight
 	})
-	if errors.Is(err, objects.ErrNotFound) {
-		return nil
-	}
 	if err == nil && stale {
 		return errStaleRead
 	}
--- a/drain/reporter_test.go
+++ b/drain/reporter_test.go
@@ -222,3 +222,16 @@
 		g.expect(true, ReasonEmpty, 0)
 	})
 }
+
+// TestReadFromBeforeTheServerDoesNotHideIt drains a server that was created
+// after the state that reads answer with.
+func TestReadFromBeforeTheServerDoesNotHideIt(t *testing.T) {
+	runGroup(t, 3, func(t *testing.T, g *group) {
+		g.drain(true, g.instances...)
+		g.platform.SetFaults(platform.Faults{StaleReads: api.Duration(5 * time.Second)})
+		time.Sleep(3 * time.Second)
+		g.platform.SetFaults(platform.Faults{})
+		time.Sleep(time.Minute)
+		g.expect(true, ReasonEmpty, 0)
+	})
+}
