Count times before the core began; review without overflow

A pool begins with its first ticket, whose wait lies before that: adding a bound to the negative time counted as overflow, so the bound was lost; and the review of a class without bounds added to the far future, so all its waiting requests were refused in the first 200 ms of a pool. Before: TestAddClamped '-2 + 5 =', TestClassWithoutBoundsIsNotRefusedAtTheStart '49 refusals'; ten tests of scheduler failed. After: these pass but TestReferralToAnotherDataCentre, which only passed because its class had lost its bound of 200 ms: a burst into an idle pool is refused before the first digest of another data centre is known. Conclusion: the referral is next.

--- a/decision/admit.go
+++ b/decision/admit.go
@@ -78,7 +78,7 @@
 			}
 			heap := cl.queues[lane].heap
 			last := heap[len(heap)-1]
-			slack := last.startBy - c.now + reviewSlack
+			slack := addClamped(last.startBy-c.now, reviewSlack)
 			wait := c.waitSeconds(&c.rows[last.row])
 			if wait <= reviewMargin*seconds(slack) {
 				break
--- a/decision/apply.go
+++ b/decision/apply.go
@@ -327,9 +327,10 @@
 	}
 }
 
-// addClamped adds durations without overflow.
+// addClamped adds durations without overflow into the past. A is negative for
+// a time before the core began.
 func addClamped(a, b time.Duration) time.Duration {
-	if b > farFuture-a {
+	if a > 0 && b > farFuture-a {
 		return farFuture
 	}
 	return a + b
--- /dev/null
+++ b/decision/clamp_test.go
@@ -0,0 +1,50 @@
+package decision
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"bergamotpin.example/bergamotpin/outcome"
+)
+
+func TestAddClamped(t *testing.T) {
+	tests := []struct{ a, b, want time.Duration }{
+		{1, 2, 3},
+		{-2, 5, 3},
+		{farFuture, 1, farFuture},
+		{1, farFuture, farFuture},
+		{math.MinInt64 + 1, farFuture, 0},
+		{-5, farFuture, farFuture - 5},
+	}
+	for _, tt := range tests {
+		if got := addClamped(tt.a, tt.b); got != tt.want {
+			t.Errorf("%d + %d = %d, want %d", tt.a, tt.b, got, tt.want)
+		}
+	}
+}
+
+// A class without bounds was reviewed with a slack that had overflowed.
+func TestClassWithoutBoundsIsNotRefusedAtTheStart(t *testing.T) {
+	cfg := &Config{Classes: []Class{{Name: "free"}}, Servers: []Server{{Name: "s0", Slots: 1}}}
+	h := newHarness(t, Options{}, cfg)
+	h.submit(50, "free")
+	if out := h.tick(0); len(out.Refusals) > 0 {
+		t.Errorf("%d refusals, the first is %+v", len(out.Refusals), out.Refusals[0])
+	}
+}
+
+// A request that waited elsewhere longer than the pool is old keeps its bound.
+func TestWaitBeforeThePoolBeganCounts(t *testing.T) {
+	cfg := &Config{
+		Classes: []Class{{Name: "c", FirstToken: time.Second}},
+		Servers: []Server{{Name: "s0", Slots: 1}},
+	}
+	h := newHarness(t, Options{}, cfg)
+	h.submit(1, "c")
+	h.tick(0)
+	h.submit(1, "c", func(t *Ticket) { t.Waited = 10 * time.Second })
+	if out := h.tick(time.Millisecond); len(out.Refusals) != 1 || out.Refusals[0].Reason != outcome.Infeasible {
+		t.Errorf("refusals %+v", out.Refusals)
+	}
+}
