Test the referral of a pool that is pressed

Cause: TestReferralToAnotherDataCentre sent its burst into an idle pool and relied on a class that had lost its bound of 200 ms by an overflow: the requests waited 0.5 s, past their target, and were then referred. With the bound in force they are refused at once, as the target demands: no digest can come in time. Ruled out: easing the bound; holding refusals back until a digest comes. Before: 'nothing was referred'. After: the pool is full for a second, then 12 more requests come: all 12 are referred and complete (was: at least one). Shown failing with the question about free slots taken out. Conclusion: the gap before the first digest stands in docs/PROOFS.md.

--- a/scheduler/failure_test.go
+++ b/scheduler/failure_test.go
@@ -356,16 +356,20 @@
 	run(t, []int{3, 3}, func(t *testing.T, c *cluster) {
 		entry := c.nodes[c.other(c.scheduler(0))]
 		c.class = "tight"
-		c.fill(entry, 12)
+		c.fill(entry, 0)
+		time.Sleep(time.Second) // the full pool asks the other data centre
+		const more = 12
+		for range more {
+			c.request(entry, false, serviceTime)
+		}
 		c.callers.Wait()
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if got := c.ended[outcome.Completed]; got <= testServers*testSlots || got+c.ended[outcome.Refused] != int(c.next) {
+		if got := c.ended[outcome.Completed]; got != testServers*testSlots+more {
 			t.Errorf("ended %v, refused for %v", c.ended, c.reasons)
 		}
-		t.Logf("referred %d, ended %v", c.count(SentAway), c.ended)
-		if c.count(SentAway) == 0 {
-			t.Error("nothing was referred")
+		if got := c.count(SentAway); got != more {
+			t.Errorf("%d were referred", got)
 		}
 	})
 }
