Call an instance an instance in the demo

Cause: the demo's Node is what the users call an instance. Ruled out: a new word (the users' four words are fixed). Before and after: go test ./demo ./chaos passes. Conclusion: demo.Instance, with Running for the process of the moment.

--- a/chaos/check.go
+++ b/chaos/check.go
@@ -29,7 +29,7 @@
 func (s *step) checkReady(ctx context.Context) {
 	for _, n := range s.run.alive() {
 		complaint := until(ctx, func() string {
-			if n.Instance().Ready() {
+			if n.Running().Ready() {
 				return ""
 			}
 			return n.Name() + " is not ready"
@@ -62,7 +62,7 @@
 			return complaint
 		}
 		for _, n := range s.run.alive() {
-			if complaint := differs(kind, list, n.Instance().Config()); complaint != "" {
+			if complaint := differs(kind, list, n.Running().Config()); complaint != "" {
 				return n.Name() + ": " + complaint
 			}
 		}
--- a/chaos/drain.go
+++ b/chaos/drain.go
@@ -14,7 +14,7 @@
 type drain struct {
 	server string
 	engine *engine.Server
-	writer *demo.Node
+	writer *demo.Instance
 	// accepted is when the operator was told so.
 	accepted time.Time
 	// atLimit counts what had reached the engine at DrainLimit.
@@ -31,10 +31,10 @@
 	}
 	written, err := s.setDrain(ctx, o, name, true)
 	if err != nil {
-		return fmt.Sprintf(" %s at %s: %s", name, o.node.Name(), outcomeOf(err))
+		return fmt.Sprintf(" %s at %s: %s", name, o.at.Name(), outcomeOf(err))
 	}
-	s.drain = &drain{server: written.Name, engine: s.run.demo.Engines()[number], writer: o.node, accepted: time.Now()}
-	return fmt.Sprintf(" %s at %s", name, o.node.Name())
+	s.drain = &drain{server: written.Name, engine: s.run.demo.Engines()[number], writer: o.at, accepted: time.Now()}
+	return fmt.Sprintf(" %s at %s", name, o.at.Name())
 }
 
 func (s *step) setDrain(ctx context.Context, o operator, name string, drains bool) (api.Object, error) {
@@ -71,10 +71,10 @@
 	}
 }
 
-// couldSpread reports whether word of a write through the node could reach
+// couldSpread reports whether word of a write through the instance could reach
 // every instance: over the platform, or, while that answers nothing, over the
 // links that stand.
-func (s *step) couldSpread(writer *demo.Node) bool {
+func (s *step) couldSpread(writer *demo.Instance) bool {
 	if !s.platformDown {
 		return true
 	}
--- a/chaos/faults.go
+++ b/chaos/faults.go
@@ -52,20 +52,20 @@
 	return out, nil
 }
 
-// node draws one of all instances.
-func (s *step) node() *demo.Node { return pick(s.run.random, s.run.demo.Nodes()) }
+// instance draws one of all instances.
+func (s *step) instance() *demo.Instance { return pick(s.run.random, s.run.demo.Instances()) }
 
 // pair draws two different instances.
-func (s *step) pair() (a, b *demo.Node) {
-	nodes := s.run.demo.Nodes()
-	order := s.run.random.Perm(len(nodes))
-	return nodes[order[0]], nodes[order[1]]
+func (s *step) pair() (a, b *demo.Instance) {
+	instances := s.run.demo.Instances()
+	order := s.run.random.Perm(len(instances))
+	return instances[order[0]], instances[order[1]]
 }
 
 func instanceFaults() []fault {
 	return []fault{
 		{name: "kill", inject: func(_ context.Context, s *step) string {
-			n := s.node()
+			n := s.instance()
 			s.kill(n)
 			if s.run.random.Float64() < staysDown && len(s.run.alive()) > dataCentres {
 				s.down[n] = true
@@ -74,20 +74,20 @@
 			return " " + n.Name()
 		}},
 		{name: "restart", inject: func(ctx context.Context, s *step) string {
-			n := s.node()
-			s.restartAll(ctx, []*demo.Node{n})
+			n := s.instance()
+			s.restartAll(ctx, []*demo.Instance{n})
 			return " " + n.Name()
 		}},
 		{name: "leave", inject: func(_ context.Context, s *step) string {
-			n := s.node()
+			n := s.instance()
 			s.run.monitor.forget(n.Name())
 			n.Leave()
 			s.left = true
 			return " " + n.Name()
 		}},
 		{name: "replace-all-peers-of", inject: func(ctx context.Context, s *step) string {
-			n := s.node()
-			others := slices.DeleteFunc(slices.Clone(s.run.demo.Nodes()), func(other *demo.Node) bool { return other == n })
+			n := s.instance()
+			others := slices.DeleteFunc(slices.Clone(s.run.demo.Instances()), func(other *demo.Instance) bool { return other == n })
 			s.restartAll(ctx, others)
 			return " " + n.Name()
 		}},
@@ -97,7 +97,7 @@
 func peerFaults() []fault {
 	return []fault{
 		{name: "freeze", inject: func(_ context.Context, s *step) string {
-			n := s.node()
+			n := s.instance()
 			s.freeze(n)
 			return " " + n.Name()
 		}},
@@ -112,12 +112,12 @@
 			return " " + a.Name() + " and " + b.Name()
 		}},
 		{name: "isolate", inject: func(_ context.Context, s *step) string {
-			n := s.node()
-			s.split([]*demo.Node{n})
+			n := s.instance()
+			s.split([]*demo.Instance{n})
 			return " " + n.Name()
 		}},
 		{name: "partition", inject: func(_ context.Context, s *step) string {
-			name := s.node().DataCentre()
+			name := s.instance().DataCentre()
 			s.split(s.dataCentre(name))
 			return " " + name
 		}},
@@ -130,9 +130,9 @@
 }
 
 // split cuts the instances off from all others.
-func (s *step) split(side []*demo.Node) {
+func (s *step) split(side []*demo.Instance) {
 	for _, a := range side {
-		for _, b := range s.run.demo.Nodes() {
+		for _, b := range s.run.demo.Instances() {
 			if !slices.Contains(side, b) {
 				s.cutBothWays(a, b)
 			}
--- a/chaos/links.go
+++ b/chaos/links.go
@@ -7,28 +7,28 @@
 )
 
 // link is a pair of instances, in either order.
-type link struct{ a, b *demo.Node }
+type link struct{ a, b *demo.Instance }
 
 // links notes which links between instances a step has broken.
 type links struct {
 	cut    map[link]bool
-	frozen map[*demo.Node]bool
+	frozen map[*demo.Instance]bool
 }
 
 func newLinks() links {
-	return links{cut: make(map[link]bool), frozen: make(map[*demo.Node]bool)}
+	return links{cut: make(map[link]bool), frozen: make(map[*demo.Instance]bool)}
 }
 
 // stands reports whether two instances reach each other both ways.
-func (l links) stands(a, b *demo.Node) bool {
+func (l links) stands(a, b *demo.Instance) bool {
 	return !l.frozen[a] && !l.frozen[b] && !l.cut[link{a, b}] && !l.cut[link{b, a}]
 }
 
-// reached returns the nodes that word from one of them gets to.
-func (l links) reached(from *demo.Node, nodes []*demo.Node) map[*demo.Node]bool {
-	seen := map[*demo.Node]bool{from: true}
-	for queue := []*demo.Node{from}; len(queue) > 0; queue = queue[1:] {
-		for _, n := range nodes {
+// reached returns the instances that word from one of them gets to.
+func (l links) reached(from *demo.Instance, instances []*demo.Instance) map[*demo.Instance]bool {
+	seen := map[*demo.Instance]bool{from: true}
+	for queue := []*demo.Instance{from}; len(queue) > 0; queue = queue[1:] {
+		for _, n := range instances {
 			if !seen[n] && l.stands(queue[0], n) {
 				seen[n] = true
 				queue = append(queue, n)
@@ -39,21 +39,21 @@
 }
 
 // cutOneWay loses what goes from one instance to the other.
-func (s *step) cutOneWay(from, to *demo.Node) {
+func (s *step) cutOneWay(from, to *demo.Instance) {
 	s.run.network.CutOneWay(peerAddress(from), peerAddress(to))
 	s.links.cut[link{from, to}] = true
 }
 
 // cutBothWays loses all between two instances.
-func (s *step) cutBothWays(a, b *demo.Node) {
+func (s *step) cutBothWays(a, b *demo.Instance) {
 	s.cutOneWay(a, b)
 	s.cutOneWay(b, a)
 }
 
 // freeze stops an instance's exchange with the others.
-func (s *step) freeze(n *demo.Node) {
+func (s *step) freeze(n *demo.Instance) {
 	s.run.network.Freeze(peerAddress(n))
 	s.links.frozen[n] = true
 }
 
-func peerAddress(n *demo.Node) netip.AddrPort { return n.Instance().Peers() }
+func peerAddress(n *demo.Instance) netip.AddrPort { return n.Running().Peers() }
--- a/chaos/load.go
+++ b/chaos/load.go
@@ -48,7 +48,7 @@
 		Checks:   checks,
 	}
 	for _, n := range r.alive() {
-		opts.Addresses = append(opts.Addresses, n.Instance().Callers().String())
+		opts.Addresses = append(opts.Addresses, n.Running().Callers().String())
 	}
 	waits := &overdue{next: balanced(opts.Addresses)}
 	opts.Transport = waits
--- a/chaos/operators.go
+++ b/chaos/operators.go
@@ -34,12 +34,12 @@
 
 // operator is an operator at one instance.
 type operator struct {
-	node   *demo.Node
+	at     *demo.Instance
 	client *client.Client
 }
 
-func newOperator(n *demo.Node) operator {
-	return operator{node: n, client: client.New(n.Instance().Operators().String(), "")}
+func newOperator(n *demo.Instance) operator {
+	return operator{at: n, client: client.New(n.Running().Operators().String(), "")}
 }
 
 // write edits the spec of a resource that the operator has read, and writes it
@@ -101,7 +101,7 @@
 	}
 	written, err := write(ctx, o, seen, s.run.editClass())
 	s.run.accepted.note(written, err)
-	return fmt.Sprintf(" %s at %s: %s", class, o.node.Name(), outcomeOf(err))
+	return fmt.Sprintf(" %s at %s: %s", class, o.at.Name(), outcomeOf(err))
 }
 
 // outcomeOf tells an operator's outcome in a word or two.
@@ -151,7 +151,7 @@
 	s.run.accepted.note(a.written, a.err)
 	s.run.accepted.note(b.written, b.err)
 	s.judgeOperators(class, a.err, b.err)
-	return fmt.Sprintf(" %s at %s and %s: %s, %s", class, first.node.Name(), second.node.Name(), outcomeOf(a.err), outcomeOf(b.err))
+	return fmt.Sprintf(" %s at %s and %s: %s, %s", class, first.at.Name(), second.at.Name(), outcomeOf(a.err), outcomeOf(b.err))
 }
 
 // judgeOperators checks what two operators were told.
--- a/chaos/run.go
+++ b/chaos/run.go
@@ -118,8 +118,8 @@
 	}
 	r.demo = d
 	r.monitor = newMonitor()
-	for _, n := range d.Nodes() {
-		r.monitor.follow(n.Name(), n.Instance(), 0)
+	for _, n := range d.Instances() {
+		r.monitor.follow(n.Name(), n.Running(), 0)
 	}
 	return nil
 }
--- a/chaos/step.go
+++ b/chaos/step.go
@@ -50,9 +50,9 @@
 	// platformDown says that the platform answers nothing.
 	platformDown bool
 	// down holds the instances that stay down until the next step.
-	down map[*demo.Node]bool
+	down map[*demo.Instance]bool
 	// restarted holds the instances that lost their memory in this step.
-	restarted map[*demo.Node]bool
+	restarted map[*demo.Instance]bool
 }
 
 func newStep(r *run, number int) *step {
@@ -60,9 +60,9 @@
 		run:    r,
 		result: Step{Number: number},
 		links:  newLinks(),
-		down:   make(map[*demo.Node]bool),
+		down:   make(map[*demo.Instance]bool),
 
-		restarted: make(map[*demo.Node]bool),
+		restarted: make(map[*demo.Instance]bool),
 	}
 }
 
@@ -121,10 +121,10 @@
 	s.run.network.SetDelay(0)
 	s.links = newLinks()
 	s.platformDown = false
-	for _, n := range d.Nodes() {
+	for _, n := range d.Instances() {
 		s.run.network.Thaw(peerAddress(n))
 	}
-	for _, n := range d.Nodes() {
+	for _, n := range d.Instances() {
 		if s.down[n] {
 			continue
 		}
@@ -136,14 +136,14 @@
 }
 
 // kill ends an instance as a crash does.
-func (s *step) kill(n *demo.Node) {
+func (s *step) kill(n *demo.Instance) {
 	s.run.monitor.forget(n.Name())
 	n.Kill()
 }
 
 // restart starts an instance if it is down. It has to know what each of those
 // knows that it can reach.
-func (s *step) restart(ctx context.Context, n *demo.Node) error {
+func (s *step) restart(ctx context.Context, n *demo.Instance) error {
 	if n.Alive() {
 		return nil
 	}
@@ -152,19 +152,19 @@
 		return err
 	}
 	s.restarted[n] = true
-	s.run.monitor.follow(n.Name(), n.Instance(), floor)
+	s.run.monitor.follow(n.Name(), n.Running(), floor)
 	return nil
 }
 
 // floor returns the lowest revision among the instances that n can reach, or 0
 // if there are none.
-func (s *step) floor(n *demo.Node) int64 {
+func (s *step) floor(n *demo.Instance) int64 {
 	lowest := int64(0)
 	for _, other := range s.run.alive() {
-		if !s.links.stands(n, other) || !other.Instance().Ready() {
+		if !s.links.stands(n, other) || !other.Running().Ready() {
 			continue
 		}
-		if revision := other.Instance().Config().Revision; lowest == 0 || revision < lowest {
+		if revision := other.Running().Config().Revision; lowest == 0 || revision < lowest {
 			lowest = revision
 		}
 	}
@@ -172,14 +172,14 @@
 }
 
 // restartAll kills instances and starts them again, all at the same time.
-func (s *step) restartAll(ctx context.Context, nodes []*demo.Node) {
+func (s *step) restartAll(ctx context.Context, instances []*demo.Instance) {
 	var tasks sync.WaitGroup
-	for _, n := range nodes {
+	for _, n := range instances {
 		s.run.monitor.forget(n.Name())
 		tasks.Go(n.Kill)
 	}
 	tasks.Wait()
-	for _, n := range nodes {
+	for _, n := range instances {
 		if err := s.restart(ctx, n); err != nil {
 			// heal tries again and reports it.
 			return
@@ -192,9 +192,9 @@
 }
 
 // alive returns the instances that run.
-func (r *run) alive() []*demo.Node {
-	var out []*demo.Node
-	for _, n := range r.demo.Nodes() {
+func (r *run) alive() []*demo.Instance {
+	var out []*demo.Instance
+	for _, n := range r.demo.Instances() {
 		if n.Alive() {
 			out = append(out, n)
 		}
@@ -202,9 +202,9 @@
 	return out
 }
 
-func (s *step) dataCentre(name string) []*demo.Node {
-	var out []*demo.Node
-	for _, n := range s.run.demo.Nodes() {
+func (s *step) dataCentre(name string) []*demo.Instance {
+	var out []*demo.Instance
+	for _, n := range s.run.demo.Instances() {
 		if n.DataCentre() == name {
 			out = append(out, n)
 		}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -56,12 +56,12 @@
 
 // Demo is a running system. Close ends it.
 type Demo struct {
-	opts     Options
-	platform *platform.Server
-	backends *backends
-	nodes    []*Node
-	identity *peer.Identity
-	servers  []*http.Server
+	opts      Options
+	platform  *platform.Server
+	backends  *backends
+	instances []*Instance
+	identity  *peer.Identity
+	servers   []*http.Server
 
 	ctx     context.Context // ends the instances
 	stop    context.CancelFunc
@@ -124,7 +124,7 @@
 // Callers returns the addresses on which callers are served.
 func (d *Demo) Callers() []string {
 	var out []string
-	for _, n := range d.nodes {
+	for _, n := range d.instances {
 		out = append(out, n.instance.Callers().String())
 	}
 	return out
@@ -133,7 +133,7 @@
 // Operators returns the addresses of the instances' operators' API.
 func (d *Demo) Operators() []string {
 	var out []string
-	for _, n := range d.nodes {
+	for _, n := range d.instances {
 		out = append(out, n.instance.Operators().String())
 	}
 	return out
@@ -142,8 +142,8 @@
 // Platform returns the stand-in platform, for its faults.
 func (d *Demo) Platform() *platform.Server { return d.platform }
 
-// Nodes returns the entry instances. The caller must not change the list.
-func (d *Demo) Nodes() []*Node { return d.nodes }
+// Instances returns the entry instances. The caller must not change the list.
+func (d *Demo) Instances() []*Instance { return d.instances }
 
 // Engines returns the stand-in engines, for their faults.
 func (d *Demo) Engines() []*engine.Server { return d.backends.engines }
@@ -172,7 +172,7 @@
 func (d *Demo) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	for _, n := range d.nodes {
+	for _, n := range d.instances {
 		if err := awaitReady(ctx, n.instance.Operators().String()); err != nil {
 			return err
 		}
--- a/demo/node.go
+++ b/demo/instance.go
@@ -25,9 +25,9 @@
 	memoryPort = 7000
 )
 
-// Node is one entry instance of the demo over its restarts. Its methods are
+// Instance is one entry instance of the demo over its restarts. Its methods are
 // called by one goroutine at a time.
-type Node struct {
+type Instance struct {
 	demo     *Demo
 	settings settings.Settings
 	instance *instance.Instance
@@ -38,20 +38,20 @@
 }
 
 // Name returns the instance's name.
-func (n *Node) Name() string { return n.settings.Instance.Name }
+func (n *Instance) Name() string { return n.settings.Instance.Name }
 
 // DataCentre returns the instance's data centre.
-func (n *Node) DataCentre() string { return n.settings.Instance.DataCentre }
+func (n *Instance) DataCentre() string { return n.settings.Instance.DataCentre }
 
-// Instance returns the running instance, or the one that ran last.
-func (n *Node) Instance() *instance.Instance { return n.instance }
+// Running returns the running instance, or the one that ran last.
+func (n *Instance) Running() *instance.Instance { return n.instance }
 
 // Alive reports whether the instance was not ended.
-func (n *Node) Alive() bool { return n.alive }
+func (n *Instance) Alive() bool { return n.alive }
 
 // Kill ends the instance as a crash does and returns once it is gone. Killing
 // it twice is harmless.
-func (n *Node) Kill() {
+func (n *Instance) Kill() {
 	if !n.alive {
 		return
 	}
@@ -63,7 +63,7 @@
 
 // Leave ends the instance gracefully and returns once it is gone. If it was
 // ended before, nothing happens.
-func (n *Node) Leave() {
+func (n *Instance) Leave() {
 	if !n.alive {
 		return
 	}
@@ -74,7 +74,7 @@
 
 // Restart starts an ended instance again, with the same name and addresses. A
 // running one is left alone.
-func (n *Node) Restart(ctx context.Context) error {
+func (n *Instance) Restart(ctx context.Context) error {
 	if n.alive {
 		return nil
 	}
@@ -94,7 +94,7 @@
 }
 
 // start starts the instance and keeps the addresses that it got.
-func (n *Node) start() error {
+func (n *Instance) start() error {
 	d := n.demo
 	dialer := newDialer()
 	opts := instance.Options{
@@ -141,8 +141,8 @@
 	return nil
 }
 
-// endpoint adds a node's endpoint to the network in memory.
-func (d *Demo) endpoint(n *Node) instance.Transport {
+// endpoint adds an instance's endpoint to the network in memory.
+func (d *Demo) endpoint(n *Instance) instance.Transport {
 	return endpoint{d.opts.Network.Listen(netip.MustParseAddrPort(n.settings.Listen.Peers))}
 }
 
@@ -158,11 +158,11 @@
 	}
 	d.identity = &identity
 	for number := range d.opts.Instances {
-		n := &Node{demo: d, settings: d.settings(number, platformAddress)}
+		n := &Instance{demo: d, settings: d.settings(number, platformAddress)}
 		if err := n.start(); err != nil {
 			return err
 		}
-		d.nodes = append(d.nodes, n)
+		d.instances = append(d.instances, n)
 	}
 	d.shareSeeds()
 	return nil
@@ -170,9 +170,9 @@
 
 // shareSeeds lets each instance that starts again ask all others.
 func (d *Demo) shareSeeds() {
-	for _, n := range d.nodes {
+	for _, n := range d.instances {
 		n.settings.Peers.Seeds = nil
-		for _, other := range d.nodes {
+		for _, other := range d.instances {
 			if other != n {
 				n.settings.Peers.Seeds = append(n.settings.Peers.Seeds, other.settings.Listen.Peers)
 			}
@@ -194,7 +194,7 @@
 	if d.opts.StallTimeout > 0 {
 		s.Limits.StallTimeout = d.opts.StallTimeout
 	}
-	for _, n := range d.nodes {
+	for _, n := range d.instances {
 		s.Peers.Seeds = append(s.Peers.Seeds, n.settings.Listen.Peers)
 	}
 	return s
--- a/demo/leave_test.go
+++ b/demo/leave_test.go
@@ -73,7 +73,7 @@
 	d := startSmall(t)
 	defer d.Close()
 	resp, lines := openStream(t, d, 100)
-	n := d.Nodes()[0]
+	n := d.Instances()[0]
 	left := make(chan struct{})
 	go func() {
 		defer close(left)
--- a/demo/node_test.go
+++ b/demo/restart_test.go
@@ -36,7 +36,7 @@
 }
 
 func killAndRestart(t *testing.T, d *Demo) {
-	n := d.Nodes()[0]
+	n := d.Instances()[0]
 	killed := make(chan struct{})
 	time.AfterFunc(500*time.Millisecond, func() {
 		defer close(killed)
@@ -47,7 +47,7 @@
 		t.Fatalf("load over a kill: %+v, %v", before, err)
 	}
 	<-killed
-	callers := n.Instance().Callers().String()
+	callers := n.Running().Callers().String()
 	if conn, err := net.Dial("tcp", callers); err == nil {
 		_ = conn.Close()
 		t.Fatal("a killed instance takes connections")
@@ -55,12 +55,12 @@
 	if err := n.Restart(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	if got := n.Instance().Callers().String(); got != callers {
+	if got := n.Running().Callers().String(); got != callers {
 		t.Fatalf("callers' address %s, was %s", got, callers)
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), readyTimeout)
 	defer cancel()
-	if err := awaitReady(ctx, n.Instance().Operators().String()); err != nil {
+	if err := awaitReady(ctx, n.Running().Operators().String()); err != nil {
 		t.Fatal(err)
 	}
 }
