Shorten the instance's Run

Cause: Run listed every task between its steps. Ruled out: a table of tasks (it would hide what runs). Before and after: go test ./demo passes. Conclusion: startTasks.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -142,20 +142,7 @@
 func (i *Instance) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
-	tasks.Go(func() { i.agent.Run(background) })
-	tasks.Go(func() { i.followConfig(background) })
-	tasks.Go(func() { i.poller.Run(background) })
-	tasks.Go(func() { i.metrics.NewMirror(i.readings).Run(background) })
-	tasks.Go(func() { i.members.Run(background) })
-	tasks.Go(func() { i.remote.Run(background) })
-	tasks.Go(func() { i.register(background) })
-	tasks.Go(func() { i.trackReadiness(background) })
-	tasks.Go(func() { i.reporter.Run(background) })
-	tasks.Go(func() { i.drains.Run(background) })
-	tasks.Go(func() { i.followLeavers(background) })
-	tasks.Go(func() { i.sweeper.Run(background) })
-	tasks.Go(func() { i.lease.Run(background, i.wantsOrders) })
-	tasks.Go(func() { i.orders.Run(background) })
+	i.startTasks(background, &tasks)
 
 	callers := i.callersServer()
 	operatorsServer := &http.Server{Handler: i.operatorsHandler(), ReadHeaderTimeout: headerTimeout}
@@ -181,6 +168,24 @@
 	return nil
 }
 
+// startTasks runs the parts that work beside the listeners until ctx ends.
+func (i *Instance) startTasks(ctx context.Context, tasks *sync.WaitGroup) {
+	tasks.Go(func() { i.agent.Run(ctx) })
+	tasks.Go(func() { i.followConfig(ctx) })
+	tasks.Go(func() { i.poller.Run(ctx) })
+	tasks.Go(func() { i.metrics.NewMirror(i.readings).Run(ctx) })
+	tasks.Go(func() { i.members.Run(ctx) })
+	tasks.Go(func() { i.remote.Run(ctx) })
+	tasks.Go(func() { i.register(ctx) })
+	tasks.Go(func() { i.trackReadiness(ctx) })
+	tasks.Go(func() { i.reporter.Run(ctx) })
+	tasks.Go(func() { i.drains.Run(ctx) })
+	tasks.Go(func() { i.followLeavers(ctx) })
+	tasks.Go(func() { i.sweeper.Run(ctx) })
+	tasks.Go(func() { i.lease.Run(ctx, i.wantsOrders) })
+	tasks.Go(func() { i.orders.Run(ctx) })
+}
+
 // end leaves gracefully, unless the instance was killed.
 func (i *Instance) end(callers *http.Server) {
 	select {
