Refer from a data centre that has no servers of a model

Cause: with every engine of a data centre drained its requests were refused with no_backend_server though others were idle: a pool without servers was left out of the pools that ask other data centres for free slots. Found by following the README as a newcomer. Ruled out: the other side (an unused pool does answer that it is free); the core (it refers as soon as it knows of free slots). Conclusion: such a pool asks while tickets came within 10 s, so that nothing is sent at rest.

--- a/scheduler/failure_test.go
+++ b/scheduler/failure_test.go
@@ -373,3 +373,31 @@
 		}
 	})
 }
+
+// A data centre whose servers all drain, or that has none of a model, refers
+// what comes for it.
+func TestReferralFromAPoolWithoutServers(t *testing.T) {
+	run(t, []int{2, 2}, func(t *testing.T, c *cluster) {
+		s := snapshot(2, 0)
+		for name, b := range s.BackendServers {
+			b.Spec.Drain = b.Spec.DataCentre == "dc0"
+			s.BackendServers[name] = b
+		}
+		for _, n := range c.nodes {
+			n.local.Configure(s)
+		}
+		entry := c.nodes[c.other(c.scheduler(0))]
+		c.request(entry, false, serviceTime)
+		time.Sleep(time.Second)
+		const more = 5
+		for range more {
+			c.request(entry, false, serviceTime)
+		}
+		c.callers.Wait()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if got := c.ended[outcome.Completed]; got < more {
+			t.Errorf("ended %v, refused for %v", c.ended, c.reasons)
+		}
+	})
+}
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -20,11 +20,12 @@
 	// inform says that events came which can wait for informDelay.
 	inform chan struct{}
 
-	mu       sync.Mutex
-	next     *decision.Input
-	sessions map[decision.RequestID]*localSession
-	stats    decision.Stats // after the last tick
-	pressure decision.Pressure
+	mu         sync.Mutex
+	next       *decision.Input
+	sessions   map[decision.RequestID]*localSession
+	lastTicket time.Time      // when the last ticket came
+	stats      decision.Stats // after the last tick
+	pressure   decision.Pressure
 
 	// Owned by the loop.
 	current *decision.Input
@@ -81,6 +82,7 @@
 func (p *pool) submit(t decision.Ticket) Session {
 	s := &localSession{pool: p, id: t.ID, verdicts: make(chan Verdict, verdictBuffer)}
 	p.add(func(in *decision.Input) {
+		p.lastTicket = time.Now()
 		in.Tickets = append(in.Tickets, t)
 		p.sessions[t.ID] = s
 	})
--- a/scheduler/share.go
+++ b/scheduler/share.go
@@ -23,8 +23,13 @@
 	l.Configure(s)
 }
 
+// inUse is for how long after its last ticket a pool without servers counts as
+// pressed.
+const inUse = 10 * time.Second
+
 // Pressures returns the digests of the data centre's pools, by model. A pool
-// that had no work yet is free.
+// that had no work yet is free. A pool without servers has no slots; it is left
+// out unless tickets came lately.
 func (l *Local) Pressures() map[string]PoolPressure {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -41,11 +46,13 @@
 			out[model] = p
 		}
 	}
-	for model, p := range out {
-		if pool, ok := l.pools[model]; ok {
-			p.Pressure = pool.digest()
-			out[model] = p
+	for model, pool := range l.pools {
+		p, hasServers := out[model]
+		if !hasServers && !pool.usedWithin(inUse) {
+			continue
 		}
+		p.Pressure = pool.digest()
+		out[model] = p
 	}
 	return out
 }
@@ -67,3 +74,10 @@
 	defer p.mu.Unlock()
 	return p.pressure
 }
+
+// usedWithin reports whether a ticket came in the last d.
+func (p *pool) usedWithin(d time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.lastTicket) < d
+}
