Tell a short time to return where no server takes work

Cause: a refusal for lack of servers booked a place in a queue that does not drain: 20 s and more, though a referral works half a second later. Ruled out: no time at all (the caller must be told when to come back). Before: TestTimeToReturnWithoutServersIsShort: 'return after 3m46s'. After: about a second; go test ./decision ./bench passes.

--- a/decision/clamp_test.go
+++ b/decision/bounds_test.go
@@ -34,6 +34,18 @@
 	}
 }
 
+// A pool without servers has no queue whose drain could say when to return.
+func TestTimeToReturnWithoutServersIsShort(t *testing.T) {
+	cfg := &Config{Classes: []Class{{Name: "c"}}, Servers: []Server{{Name: "s0", Slots: 1, Drain: true}}}
+	h := newHarness(t, Options{}, cfg)
+	h.submit(20, "c")
+	for _, r := range h.tick(0).Refusals {
+		if r.Reason != outcome.NoBackendServer || r.RetryAfter <= 0 || r.RetryAfter > 2*time.Second {
+			t.Errorf("%v, return after %v", r.Reason, r.RetryAfter)
+		}
+	}
+}
+
 // A request that waited elsewhere longer than the pool is old keeps its bound.
 func TestWaitBeforeThePoolBeganCounts(t *testing.T) {
 	cfg := &Config{
--- a/decision/finish.go
+++ b/decision/finish.go
@@ -106,6 +106,8 @@
 	switch {
 	case r.class == none:
 		return 0
+	case reason == outcome.NoBackendServer:
+		return c.jitter(otherReturn)
 	case CapacityRefusal(reason):
 		return c.retryAfter(r)
 	}
