Set a test's write buffer without a race

Cause: go test -race ./proxy: TestCallerWhoStopsReadingIsLeft wrote a field of the fixture that the listener's goroutine reads. Ruled out: a race in the product (the trace names the test's field only). Before: DATA RACE. After: go test -race -count=3 ./proxy passes. Conclusion: the field is atomic.

--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -42,7 +43,7 @@
 	proxy    *Proxy
 	// writeBuffer is the size of the kernel's buffer towards callers, in bytes.
 	// Zero leaves it as it is.
-	writeBuffer int
+	writeBuffer atomic.Int64
 }
 
 func newFixture(t *testing.T, engines int) *fixture {
@@ -127,8 +128,8 @@
 	})
 	server := httptest.NewUnstartedServer(f.proxy.Handler())
 	server.Config.ConnState = func(c net.Conn, state http.ConnState) {
-		if tcp, ok := c.(*net.TCPConn); ok && state == http.StateNew && f.writeBuffer > 0 {
-			_ = tcp.SetWriteBuffer(f.writeBuffer)
+		if tcp, ok := c.(*net.TCPConn); ok && state == http.StateNew && f.writeBuffer.Load() > 0 {
+			_ = tcp.SetWriteBuffer(int(f.writeBuffer.Load()))
 		}
 	}
 	server.Start()
@@ -402,7 +403,7 @@
 // A caller that stops reading must not hold its engine for ever.
 func TestCallerWhoStopsReadingIsLeft(t *testing.T) {
 	f := newFixture(t, 1)
-	f.writeBuffer = 4096
+	f.writeBuffer.Store(4096)
 	f.proxy.Limits.CallerTimeout = 200 * time.Millisecond
 	conn, err := net.Dial("tcp", strings.TrimPrefix(f.address, "http://"))
 	if err != nil {
