Answer operators in one place

Cause: list, get and put each told a failure from a result in the same lines. Ruled out: one handler for all (their inputs differ). Before and after: go test ./demo ./chaos ./cmd/bergamotpin passes. Conclusion: writeResult; the file is named answer.go after its job.

--- a/operators/errors.go
+++ b/operators/answer.go
@@ -11,6 +11,15 @@
 	"bergamotpin.example/bergamotpin/objects"
 )
 
+// writeResult answers with v, or with the failure if there is one.
+func writeResult(w http.ResponseWriter, v any, err error) {
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, v)
+}
+
 // writeFailure maps the platform's errors to answers.
 func writeFailure(w http.ResponseWriter, err error) {
 	var conflict *objects.ConflictError
--- a/operators/operators.go
+++ b/operators/operators.go
@@ -85,11 +85,7 @@
 		return
 	}
 	list, err := s.Objects.List(r.Context(), kind)
-	if err != nil {
-		writeFailure(w, err)
-		return
-	}
-	writeJSON(w, http.StatusOK, list)
+	writeResult(w, list, err)
 }
 
 func (s server) get(w http.ResponseWriter, r *http.Request) {
@@ -98,11 +94,7 @@
 		return
 	}
 	obj, err := s.Objects.Get(r.Context(), kind, r.PathValue("name"))
-	if err != nil {
-		writeFailure(w, err)
-		return
-	}
-	writeJSON(w, http.StatusOK, obj)
+	writeResult(w, obj, err)
 }
 
 // put checks a resource and writes it.
@@ -120,11 +112,7 @@
 		return
 	}
 	written, err := s.write(r.Context(), obj)
-	if err != nil {
-		writeFailure(w, err)
-		return
-	}
-	writeJSON(w, http.StatusOK, written)
+	writeResult(w, written, err)
 }
 
 func (s server) remove(w http.ResponseWriter, r *http.Request) {
