--- /dev/null
+++ b/beacon/beacon.go
@@ -0,0 +1,203 @@
+package beacon
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotpin.example/bergamotpin/choice"
+	"bergamotpin.example/bergamotpin/directory"
+)
+
+const (
+	// interval is the time between two rounds.
+	interval = 100 * time.Millisecond
+	// fanout is how many instances are sent to in a round.
+	fanout = 8
+)
+
+// Options sets up a Beacon. All fields but Seeds are required.
+type Options struct {
+	Name string
+	// Cluster is the same for all instances of a system, and for no other.
+	Cluster string
+	// Address is where other instances reach this one, over UDP and TCP.
+	Address netip.AddrPort
+	Seeds   []netip.AddrPort
+	Table   *directory.Table
+	// Reports returns what to tell of the servers, and Receive takes what a
+	// peer told. Lost is called for a peer that fell silent.
+	Reports func(now time.Time) []choice.ServerReport
+	Receive func(peer string, reports []choice.ServerReport, now time.Time)
+	// Changed is called with what fetched records changed.
+	Changed func(source string, changes []directory.Change)
+	Log     *slog.Logger
+}
+
+// Beacon takes part in the exchange. It is safe for concurrent use.
+type Beacon struct {
+	opts     Options
+	started  int64
+	socket   *net.UDPConn
+	listener net.Listener
+	client   *http.Client
+
+	mu       sync.Mutex
+	members  *members
+	sequence uint64
+	leaving  bool
+	fetching bool
+	nudge    chan struct{}
+	wait     sync.WaitGroup
+}
+
+// Listen opens the sockets. Nothing is sent before Run.
+func Listen(o Options) (*Beacon, error) {
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(o.Address))
+	if err != nil {
+		return nil, errors.Wrap(err, "beacon")
+	}
+	listener, err := net.Listen("tcp4", o.Address.String())
+	if err != nil {
+		_ = socket.Close()
+		return nil, errors.Wrap(err, "beacon")
+	}
+	b := &Beacon{
+		opts: o, started: time.Now().UnixNano(), socket: socket, listener: listener,
+		client:  newFetchClient(),
+		members: newMembers(o.Address),
+		nudge:   make(chan struct{}, 1),
+	}
+	b.AddSeeds(o.Seeds)
+	return b, nil
+}
+
+// AddSeeds adds addresses to contact.
+func (b *Beacon) AddSeeds(seeds []netip.AddrPort) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range seeds {
+		b.members.learn(s, time.Now())
+	}
+}
+
+// Run exchanges datagrams until ctx ends.
+func (b *Beacon) Run(ctx context.Context) {
+	server := &http.Server{Handler: b.handler(), ReadHeaderTimeout: fetchTimeout, IdleTimeout: fetchIdle}
+	b.wait.Go(func() {
+		if err := server.Serve(b.listener); !errors.Is(err, http.ErrServerClosed) {
+			b.opts.Log.Error("peers' listener ended", "error", err)
+		}
+	})
+	b.wait.Go(b.receive)
+	b.sendRounds(ctx)
+	_ = b.socket.Close()
+	_ = server.Close()
+	b.client.CloseIdleConnections()
+	b.wait.Wait()
+}
+
+// Nudge sends a round at once, after a change that others should hear soon.
+func (b *Beacon) Nudge() {
+	select {
+	case b.nudge <- struct{}{}:
+	default:
+	}
+}
+
+// Leave tells the others that this instance ends.
+func (b *Beacon) Leave() {
+	b.mu.Lock()
+	b.leaving = true
+	b.mu.Unlock()
+	b.Nudge()
+}
+
+// Instances returns how many instances there are, this one included: those that
+// are live, and those that were heard of lately and may be cut off.
+func (b *Beacon) Instances() (live, known int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.members.live()) + 1, b.members.everLive() + 1
+}
+
+func (b *Beacon) sendRounds(ctx context.Context) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		b.sendRound(time.Now())
+		select {
+		case <-ctx.Done():
+			b.sendRound(time.Now())
+			return
+		case <-ticker.C:
+		case <-b.nudge:
+		}
+	}
+}
+
+func (b *Beacon) sendRound(now time.Time) {
+	reports := b.opts.Reports(now)
+	revision, servers := b.opts.Table.Digest()
+	b.mu.Lock()
+	for _, e := range b.members.expire(now) {
+		b.opts.Log.Warn("peer silent", "peer", e.Name, "address", e.Address, "age_ms", now.Sub(e.Heard).Milliseconds())
+	}
+	b.sequence++
+	m := message{
+		Cluster: b.opts.Cluster, Name: b.opts.Name, Started: b.started, Sequence: b.sequence,
+		Address: b.opts.Address, Leaving: b.leaving, Revision: revision, Servers: servers,
+		Known: b.members.known(b.sequence), Reports: reports,
+	}
+	targets := b.members.next(fanout)
+	b.mu.Unlock()
+	raw, err := encode(m)
+	if err != nil {
+		b.opts.Log.Error("beacon not encoded", "error", err)
+		return
+	}
+	for _, to := range targets {
+		// A datagram that can't be sent is like one that is lost.
+		_, _ = b.socket.WriteToUDPAddrPort(raw, to)
+	}
+}
+
+func (b *Beacon) receive() {
+	buffer := make([]byte, 64<<10)
+	for {
+		n, _, err := b.socket.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// The answer of a port without a listener shows here.
+			continue
+		}
+		m, err := decode(buffer[:n])
+		if err != nil || m.Cluster != b.opts.Cluster {
+			continue
+		}
+		b.take(m, time.Now())
+	}
+}
+
+// take takes in one message.
+func (b *Beacon) take(m message, now time.Time) {
+	b.mu.Lock()
+	e, news, returned := b.members.hear(m, now)
+	b.mu.Unlock()
+	if !news {
+		return
+	}
+	if returned {
+		b.opts.Log.Info("peer live", "peer", m.Name, "address", m.Address)
+	}
+	b.opts.Receive(m.Name, m.Reports, now)
+	b.compare(*e, m)
+}
--- /dev/null
+++ b/beacon/message.go
@@ -0,0 +1,62 @@
+package beacon
+
+import (
+	"net/netip"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	"bergamotpin.example/bergamotpin/choice"
+)
+
+// maxDatagramBytes is the largest datagram that no link has to split.
+const maxDatagramBytes = 1400
+
+// message is one datagram.
+type message struct {
+	// Cluster keeps datagrams of another system at a reused address apart.
+	Cluster string `cbor:"1,keyasint"`
+	Name    string `cbor:"2,keyasint"`
+	// Started is the sender's start in Unix nanoseconds, and Sequence counts its
+	// rounds. A message that is not above the last one is late.
+	Started  int64          `cbor:"3,keyasint"`
+	Sequence uint64         `cbor:"4,keyasint"`
+	Address  netip.AddrPort `cbor:"5,keyasint"`
+	Leaving  bool           `cbor:"6,keyasint,omitempty"`
+	// Revision is that of the sender's configuration, and Servers the digest of
+	// its servers' records.
+	Revision int64  `cbor:"7,keyasint,omitempty"`
+	Servers  uint64 `cbor:"8,keyasint,omitempty"`
+	// Known are addresses of others, a few in each message.
+	Known   []netip.AddrPort      `cbor:"9,keyasint,omitempty"`
+	Reports []choice.ServerReport `cbor:"10,keyasint,omitempty"`
+}
+
+// errMalformed reports a datagram that is no message.
+var errMalformed = errors.New("beacon: malformed message")
+
+// encode writes a message. Reports that don't fit are left out, those at the
+// end first.
+func encode(m message) ([]byte, error) {
+	for {
+		raw, err := cbor.Marshal(m)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode")
+		}
+		if len(raw) <= maxDatagramBytes || len(m.Reports) == 0 {
+			return raw, nil
+		}
+		m.Reports = m.Reports[:len(m.Reports)*maxDatagramBytes/(len(raw)+1)]
+	}
+}
+
+func decode(raw []byte) (message, error) {
+	var m message
+	if err := cbor.Unmarshal(raw, &m); err != nil {
+		return m, errors.Wrap(errMalformed, err.Error())
+	}
+	if m.Name == "" || !m.Address.IsValid() {
+		return m, errMalformed
+	}
+	return m, nil
+}
--- /dev/null
+++ b/choice/peers.go
@@ -0,0 +1,98 @@
+package choice
+
+import "time"
+
+// reportLife is how long a peer's report counts without a newer one.
+const reportLife = 1500 * time.Millisecond
+
+// ServerReport is what one instance tells the others of a server.
+type ServerReport struct {
+	Key  uint64 `cbor:"1,keyasint"`
+	Load Load   `cbor:"2,keyasint"`
+	// Sends, Failures, Expected and Observed are this instance's evidence.
+	Sends    float32 `cbor:"3,keyasint,omitempty"`
+	Failures float32 `cbor:"4,keyasint,omitempty"`
+	Expected float32 `cbor:"5,keyasint,omitempty"`
+	Observed float32 `cbor:"6,keyasint,omitempty"`
+}
+
+// peerReport is what a peer reported last.
+type peerReport struct {
+	at      time.Time
+	servers map[uint64]ServerReport
+}
+
+// minReported is the least evidence that is worth reporting.
+const minReported = 0.05
+
+// Report returns what this instance tells the others.
+func (t *Table) Report(now time.Time) []ServerReport {
+	var reports []ServerReport
+	for key, s := range t.servers {
+		s.evidence.fade(now)
+		e := s.evidence
+		if s.own == (Load{}) && e.sends < minReported {
+			continue
+		}
+		reports = append(reports, ServerReport{
+			Key: key, Load: s.own,
+			Sends: float32(e.sends), Failures: float32(e.failures),
+			Expected: float32(e.expected), Observed: float32(e.observed),
+		})
+	}
+	return reports
+}
+
+// Receive takes in a peer's report, which replaces its last one.
+func (t *Table) Receive(peer string, reports []ServerReport, now time.Time) {
+	t.dropReport(peer, now)
+	kept := &peerReport{at: now, servers: make(map[uint64]ServerReport, len(reports))}
+	for _, r := range reports {
+		kept.servers[r.Key] = r
+		t.addReport(r, 1, now)
+	}
+	t.peers[peer] = kept
+}
+
+// Expire drops the reports of peers that fell silent.
+func (t *Table) Expire(now time.Time) {
+	for peer, r := range t.peers {
+		if now.Sub(r.at) > reportLife {
+			t.dropReport(peer, now)
+		}
+	}
+}
+
+func (t *Table) dropReport(peer string, now time.Time) {
+	old, ok := t.peers[peer]
+	if !ok {
+		return
+	}
+	delete(t.peers, peer)
+	for _, r := range old.servers {
+		t.addReport(r, -1, now)
+	}
+}
+
+// addReport adds a report to the sums over all peers, or takes it out again.
+// Evidence that faded since it came is taken out as far as it is left.
+func (t *Table) addReport(r ServerReport, sign float64, now time.Time) {
+	s, known := t.servers[r.Key]
+	if !known && sign < 0 {
+		return
+	}
+	if !known {
+		s = t.row(r.Key)
+	}
+	if sign > 0 {
+		s.others = s.others.plus(r.Load)
+	} else {
+		s.others = s.others.minus(r.Load)
+	}
+	e := &s.otherEvidence
+	e.fade(now)
+	e.sends = max(e.sends+sign*float64(r.Sends), 0)
+	e.failures = max(e.failures+sign*float64(r.Failures), 0)
+	e.expected = max(e.expected+sign*float64(r.Expected), 0)
+	e.observed = max(e.observed+sign*float64(r.Observed), 0)
+}
--- /dev/null
+++ b/choice/place.go
@@ -0,0 +1,139 @@
+package choice
+
+// The load this answers: requests of all sizes go through the same engines. A
+// long prompt delays the first event of those behind it and the pauses of those
+// that run beside it. Each server's cost is the expected part of a request that
+// is lost there; the least cost wins.
+
+import (
+	"time"
+
+	"bergamotpin.example/bergamotpin/directory"
+)
+
+// What a typical engine takes. How much slower each server is, is learnt.
+const (
+	readTokensPerMs = 56.6
+	stepMs          = 3.79
+	stepMsPerRun    = 0.0893
+	// firstMs is what the first event takes beside reading and waiting.
+	firstMs = 30.0
+	// chunkTokens is how much of prompts is read between two tokens.
+	chunkTokens = 2048
+	// eventTokens is how many tokens one event holds.
+	eventTokens = 4
+	// callMs is what a plain service takes for a call.
+	callMs = 20.0
+)
+
+const (
+	// rereadCost is the cost of a token that another server keeps, in requests.
+	rereadCost = 0.4 / 13000
+	// waitSlope spreads requests that would be on time anywhere.
+	waitSlope = 0.10
+	// pauseSlope does the same for the pauses between events.
+	pauseSlope = 0.05
+	// farCost is that of a server in another data centre.
+	farCost = 0.004
+	// jitterCost keeps instances that know the same from choosing the same.
+	jitterCost = 0.004
+	// lostWhenLate is the part of a request that is lost if it comes late.
+	lostWhenLate = 0.7
+	// A request begins to count as late at lateFrom of its objective, and
+	// counts as wholly late at lateTo.
+	lateFrom = 0.5
+	lateTo   = 1.3
+	// overdueSlope orders the servers at all of which it would be late.
+	overdueSlope = 0.1
+)
+
+// Choose returns the best of the candidates. It fails only without candidates.
+func (t *Table) Choose(r Request, candidates []directory.BackendServer, now time.Time) (Attempt, bool) {
+	if len(candidates) == 0 {
+		return Attempt{}, false
+	}
+	keys := make([]uint64, len(candidates))
+	for i, c := range candidates {
+		keys[i] = ServerKey(c)
+	}
+	sharedTokens, part := r.shared()
+	own := -1
+	if sharedTokens > 0 {
+		own = home(part, keys)
+	}
+	best := Attempt{Candidates: len(candidates)}
+	for i, c := range candidates {
+		a := Attempt{Server: c, Key: keys[i], Candidates: len(candidates)}
+		s := t.row(keys[i])
+		a.Kept = s.kept.tokens(r.Parts, now)
+		if i == own {
+			a.Kept = max(a.Kept, sharedTokens)
+		}
+		t.weigh(&a, s, r, sharedTokens, now)
+		if i == 0 || a.Cost < best.Cost {
+			best = a
+		}
+	}
+	return best, true
+}
+
+// weigh sets the attempt's expected time and cost.
+func (t *Table) weigh(a *Attempt, s *server, r Request, sharedTokens int, now time.Time) {
+	load := s.all()
+	slowness := s.slowness(now)
+	var firstMillis, pauseMillis float64
+	if r.Service.IsEngine() {
+		firstMillis, pauseMillis = engineTimes(load, max(r.PromptTokens-a.Kept, 0))
+	} else {
+		firstMillis = callTime(load, a.Server.Slots)
+	}
+	a.Expected = time.Duration(firstMillis * float64(time.Millisecond))
+	first := ratio(firstMillis*slowness, r.Objective)
+	pause := ratio(pauseMillis*slowness, r.LongestPause)
+	late := max(lateness(first), lateness(pause*lateFrom))
+	failing := s.failing(now)
+	a.Cost = failing + (1-failing)*late*lostWhenLate
+	a.Cost += waitSlope*first + pauseSlope*pause
+	a.Cost += rereadCost * float64(max(sharedTokens-a.Kept, 0))
+	if a.Server.DataCentre != t.opts.DataCentre {
+		a.Cost += farCost
+	}
+	a.Cost += jitterCost * t.random.Float64()
+}
+
+// engineTimes estimates the time to the first event and the pauses at an
+// engine that has to read this many tokens of the request, in milliseconds.
+func engineTimes(load Load, unread int) (first, pause float64) {
+	step := stepMs + stepMsPerRun*float64(load.Running)
+	first = firstMs + eventTokens*step + float64(load.Unread+unread)/readTokensPerMs
+	// How much of each step goes to reading depends on what waits to be read.
+	reading := min(float64(load.Unread+unread)/chunkTokens, 1) * chunkTokens / readTokensPerMs
+	return first, eventTokens * (step + reading)
+}
+
+// callTime estimates the time of a call to a plain service, in milliseconds.
+func callTime(load Load, slots int) float64 {
+	rounds := float64(load.Running+1) / float64(slots)
+	return callMs * max(rounds, 1)
+}
+
+// ratio is a time against its target, 0 without one.
+func ratio(millis float64, target time.Duration) float64 {
+	if target <= 0 {
+		return 0
+	}
+	return millis / (target.Seconds() * 1000)
+}
+
+// lateness is how likely a request is late whose expected time is this part of
+// its target.
+func lateness(part float64) float64 {
+	over := (part - lateFrom) / (lateTo - lateFrom)
+	if over <= 0 {
+		return 0
+	}
+	if over <= 1 {
+		return over
+	}
+	return 1 + overdueSlope*(over-1)
+}
--- /dev/null
+++ b/choice/table.go
@@ -0,0 +1,162 @@
+package choice
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bergamotpin.example/bergamotpin/directory"
+)
+
+// Options sets up a Table.
+type Options struct {
+	// DataCentre is the instance's own.
+	DataCentre string
+	// Seed feeds the choice between servers that are as good.
+	Seed uint64
+}
+
+// Table holds what is known of the servers. It is not safe for concurrent use.
+type Table struct {
+	opts    Options
+	random  *rand.Rand
+	servers map[uint64]*server
+	peers   map[string]*peerReport
+}
+
+// NewTable returns an empty table.
+func NewTable(o Options) *Table {
+	return &Table{
+		opts:    o,
+		random:  rand.New(rand.NewPCG(o.Seed, 1)),
+		servers: make(map[uint64]*server),
+		peers:   make(map[string]*peerReport),
+	}
+}
+
+// server is one start of one backend server.
+type server struct {
+	own    Load
+	others Load
+	// evidence is what this instance saw, otherEvidence what peers reported.
+	evidence      evidence
+	otherEvidence evidence
+	kept          keptParts
+}
+
+// Load is the work that instances have at a server.
+type Load struct {
+	// Running counts the requests that were sent and have not ended.
+	Running int
+	// Unread counts the prompt tokens of those without a first event, as far as
+	// the server did not keep them.
+	Unread int
+}
+
+func (l Load) plus(o Load) Load  { return Load{l.Running + o.Running, l.Unread + o.Unread} }
+func (l Load) minus(o Load) Load { return Load{l.Running - o.Running, l.Unread - o.Unread} }
+
+// all is the load of all instances together.
+func (s *server) all() Load { return s.own.plus(s.others) }
+
+// ServerKey identifies one start of a server in reports between instances.
+func ServerKey(b directory.BackendServer) uint64 {
+	return xxhash.Sum64String(b.ID) ^ placementMix(uint64(b.Born))
+}
+
+// placementMix spreads the bits of a start time, so that it does not cancel
+// against an ID.
+func placementMix(x uint64) uint64 {
+	const odd = 0x9e3779b97f4a7c15
+	return x * odd
+}
+
+// row returns the server's row, a new one if it is not known.
+func (t *Table) row(key uint64) *server {
+	s, ok := t.servers[key]
+	if !ok {
+		s = &server{kept: newKeptParts()}
+		t.servers[key] = s
+	}
+	return s
+}
+
+// Forget drops the servers that wanted does not name, unless this instance
+// still has work there.
+func (t *Table) Forget(wanted func(key uint64) bool) {
+	for key, s := range t.servers {
+		if !wanted(key) && s.own.Running == 0 {
+			delete(t.servers, key)
+		}
+	}
+}
+
+// Request is what a choice needs to know of a request.
+type Request struct {
+	Service directory.Service
+	// Objective is the time to the first event, or to the whole answer of a
+	// plain service, and LongestPause that between events.
+	Objective    time.Duration
+	LongestPause time.Duration
+	PromptTokens int
+	AnswerTokens int
+	Parts        []Part
+}
+
+// Part is one part of a prompt.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Attempt is one send that a choice led to.
+type Attempt struct {
+	Server directory.BackendServer
+	// Key is the server's ServerKey.
+	Key uint64
+	// Expected is the time to the first event that the choice counted on.
+	Expected time.Duration
+	// Kept counts the prompt tokens that the server was held to keep.
+	Kept int
+	// Cost is what the choice weighed, in requests lost.
+	Cost float64
+	// Candidates is how many servers there were to choose from.
+	Candidates int
+
+	unread  int
+	began   time.Time
+	started bool
+}
+
+// Begin counts an attempt that is about to be sent.
+func (t *Table) Begin(a *Attempt, r Request, now time.Time) {
+	s := t.row(a.Key)
+	a.began = now
+	a.unread = max(r.PromptTokens-a.Kept, 0)
+	s.own.Running++
+	s.own.Unread += a.unread
+	s.kept.add(r.Parts, now)
+}
+
+// FirstEvent records that the attempt's answer began.
+func (t *Table) FirstEvent(a *Attempt, now time.Time) {
+	if a.started {
+		return
+	}
+	a.started = true
+	s := t.row(a.Key)
+	s.own.Unread -= a.unread
+	s.evidence.observeTime(a.Expected, now.Sub(a.began), now)
+}
+
+// End records how the attempt ended.
+func (t *Table) End(a *Attempt, result Result, now time.Time) {
+	s := t.row(a.Key)
+	if !a.started {
+		a.started = true
+		s.own.Unread -= a.unread
+	}
+	s.own.Running--
+	s.evidence.observeResult(result, now)
+}
--- a/cmd/bergamotpin/main.go
+++ b/cmd/bergamotpin/main.go
@@ -44,6 +44,7 @@
 	app.HelpFlag.Short('h')
 	commands := []command{
 		serveCommand(app),
+		edgeCommand(app),
 		checkCommand(app),
 		standinPlatformCommand(app),
 		standinEngineCommand(app),
--- /dev/null
+++ b/directory/follow.go
@@ -0,0 +1,145 @@
+package directory
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotpin.example/bergamotpin/objects"
+)
+
+const (
+	// watchWait is how long the platform may keep a watch without news.
+	watchWait = 10 * time.Second
+	// answerSlack is how much longer than asked a call may take.
+	answerSlack = 1500 * time.Millisecond
+	// Bounds of the pause after a failed call.
+	minPause = 100 * time.Millisecond
+	maxPause = time.Second
+)
+
+// Source is where records come from. Its errors are those of package objects.
+type Source interface {
+	List(ctx context.Context, kind Kind) ([]Record, int64, error)
+	Watch(ctx context.Context, kind Kind, after int64, wait time.Duration) ([]Record, int64, error)
+}
+
+// Follower keeps a table up to date with one kind of records of a source.
+type Follower struct {
+	Kind   Kind
+	Table  *Table
+	Source Source
+	// Changed is called with what each answer changed.
+	Changed func(source string, changes []Change)
+	// Count is called with each call's name and result.
+	Count func(call, result string)
+	Log   *slog.Logger
+
+	// after is the revision from which to watch, or 0 if a list is needed.
+	after int64
+	pause time.Duration
+	lost  bool
+}
+
+// Run follows the source until ctx ends. It lists once, and again only if the
+// source no longer keeps what happened since.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		f.note(err)
+		if err == nil {
+			continue
+		}
+		if errors.Is(err, objects.ErrCompacted) {
+			f.after = 0
+			continue
+		}
+		f.sleep(ctx)
+	}
+}
+
+// step makes one call and takes in its answer.
+func (f *Follower) step(ctx context.Context) error {
+	if f.after == 0 {
+		return f.list(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchWait+answerSlack)
+	defer cancel()
+	records, revision, err := f.Source.Watch(ctx, f.Kind, f.after, watchWait)
+	f.Count("watch", resultName(err))
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	if f.Kind == KindServer {
+		f.Changed("watch", f.Table.MergeEvents(records, revision, now))
+	} else {
+		f.Changed("watch", f.Table.Merge(records, now))
+	}
+	f.after = revision
+	return nil
+}
+
+func (f *Follower) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, answerSlack)
+	defer cancel()
+	records, revision, err := f.Source.List(ctx, f.Kind)
+	f.Count("list", resultName(err))
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	if f.Kind == KindServer {
+		f.Changed("list", f.Table.MergeServerList(records, revision, now))
+	} else {
+		f.Changed("list", f.Table.Merge(records, now))
+	}
+	f.after = revision
+	return nil
+}
+
+// resultName names a call's result for metrics.
+func resultName(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, objects.ErrCompacted):
+		return "compacted"
+	case errors.Is(err, objects.ErrRateLimited):
+		return "rate_limited"
+	}
+	return "unavailable"
+}
+
+// note logs the loss of the source and its return.
+func (f *Follower) note(err error) {
+	if err == nil || errors.Is(err, objects.ErrCompacted) {
+		if f.lost {
+			f.Log.Info("store regained", "kind", f.Kind.String(), "revision", f.after)
+		}
+		f.lost, f.pause = false, 0
+		return
+	}
+	if !f.lost {
+		f.Log.Warn("store lost", "kind", f.Kind.String(), "revision", f.after, "error", err.Error())
+	}
+	f.lost = true
+}
+
+// sleep waits twice as long after each failure, with jitter so that instances
+// don't come back in step.
+func (f *Follower) sleep(ctx context.Context) {
+	f.pause = min(max(2*f.pause, minPause), maxPause)
+	timer := time.NewTimer(f.pause/2 + rand.N(f.pause/2))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/edge/instance.go
@@ -0,0 +1,202 @@
+package edge
+
+import (
+	"context"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotpin.example/bergamotpin/backend"
+	"bergamotpin.example/bergamotpin/beacon"
+	"bergamotpin.example/bergamotpin/choice"
+	"bergamotpin.example/bergamotpin/directory"
+	"bergamotpin.example/bergamotpin/eventlog"
+	"bergamotpin.example/bergamotpin/metrics"
+	"bergamotpin.example/bergamotpin/objects"
+	"bergamotpin.example/bergamotpin/opaque"
+	"bergamotpin.example/bergamotpin/platform"
+)
+
+const (
+	// memoryShare is the part of the allowed memory that the runtime aims to
+	// stay under.
+	memoryShare = 0.7
+	// housekeeping is the time between two rounds of tidying.
+	housekeeping = 250 * time.Millisecond
+)
+
+// Instance is one entry instance.
+type Instance struct {
+	path       string
+	settings   atomic.Pointer[platform.Settings]
+	log        *eventlog.Log
+	table      *directory.Table
+	chooser    *opaque.Chooser
+	client     *backend.Client
+	metrics    *metrics.Metrics
+	beacon     *beacon.Beacon
+	front      *opaque.Front
+	callers    net.Listener
+	ready      net.Listener
+	open       *connections
+	stopping   atomic.Bool
+	storeCalls storeCalls
+}
+
+// Start reads the settings file at path and listens. Lines of the log go to
+// out.
+func Start(path string, out io.Writer) (*Instance, error) {
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		return nil, err
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	i := &Instance{path: path, log: eventlog.New(out), open: newConnections()}
+	i.settings.Store(&s)
+	if err := i.assemble(s); err != nil {
+		i.log.Close()
+		return nil, err
+	}
+	return i, nil
+}
+
+// assemble builds the parts, each from those before it.
+func (i *Instance) assemble(s platform.Settings) error {
+	i.table = directory.NewTable(platform.Decoder{})
+	i.chooser = opaque.NewChooser(choice.Options{DataCentre: s.DataCentre, Seed: seedOf(s.Name)}, s.Retries)
+	i.client = backend.NewClient(nil)
+	i.metrics = metrics.New(s.Name, s.DataCentre)
+	var err error
+	i.beacon, err = beacon.Listen(beacon.Options{
+		Name: s.Name, Cluster: s.Store.String(), Address: s.Peers, Seeds: s.Seeds, Table: i.table,
+		Reports: i.chooser.Reports, Receive: i.chooser.Receive, Changed: i.changed, Log: i.log.Beliefs,
+	})
+	if err != nil {
+		return err
+	}
+	i.chooser.SetInstances(i.beacon.Instances)
+	i.front = opaque.New(opaque.Options{
+		Table: i.table, Chooser: i.chooser, Client: i.client, Metrics: i.metrics,
+		Successes: i.log.Successes, Failures: i.log.Failures, Stopping: i.stopping.Load,
+	})
+	if i.callers, err = net.Listen("tcp4", s.Callers.String()); err != nil {
+		return errors.Wrap(err, "callers")
+	}
+	if i.ready, err = net.Listen("tcp4", s.Ready.String()); err != nil {
+		return errors.Wrap(err, "ready")
+	}
+	return nil
+}
+
+func seedOf(name string) uint64 {
+	h := fnv.New64a()
+	// A hash's Write never fails.
+	_, _ = h.Write([]byte(name))
+	return h.Sum64() ^ uint64(time.Now().UnixNano())
+}
+
+// Run serves until ctx ends, and then leaves.
+func (i *Instance) Run(ctx context.Context, reload <-chan struct{}) error {
+	s := i.settings.Load()
+	i.log.Beliefs.Info("start", "name", s.Name, "data_centre", s.DataCentre, "callers", s.Callers, "store", s.Store)
+	background, stop := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	tasks.Go(func() { i.beacon.Run(background) })
+	for _, kind := range []directory.Kind{directory.KindConfiguration, directory.KindServer} {
+		tasks.Go(func() { i.follow(background, kind) })
+	}
+	tasks.Go(func() { i.tidy(background) })
+	tasks.Go(func() { i.watchSettings(background, reload) })
+	tasks.Go(func() { i.metrics.NewMirror(i.readings).Run(background) })
+
+	callers := i.callersServer()
+	ready := &http.Server{Handler: http.HandlerFunc(i.serveReady), ReadHeaderTimeout: time.Second}
+	failed := make(chan error, 2)
+	tasks.Go(func() { failed <- callers.Serve(i.callers) })
+	tasks.Go(func() { failed <- ready.Serve(i.ready) })
+	var err error
+	select {
+	case <-ctx.Done():
+		i.leave(callers)
+	case err = <-failed:
+	}
+	stop()
+	_ = callers.Close()
+	_ = ready.Close()
+	tasks.Wait()
+	i.log.Beliefs.Info("stop")
+	i.log.Close()
+	return err
+}
+
+// follow keeps the table up to date with one kind of records of the store.
+func (i *Instance) follow(ctx context.Context, kind directory.Kind) {
+	f := &directory.Follower{
+		Kind: kind, Table: i.table, Changed: i.changed, Count: i.storeCalls.add, Log: i.log.Beliefs,
+		Source: &platform.Store{
+			Base: "http://" + i.settings.Load().Store.String(),
+			HTTP: objects.NewHTTPClient(dialStore),
+		},
+	}
+	f.Run(ctx)
+}
+
+// changed logs what the directory learnt, and tells the others soon.
+func (i *Instance) changed(source string, changes []directory.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	for _, c := range changes {
+		text := ""
+		if c.Err != nil {
+			text = c.Err.Error()
+		}
+		i.log.Beliefs.Info("directory changed", "kind", c.Kind.String(), "name", c.Name, "what", c.What,
+			"revision", c.Revision, "version", c.Version, "source", source, "detail", text)
+	}
+	i.beacon.Nudge()
+}
+
+// tidy closes what is no longer needed, at intervals.
+func (i *Instance) tidy(ctx context.Context) {
+	ticker := time.NewTicker(housekeeping)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		snapshot := i.table.Snapshot()
+		i.chooser.Forget(snapshot)
+		wanted := make(map[string]bool, len(snapshot.Servers))
+		for _, b := range snapshot.Servers {
+			if !b.Gone {
+				wanted[opaque.ServerName(b)] = true
+			}
+		}
+		i.client.CloseUnused(func(key string) bool { return wanted[key] })
+		i.open.closeIdle(snapshot.Limits.IdleTimeout, time.Now())
+	}
+}
+
+// serveReady answers the platform's question whether to send requests here.
+func (i *Instance) serveReady(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == PathMetrics:
+		i.metrics.Handler().ServeHTTP(w, r)
+	case r.URL.Path != platform.PathReady:
+		w.WriteHeader(http.StatusNotFound)
+	case i.stopping.Load() || !i.table.Snapshot().Ready:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusOK)
+	}
+}
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -65,6 +65,12 @@
 	KeyCompleted
 	// KeyUnknown means that the key's request may have run.
 	KeyUnknown
+	// UnknownRoute means that no route has the request's host and path.
+	UnknownRoute
+	// Garbled means that a backend server's answer was not one to the request.
+	Garbled
+	// ServerMoved means that the address belongs to another server now.
+	ServerMoved
 	reasonCount
 )
 
@@ -80,6 +86,7 @@
 	"server_refused", "server_unreachable", "stream_cut", "server_timeout",
 	"server_error", "preempted", "caller_left", "pool_pressure", "continued", "resumed",
 	"body_timeout", "key_completed", "key_unknown",
+	"unknown_route", "garbled", "server_moved",
 }
 
 // String returns the reason's name as metrics, logs and answers use it.
--- a/placement/rendezvous.go
+++ b/placement/rendezvous.go
@@ -48,7 +48,7 @@
 }
 
 func weight(key uint64, name string) uint64 {
-	return mix(key ^ mix(xxhash.Sum64String(name)))
+	return Weight(key, xxhash.Sum64String(name))
 }
 
 // mix spreads each input bit over the whole word.
@@ -59,3 +59,7 @@
 	x *= 0x94d049bb133111eb
 	return x ^ x>>31
 }
+
+// Weight is the weight of a name for a key, by rendezvous hashing: of several
+// names, the one with the highest weight is the key's own.
+func Weight(key, name uint64) uint64 { return mix(key ^ mix(name)) }
