--- a/directory/follow.go
+++ b/directory/follow.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// watchWait is how long the platform may keep a watch without news.
-	watchWait = 10 * time.Second
+	// watchWait is how long the platform may keep a watch without news. A watch
+	// that missed a change before its history was dropped learns it only when it
+	// is asked again, so this is under the time in which a change is in force.
+	watchWait = 1500 * time.Millisecond
 	// answerSlack is how much longer than asked a call may take.
 	answerSlack = 1500 * time.Millisecond
 	// Bounds of the pause after a failed call.
