--- a/choice/kept.go
+++ b/choice/kept.go
@@ -5,6 +5,7 @@
 // costs more than most waits.
 
 import (
+	"slices"
 	"time"
 
 	"bergamotpin.example/bergamotpin/placement"
@@ -18,7 +19,7 @@
 	maxKept = 2048
 )
 
-// keptParts is what a server is held to keep, by what this instance sent there.
+// keptParts is what a server is held to keep, by what was sent there.
 type keptParts struct {
 	lastUse map[uint64]time.Time
 }
@@ -35,6 +36,16 @@
 	}
 }
 
+// addIDs does the same for parts that a peer told of.
+func (k *keptParts) addIDs(ids []uint64, now time.Time) {
+	if len(k.lastUse)+len(ids) > maxKept {
+		k.shrink(now)
+	}
+	for _, id := range ids {
+		k.lastUse[id] = now
+	}
+}
+
 // shrink drops the parts that were not used lately, or all if that is too few.
 func (k *keptParts) shrink(now time.Time) {
 	for id, at := range k.lastUse {
@@ -61,27 +72,62 @@
 	return sum
 }
 
-// shared returns the tokens that the request's prompt shares with others, and
-// the part that decides where such prompts go. The last part is its own.
-func (r Request) shared() (tokens int, key uint64) {
+// sharedParts are the parts that other prompts have too. The last is the
+// request's own.
+func (r Request) sharedParts() []Part {
 	if len(r.Parts) < 2 {
-		return 0, 0
+		return nil
 	}
-	for _, p := range r.Parts[:len(r.Parts)-1] {
-		tokens += p.Tokens
+	return r.Parts[:len(r.Parts)-1]
+}
+
+// sumTokens counts the tokens of parts.
+func sumTokens(parts []Part) int {
+	sum := 0
+	for _, p := range parts {
+		sum += p.Tokens
 	}
-	return tokens, r.Parts[len(r.Parts)-2].ID
+	return sum
 }
 
-// home is the server that is first in order for the key: every instance sends
-// such prompts there as long as it can.
-func home(key uint64, servers []uint64) int {
+// home is the server that is first in order for a part: every instance that
+// knows of no other place sends such prompts there.
+func home(part uint64, servers []uint64) int {
 	best := -1
 	var most uint64
 	for i, s := range servers {
-		if w := placement.Weight(key, s); best < 0 || w > most {
+		if w := placement.Weight(part, s); best < 0 || w > most {
 			best, most = i, w
 		}
 	}
 	return best
 }
+
+// tellFor is for how long a part is told to the others: a few rounds, since a
+// datagram may be lost.
+const tellFor = 350 * time.Millisecond
+
+// toldPart is a part and when it was sent.
+type toldPart struct {
+	id uint64
+	at time.Time
+}
+
+// tell remembers parts for the next reports.
+func (s *server) tell(parts []Part, now time.Time) {
+	for _, p := range parts {
+		s.told = append(s.told, toldPart{p.ID, now})
+	}
+}
+
+// toTell returns the parts to report, each once, and forgets older ones.
+func (s *server) toTell(now time.Time) []uint64 {
+	s.told = slices.DeleteFunc(s.told, func(p toldPart) bool { return now.Sub(p.at) > tellFor })
+	var ids []uint64
+	for _, p := range s.told {
+		if !slices.Contains(ids, p.id) {
+			ids = append(ids, p.id)
+		}
+	}
+	return ids
+}
--- a/choice/peers.go
+++ b/choice/peers.go
@@ -14,6 +14,8 @@
 	Failures float32 `cbor:"4,keyasint,omitempty"`
 	Expected float32 `cbor:"5,keyasint,omitempty"`
 	Observed float32 `cbor:"6,keyasint,omitempty"`
+	// Parts are the shared parts of prompts that were sent there lately.
+	Parts []uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // peerReport is what a peer reported last.
@@ -31,13 +33,15 @@
 	for key, s := range t.servers {
 		s.evidence.fade(now)
 		e := s.evidence
-		if s.own == (Load{}) && e.sends < minReported {
+		parts := s.toTell(now)
+		if s.own == (Load{}) && e.sends < minReported && len(parts) == 0 {
 			continue
 		}
 		reports = append(reports, ServerReport{
 			Key: key, Load: s.own,
 			Sends: float32(e.sends), Failures: float32(e.failures),
 			Expected: float32(e.expected), Observed: float32(e.observed),
+			Parts: parts,
 		})
 	}
 	return reports
@@ -50,6 +54,7 @@
 	for _, r := range reports {
 		kept.servers[r.Key] = r
 		t.addReport(r, 1, now)
+		t.row(r.Key).kept.addIDs(r.Parts, now)
 	}
 	t.peers[peer] = kept
 }
--- a/choice/place.go
+++ b/choice/place.go
@@ -28,7 +28,13 @@
 
 const (
 	// rereadCost is the cost of a token that another server keeps, in requests.
-	rereadCost = 0.4 / 13000
+	rereadCost = 2.0 / 13000
+	// strayCost is the cost of a token that no server keeps if it is not read at
+	// its home, where the next such prompt is sent.
+	strayCost = rereadCost / 4
+	// delayCost is the cost of each millisecond by which reading a prompt delays
+	// one request that waits at the same server.
+	delayCost = 0.0005
 	// waitSlope spreads requests that would be on time anywhere.
 	waitSlope = 0.10
 	// pauseSlope does the same for the pauses between events.
@@ -56,31 +62,39 @@
 	for i, c := range candidates {
 		keys[i] = ServerKey(c)
 	}
-	sharedTokens, part := r.shared()
-	own := -1
-	if sharedTokens > 0 {
-		own = home(part, keys)
-	}
-	best := Attempt{Candidates: len(candidates)}
+	shared := r.sharedParts()
+	attempts := make([]Attempt, len(candidates))
+	mostKept := 0
 	for i, c := range candidates {
-		a := Attempt{Server: c, Key: keys[i], Candidates: len(candidates)}
-		s := t.row(keys[i])
-		a.Kept = s.kept.tokens(r.Parts, now)
-		if i == own {
-			a.Kept = max(a.Kept, sharedTokens)
+		kept := t.row(keys[i]).kept.tokens(shared, now)
+		attempts[i] = Attempt{Server: c, Key: keys[i], Candidates: len(candidates), Kept: kept}
+		mostKept = max(mostKept, kept)
+	}
+	first := -1
+	if len(shared) > 0 {
+		first = home(shared[len(shared)-1].ID, keys)
+	}
+	best := 0
+	for i := range attempts {
+		a := &attempts[i]
+		t.weigh(a, r, now)
+		a.Cost += rereadCost * float64(max(mostKept-a.Kept, 0))
+		if i != first {
+			a.Cost += strayCost * float64(sumTokens(shared)-mostKept)
 		}
-		t.weigh(&a, s, r, sharedTokens, now)
-		if i == 0 || a.Cost < best.Cost {
-			best = a
+		if a.Cost < attempts[best].Cost {
+			best = i
 		}
 	}
-	return best, true
+	return attempts[best], true
 }
 
 // weigh sets the attempt's expected time and cost.
-func (t *Table) weigh(a *Attempt, s *server, r Request, sharedTokens int, now time.Time) {
+func (t *Table) weigh(a *Attempt, r Request, now time.Time) {
+	s := t.row(a.Key)
 	load := s.all()
 	slowness := s.slowness(now)
+	a.Load, a.Slowness = load, slowness
 	var firstMillis, pauseMillis float64
 	if r.Service.IsEngine() {
 		firstMillis, pauseMillis = engineTimes(load, max(r.PromptTokens-a.Kept, 0))
@@ -94,7 +108,9 @@
 	failing := s.failing(now)
 	a.Cost = failing + (1-failing)*late*lostWhenLate
 	a.Cost += waitSlope*first + pauseSlope*pause
-	a.Cost += rereadCost * float64(max(sharedTokens-a.Kept, 0))
+	if r.Service.IsEngine() {
+		a.Cost += delayCost * readMillis(r.PromptTokens-a.Kept) * slowness * float64(load.Waiting)
+	}
 	if a.Server.DataCentre != t.opts.DataCentre {
 		a.Cost += farCost
 	}
@@ -105,12 +121,15 @@
 // engine that has to read this many tokens of the request, in milliseconds.
 func engineTimes(load Load, unread int) (first, pause float64) {
 	step := stepMs + stepMsPerRun*float64(load.Running)
-	first = firstMs + eventTokens*step + float64(load.Unread+unread)/readTokensPerMs
+	first = firstMs + eventTokens*step + readMillis(load.Unread+unread)
 	// How much of each step goes to reading depends on what waits to be read.
-	reading := min(float64(load.Unread+unread)/chunkTokens, 1) * chunkTokens / readTokensPerMs
+	reading := readMillis(min(load.Unread+unread, chunkTokens))
 	return first, eventTokens * (step + reading)
 }
 
+// readMillis is the time in which an engine reads tokens.
+func readMillis(tokens int) float64 { return float64(tokens) / readTokensPerMs }
+
 // callTime estimates the time of a call to a plain service, in milliseconds.
 func callTime(load Load, slots int) float64 {
 	rounds := float64(load.Running+1) / float64(slots)
--- a/choice/table.go
+++ b/choice/table.go
@@ -43,19 +43,28 @@
 	evidence      evidence
 	otherEvidence evidence
 	kept          keptParts
+	// told are the parts that this instance sent there lately, which the others
+	// are to hear of.
+	told []toldPart
 }
 
 // Load is the work that instances have at a server.
 type Load struct {
 	// Running counts the requests that were sent and have not ended.
 	Running int
-	// Unread counts the prompt tokens of those without a first event, as far as
-	// the server did not keep them.
-	Unread int
+	// Waiting counts those of them without a first event, and Unread their
+	// prompt tokens, as far as the server did not keep them.
+	Waiting int
+	Unread  int
 }
 
-func (l Load) plus(o Load) Load  { return Load{l.Running + o.Running, l.Unread + o.Unread} }
-func (l Load) minus(o Load) Load { return Load{l.Running - o.Running, l.Unread - o.Unread} }
+func (l Load) plus(o Load) Load {
+	return Load{l.Running + o.Running, l.Waiting + o.Waiting, l.Unread + o.Unread}
+}
+
+func (l Load) minus(o Load) Load {
+	return Load{l.Running - o.Running, l.Waiting - o.Waiting, l.Unread - o.Unread}
+}
 
 // all is the load of all instances together.
 func (s *server) all() Load { return s.own.plus(s.others) }
@@ -119,8 +128,11 @@
 	Expected time.Duration
 	// Kept counts the prompt tokens that the server was held to keep.
 	Kept int
-	// Cost is what the choice weighed, in requests lost.
-	Cost float64
+	// Cost is what the choice weighed, in requests lost, from the server's Load
+	// and Slowness at that time.
+	Cost     float64
+	Load     Load
+	Slowness float64
 	// Candidates is how many servers there were to choose from.
 	Candidates int
 
@@ -135,8 +147,11 @@
 	a.began = now
 	a.unread = max(r.PromptTokens-a.Kept, 0)
 	s.own.Running++
+	s.own.Waiting++
 	s.own.Unread += a.unread
-	s.kept.add(r.Parts, now)
+	shared := r.sharedParts()
+	s.kept.add(shared, now)
+	s.tell(shared, now)
 }
 
 // FirstEvent records that the attempt's answer began.
@@ -146,6 +161,7 @@
 	}
 	a.started = true
 	s := t.row(a.Key)
+	s.own.Waiting--
 	s.own.Unread -= a.unread
 	s.evidence.observeTime(a.Expected, now.Sub(a.began), now)
 }
@@ -155,6 +171,7 @@
 	s := t.row(a.Key)
 	if !a.started {
 		a.started = true
+		s.own.Waiting--
 		s.own.Unread -= a.unread
 	}
 	s.own.Running--
--- a/opaque/exchange.go
+++ b/opaque/exchange.go
@@ -32,6 +32,8 @@
 	// spare is a server's own failure, passed on if no other server answers.
 	spare *wholeAnswer
 	last  failure
+	// placed is the last choice of a server.
+	placed choice.Attempt
 }
 
 // failure is how an attempt failed.
@@ -60,6 +62,7 @@
 			x.giveUp(refused)
 			return
 		}
+		x.placed = a
 		c.tried[a.Server.ID] = true
 		c.sends++
 		done, failed := x.attempt(ctx, &a)
@@ -280,9 +283,12 @@
 
 func (x *exchange) logAnswered(server string, status int) {
 	c := x.call
+	a := x.placed
 	x.front.Metrics.Class(c.className()).Final(outcome.Completed)
 	x.front.Successes.Info("answered",
 		"request", c.id, "route", c.route.Name, "server", server, "status", status, "sends", c.sends,
+		"prompt", c.prompt.Tokens, "kept", a.Kept, "expected_ms", a.Expected.Milliseconds(), "cost", a.Cost,
+		"slowness", a.Slowness, "running", a.Load.Running, "unread", a.Load.Unread, "candidates", a.Candidates,
 		"events", x.stream.events, "first_ms", x.stream.first.Milliseconds(), "pause_ms", x.stream.longest.Milliseconds(),
 		"elapsed_ms", time.Since(c.arrived).Milliseconds(), "objective_ms", c.route.Objective.Milliseconds())
 }
