Pass over data centres that are out of reach

Ruled out: the servers there, which answered their own side throughout. Bytes that stay unconfirmed for a second, heads and events that stay out where another server may answer, end the attempt too.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -1,13 +1,16 @@
 package backend
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
 
 	"bergamotpin.example/bergamotpin/engine"
 	"bergamotpin.example/bergamotpin/outcome"
@@ -16,11 +19,14 @@
 const (
 	// dialTimeout bounds the time until a connection stands. A server that is
 	// up answers in a few milliseconds.
-	dialTimeout = 500 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 	// Probes find a connection that went silent while a server works.
 	probeIdle     = time.Second
 	probeInterval = 400 * time.Millisecond
 	probeCount    = 3
+	// unackedTimeout is for how long sent bytes may stay without a confirmation
+	// before the connection is given up: a link that is cut says nothing.
+	unackedTimeout = time.Second
 	// freshIdle is how long a connection may have been unused for a request
 	// that may not be sent twice: the longer it was, the likelier its server
 	// closes it at that moment.
@@ -61,12 +67,21 @@
 }
 
 func dialTCP(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
+	d := net.Dialer{Control: limitUnacked, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
 	}}
 	return d.DialContext(ctx, network, address)
 }
 
+// limitUnacked sets unackedTimeout on a new socket.
+func limitUnacked(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+	return cmp.Or(err, failed)
+}
+
 // take returns a kept connection or makes one. A request that may run once
 // only takes no connection that was unused for long.
 func (c *Client) take(ctx context.Context, s Server, once bool) (*connection, error) {
--- a/backend/send.go
+++ b/backend/send.go
@@ -48,8 +48,10 @@
 	ID       string
 	// Once marks a request that may not be sent twice.
 	Once bool
-	// Deadline is when the answer's end must have come.
+	// Deadline is when the answer's end must have come, and HeadBy when its head
+	// must.
 	Deadline time.Time
+	HeadBy   time.Time
 }
 
 // Answer is a server's answer. Close must be called. Its body is read whole
@@ -80,7 +82,7 @@
 		// Closing stops the server's work and the reader of its answer.
 		_ = conn.net.Close()
 	})
-	if err := conn.net.SetDeadline(r.Deadline); err != nil {
+	if err := conn.net.SetDeadline(r.HeadBy); err != nil {
 		a.Close()
 		return nil, &engine.SendError{Reason: outcome.ServerUnreachable, NotStarted: true, Err: err}
 	}
@@ -93,9 +95,16 @@
 		return nil, &engine.SendError{Reason: readFailure(ctx, err), Err: err}
 	}
 	conn.keep = keepFor(a.Header)
+	if err := a.WaitUntil(r.Deadline); err != nil {
+		a.Close()
+		return nil, &engine.SendError{Reason: outcome.StreamCut, Err: err}
+	}
 	return a, nil
 }
 
+// WaitUntil sets until when the next bytes of the answer are waited for.
+func (a *Answer) WaitUntil(t time.Time) error { return a.conn.net.SetReadDeadline(t) }
+
 func readFailure(ctx context.Context, err error) outcome.Reason {
 	var timeout interface{ Timeout() bool }
 	switch {
--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -24,7 +24,8 @@
 
 // Options sets up a Beacon. All fields but Seeds are required.
 type Options struct {
-	Name string
+	Name       string
+	DataCentre string
 	// Cluster is the same for all instances of a system, and for no other.
 	Cluster string
 	// Address is where other instances reach this one, over UDP and TCP.
@@ -34,7 +35,7 @@
 	// Reports returns what to tell of the servers, and Receive takes what a
 	// peer told. Lost is called for a peer that fell silent.
 	Reports func(now time.Time) []choice.ServerReport
-	Receive func(peer string, reports []choice.ServerReport, now time.Time)
+	Receive func(peer, dataCentre string, reports []choice.ServerReport, now time.Time)
 	// Changed is called with what fetched records changed.
 	Changed func(source string, changes []directory.Change)
 	Log     *slog.Logger
@@ -153,7 +154,7 @@
 	m := message{
 		Cluster: b.opts.Cluster, Name: b.opts.Name, Started: b.started, Sequence: b.sequence,
 		Address: b.opts.Address, Leaving: b.leaving, Revision: revision, Servers: servers,
-		Known: b.members.known(b.sequence), Reports: reports,
+		Known: b.members.known(b.sequence), Reports: reports, DataCentre: b.opts.DataCentre,
 	}
 	targets := b.members.next(fanout)
 	b.mu.Unlock()
@@ -198,6 +199,6 @@
 	if returned {
 		b.opts.Log.Info("peer live", "peer", m.Name, "address", m.Address)
 	}
-	b.opts.Receive(m.Name, m.Reports, now)
+	b.opts.Receive(m.Name, m.DataCentre, m.Reports, now)
 	b.compare(*e, m)
 }
--- a/beacon/message.go
+++ b/beacon/message.go
@@ -30,6 +30,8 @@
 	// Known are addresses of others, a few in each message.
 	Known   []netip.AddrPort      `cbor:"9,keyasint,omitempty"`
 	Reports []choice.ServerReport `cbor:"10,keyasint,omitempty"`
+	// DataCentre is the sender's.
+	DataCentre string `cbor:"11,keyasint"`
 }
 
 // errMalformed reports a datagram that is no message.
--- a/choice/peers.go
+++ b/choice/peers.go
@@ -47,8 +47,10 @@
 	return reports
 }
 
-// Receive takes in a peer's report, which replaces its last one.
-func (t *Table) Receive(peer string, reports []ServerReport, now time.Time) {
+// Receive takes in the report of a peer in a data centre, which replaces its
+// last one.
+func (t *Table) Receive(peer, dataCentre string, reports []ServerReport, now time.Time) {
+	t.Heard(dataCentre, now)
 	t.dropReport(peer, now)
 	kept := &peerReport{at: now, servers: make(map[uint64]ServerReport, len(reports))}
 	for _, r := range reports {
--- a/choice/place.go
+++ b/choice/place.go
@@ -114,6 +114,9 @@
 	if a.Server.DataCentre != t.opts.DataCentre {
 		a.Cost += farCost
 	}
+	if t.doubted(a.Server.DataCentre, now) {
+		a.Cost += doubtCost
+	}
 	a.Cost += jitterCost * t.random.Float64()
 }
 
--- a/choice/table.go
+++ b/choice/table.go
@@ -23,6 +23,7 @@
 	random  *rand.Rand
 	servers map[uint64]*server
 	peers   map[string]*peerReport
+	reaches map[string]*reach
 }
 
 // NewTable returns an empty table.
@@ -32,6 +33,7 @@
 		random:  rand.New(rand.NewPCG(o.Seed, 1)),
 		servers: make(map[uint64]*server),
 		peers:   make(map[string]*peerReport),
+		reaches: make(map[string]*reach),
 	}
 }
 
@@ -146,6 +148,7 @@
 	s := t.row(a.Key)
 	a.began = now
 	a.unread = max(r.PromptTokens-a.Kept, 0)
+	t.reachOf(a.Server.DataCentre).running++
 	s.own.Running++
 	s.own.Waiting++
 	s.own.Unread += a.unread
@@ -176,4 +179,12 @@
 	}
 	s.own.Running--
 	s.evidence.observeResult(result, now)
+	way := t.reachOf(a.Server.DataCentre)
+	way.running--
+	switch result {
+	case Answered:
+		way.heard = now
+	case Failed:
+		way.failed = now
+	}
 }
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -75,7 +75,7 @@
 	i.metrics = metrics.New(s.Name, s.DataCentre)
 	var err error
 	i.beacon, err = beacon.Listen(beacon.Options{
-		Name: s.Name, Cluster: s.Store.String(), Address: s.Peers, Seeds: s.Seeds, Table: i.table,
+		Name: s.Name, DataCentre: s.DataCentre, Cluster: s.Store.String(), Address: s.Peers, Seeds: s.Seeds, Table: i.table,
 		Reports: i.chooser.Reports, Receive: i.chooser.Receive, Changed: i.changed, Log: i.log.Beliefs,
 	})
 	if err != nil {
--- a/opaque/call.go
+++ b/opaque/call.go
@@ -177,6 +177,42 @@
 	return r
 }
 
+const (
+	// answerPatience is how many objectives the first word of an answer is waited
+	// for, if another server may give it, and leastPatience the least time.
+	answerPatience = 2.5
+	leastPatience  = 300 * time.Millisecond
+	// expectedPatience is how many times the expected time is waited for.
+	expectedPatience = 4
+	// eventPatience is for how long the next event of a stream is waited for, if
+	// it may go on at another server. Callers leave after two seconds.
+	eventPatience = 1200 * time.Millisecond
+)
+
+// headBy is until when the attempt's answer must have begun.
+func (c *call) headBy(a *choice.Attempt, now time.Time) time.Time {
+	if !c.route.MayRepeat() || c.ran+1 >= c.route.MaxServers {
+		return c.deadline
+	}
+	wait := max(time.Duration(answerPatience*float64(c.route.Objective)), expectedPatience*a.Expected, leastPatience)
+	return earlier(now.Add(wait), c.deadline)
+}
+
+// nextEventBy is until when the next event of a stream must have come.
+func (c *call) nextEventBy(now time.Time) time.Time {
+	if !c.route.MayRepeat() || c.ran+1 >= c.route.MaxServers {
+		return c.deadline
+	}
+	return earlier(now.Add(eventPatience), c.deadline)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // message is the request as it goes to the attempt's server.
 func (c *call) message(a *choice.Attempt, lastEvent string) backend.Request {
 	h := c.header.Clone()
@@ -194,6 +230,6 @@
 	return backend.Request{
 		Method: c.method, Path: c.target, Host: c.host, Header: h, Body: c.body,
 		HeaderID: platform.HeaderRequestID, ID: c.id,
-		Once: !c.route.MayRepeat(), Deadline: c.deadline,
+		Once: !c.route.MayRepeat(), Deadline: c.deadline, HeadBy: c.headBy(a, time.Now()),
 	}
 }
--- a/opaque/chooser.go
+++ b/opaque/chooser.go
@@ -60,6 +60,13 @@
 	c.table.FirstEvent(a, time.Now())
 }
 
+// Event records that something more came of the attempt's answer.
+func (c *Chooser) Event(a *choice.Attempt) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.Heard(a.Server.DataCentre, time.Now())
+}
+
 // End records how the attempt ended.
 func (c *Chooser) End(a *choice.Attempt, r choice.Result) {
 	c.mu.Lock()
@@ -101,10 +108,10 @@
 }
 
 // Receive takes in what another instance told.
-func (c *Chooser) Receive(peer string, reports []choice.ServerReport, now time.Time) {
+func (c *Chooser) Receive(peer, dataCentre string, reports []choice.ServerReport, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.table.Receive(peer, reports, now)
+	c.table.Receive(peer, dataCentre, reports, now)
 }
 
 // Forget drops what is known of servers and services that the snapshot lacks.
--- a/opaque/relay.go
+++ b/opaque/relay.go
@@ -50,6 +50,9 @@
 func (x *exchange) relay(answer *backend.Answer, a *choice.Attempt) (bool, failure) {
 	events := bufio.NewReaderSize(answer, eventBufferBytes)
 	for {
+		if err := answer.WaitUntil(x.call.nextEventBy(time.Now())); err != nil {
+			return false, failure{reason: outcome.StreamCut, ran: true, err: err}
+		}
 		event, err := readEvent(events)
 		if err == io.EOF && len(event) == 0 {
 			return x.endStream(a)
@@ -83,6 +86,7 @@
 		copyHeader(x.w, platform.AnswerHeader(answer.Header))
 		x.w.WriteHeader(answer.StatusCode)
 	} else {
+		x.front.Chooser.Event(a)
 		s.longest = max(s.longest, time.Since(s.lastAt))
 	}
 	s.lastAt = time.Now()
