Let two instances follow the store and the others hear from them

Ruled out: longer waits (a change missed before a compaction stays unknown). An instance counts as a watcher only while the store answered it within the last second, so one that is turned away is replaced within a second, and one that lacks what others have asks the store itself.

--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -36,6 +36,8 @@
 	// peer told. Lost is called for a peer that fell silent.
 	Reports func(now time.Time) []choice.ServerReport
 	Receive func(peer, dataCentre string, reports []choice.ServerReport, now time.Time)
+	// StoreAge is how long ago the store last answered this instance.
+	StoreAge func(now time.Time) time.Duration
 	// Changed is called with what fetched records changed.
 	Changed func(source string, changes []directory.Change)
 	Log     *slog.Logger
@@ -54,8 +56,10 @@
 	sequence uint64
 	leaving  bool
 	fetching bool
-	nudge    chan struct{}
-	wait     sync.WaitGroup
+	// behindSince is since when this instance lacks records that others have.
+	behindSince time.Time
+	nudge       chan struct{}
+	wait        sync.WaitGroup
 }
 
 // Listen opens the sockets. Nothing is sent before Run.
@@ -155,6 +159,7 @@
 		Cluster: b.opts.Cluster, Name: b.opts.Name, Started: b.started, Sequence: b.sequence,
 		Address: b.opts.Address, Leaving: b.leaving, Revision: revision, Servers: servers,
 		Known: b.members.known(b.sequence), Reports: reports, DataCentre: b.opts.DataCentre,
+		StoreAgeMs: b.opts.StoreAge(now).Milliseconds(),
 	}
 	targets := b.members.next(fanout)
 	b.mu.Unlock()
--- a/beacon/fetch.go
+++ b/beacon/fetch.go
@@ -20,8 +20,8 @@
 	fetchTimeout = 600 * time.Millisecond
 	// fetchIdle is how long a connection to a peer is kept.
 	fetchIdle = 2 * time.Second
-	// settle is the time in which the platform's own watch may bring what a
-	// peer has already.
+	// settle is the time in which the store's watch may bring what a peer has
+	// already to an instance that follows the store.
 	settle = 120 * time.Millisecond
 	// maxFetchBytes bounds one answer.
 	maxFetchBytes = 32 << 20
@@ -68,7 +68,12 @@
 func (b *Beacon) compare(e member, m message) {
 	revision, servers := b.opts.Table.Digest()
 	same := m.Servers == servers || e.fruitless == [2]uint64{m.Servers, servers}
-	if m.Revision <= revision && same {
+	behind := m.Revision > revision || !same
+	if m.Revision >= revision {
+		// A sender with less to tell says nothing about what is lacking here.
+		b.noteBehind(behind, time.Now())
+	}
+	if !behind {
 		return
 	}
 	b.mu.Lock()
@@ -84,7 +89,9 @@
 			b.fetching = false
 			b.mu.Unlock()
 		}()
-		time.Sleep(settle)
+		if b.Watches(time.Now()) {
+			time.Sleep(settle)
+		}
 		b.fetchMissing(e, m)
 	})
 }
--- a/beacon/members.go
+++ b/beacon/members.go
@@ -25,6 +25,8 @@
 	Heard    time.Time
 	Live     bool
 	Leaving  bool
+	// StoreAt is when the store last answered the member.
+	StoreAt  time.Time
 	Revision int64
 	Servers  uint64
 	// fruitless are the digests, the member's and our own, at which a fetch of
@@ -66,6 +68,7 @@
 	e.Name, e.Started, e.Sequence = msg.Name, msg.Started, msg.Sequence
 	e.Leaving, e.Revision, e.Servers = msg.Leaving, msg.Revision, msg.Servers
 	e.Heard, e.Live = now, true
+	e.StoreAt = now.Add(-time.Duration(msg.StoreAgeMs) * time.Millisecond)
 	for _, a := range msg.Known {
 		m.learn(a, now)
 	}
--- a/beacon/message.go
+++ b/beacon/message.go
@@ -32,6 +32,8 @@
 	Reports []choice.ServerReport `cbor:"10,keyasint,omitempty"`
 	// DataCentre is the sender's.
 	DataCentre string `cbor:"11,keyasint"`
+	// StoreAgeMs is how long ago the store answered the sender.
+	StoreAgeMs int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // errMalformed reports a datagram that is no message.
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -15,9 +16,11 @@
 	// watchWait is how long the platform may keep a watch without news. A watch
 	// that missed a change before its history was dropped learns it only when it
 	// is asked again, so this is under the time in which a change is in force.
-	watchWait = 1500 * time.Millisecond
+	watchWait = 700 * time.Millisecond
 	// answerSlack is how much longer than asked a call may take.
 	answerSlack = 1500 * time.Millisecond
+	// chosenPoll is the time between two looks at whether to follow.
+	chosenPoll = 50 * time.Millisecond
 	// Bounds of the pause after a failed call.
 	minPause = 100 * time.Millisecond
 	maxPause = time.Second
@@ -34,6 +37,9 @@
 	Kind   Kind
 	Table  *Table
 	Source Source
+	// Chosen reports whether this instance is one that follows the source once
+	// it has listed it.
+	Chosen func() bool
 	// Changed is called with what each answer changed.
 	Changed func(source string, changes []Change)
 	// Count is called with each call's name and result.
@@ -44,12 +50,21 @@
 	after int64
 	pause time.Duration
 	lost  bool
+	// answered is when the source last answered, in Unix nanoseconds.
+	answered atomic.Int64
 }
 
+// Answered returns when the source last answered.
+func (f *Follower) Answered() time.Time { return time.Unix(0, f.answered.Load()) }
+
 // Run follows the source until ctx ends. It lists once, and again only if the
 // source no longer keeps what happened since.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if f.after != 0 && !f.Chosen() {
+			sleep(ctx, chosenPoll)
+			continue
+		}
 		err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
@@ -62,7 +77,7 @@
 			f.after = 0
 			continue
 		}
-		f.sleep(ctx)
+		f.backOff(ctx)
 	}
 }
 
@@ -126,6 +141,7 @@
 			f.Log.Info("store regained", "kind", f.Kind.String(), "revision", f.after)
 		}
 		f.lost, f.pause = false, 0
+		f.answered.Store(time.Now().UnixNano())
 		return
 	}
 	if !f.lost {
@@ -134,11 +150,16 @@
 	f.lost = true
 }
 
-// sleep waits twice as long after each failure, with jitter so that instances
+// backOff waits twice as long after each failure, with jitter so that instances
 // don't come back in step.
-func (f *Follower) sleep(ctx context.Context) {
+func (f *Follower) backOff(ctx context.Context) {
 	f.pause = min(max(2*f.pause, minPause), maxPause)
-	timer := time.NewTimer(f.pause/2 + rand.N(f.pause/2))
+	sleep(ctx, f.pause/2+rand.N(f.pause/2))
+}
+
+// sleep returns after d or at the end of ctx, whichever is first.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
