Replay loads against the choice of servers; say less in each beacon

Cause: beacons carried field names and were a quarter of the bytes between data centres; connections unused for a second were not used again for what may run once, so half of all sends made a new one.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -30,7 +30,7 @@
 	// freshIdle is how long a connection may have been unused for a request
 	// that may not be sent twice: the longer it was, the likelier its server
 	// closes it at that moment.
-	freshIdle = time.Second
+	freshIdle = 4 * time.Second
 )
 
 // Server says where a request goes.
--- a/choice/peers.go
+++ b/choice/peers.go
@@ -1,23 +1,32 @@
 package choice
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // reportLife is how long a peer's report counts without a newer one.
 const reportLife = 1500 * time.Millisecond
 
 // ServerReport is what one instance tells the others of a server.
 type ServerReport struct {
-	Key  uint64 `cbor:"1,keyasint"`
-	Load Load   `cbor:"2,keyasint"`
-	// Sends, Failures, Expected and Observed are this instance's evidence.
-	Sends    float32 `cbor:"3,keyasint,omitempty"`
-	Failures float32 `cbor:"4,keyasint,omitempty"`
-	Expected float32 `cbor:"5,keyasint,omitempty"`
-	Observed float32 `cbor:"6,keyasint,omitempty"`
+	_    struct{} `cbor:",toarray"`
+	Key  uint64
+	Load Load
+	// Sends, Failures, Expected and Observed are this instance's evidence, in
+	// hundredths.
+	Sends, Failures    uint32
+	Expected, Observed uint32
 	// Parts are the shared parts of prompts that were sent there lately.
-	Parts []uint64 `cbor:"7,keyasint,omitempty"`
+	Parts []uint64
 }
 
+// hundredths writes an amount of evidence for a report.
+func hundredths(amount float64) uint32 { return uint32(min(amount*100+0.5, math.MaxUint32)) }
+
+// amount reads what hundredths wrote.
+func amount(h uint32) float64 { return float64(h) / 100 }
+
 // peerReport is what a peer reported last.
 type peerReport struct {
 	at      time.Time
@@ -39,8 +48,8 @@
 		}
 		reports = append(reports, ServerReport{
 			Key: key, Load: s.own,
-			Sends: float32(e.sends), Failures: float32(e.failures),
-			Expected: float32(e.expected), Observed: float32(e.observed),
+			Sends: hundredths(e.sends), Failures: hundredths(e.failures),
+			Expected: hundredths(e.expected), Observed: hundredths(e.observed),
 			Parts: parts,
 		})
 	}
@@ -98,8 +107,8 @@
 	}
 	e := &s.otherEvidence
 	e.fade(now)
-	e.sends = max(e.sends+sign*float64(r.Sends), 0)
-	e.failures = max(e.failures+sign*float64(r.Failures), 0)
-	e.expected = max(e.expected+sign*float64(r.Expected), 0)
-	e.observed = max(e.observed+sign*float64(r.Observed), 0)
+	e.sends = max(e.sends+sign*amount(r.Sends), 0)
+	e.failures = max(e.failures+sign*amount(r.Failures), 0)
+	e.expected = max(e.expected+sign*amount(r.Expected), 0)
+	e.observed = max(e.observed+sign*amount(r.Observed), 0)
 }
--- /dev/null
+++ b/choice/replay_test.go
@@ -0,0 +1,349 @@
+package choice
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bergamotpin.example/bergamotpin/directory"
+	"bergamotpin.example/bergamotpin/placement"
+)
+
+// This file replays loads in virtual time against engines that read prompts one
+// after another, keep what they read and batch the rest. Several instances
+// choose, each on its own table and the others' reports, which are late.
+
+// chooser is a policy under test at one instance.
+type chooser interface {
+	choose(r Request, servers []directory.BackendServer, now time.Time) Attempt
+	begin(a *Attempt, r Request, now time.Time)
+	first(a *Attempt, now time.Time)
+	end(a *Attempt, result Result, now time.Time)
+}
+
+// tableChooser is the product's own policy.
+type tableChooser struct{ table *Table }
+
+func (c tableChooser) choose(r Request, servers []directory.BackendServer, now time.Time) Attempt {
+	a, _ := c.table.Choose(r, servers, now)
+	return a
+}
+func (c tableChooser) begin(a *Attempt, r Request, now time.Time) { c.table.Begin(a, r, now) }
+func (c tableChooser) first(a *Attempt, now time.Time)            { c.table.FirstEvent(a, now) }
+func (c tableChooser) end(a *Attempt, result Result, now time.Time) {
+	c.table.End(a, result, now)
+}
+
+// hashChooser is the policy to beat: rendezvous hashing of the last shared
+// part, passing over a server whose requests, as this instance sees them, are
+// over 1.5 times the mean plus 3; the fewest requests without a prompt.
+type hashChooser struct{ running map[uint64]int }
+
+func (c hashChooser) choose(r Request, servers []directory.BackendServer, _ time.Time) Attempt {
+	total := 0
+	for _, s := range servers {
+		total += c.running[ServerKey(s)]
+	}
+	bound := 1.5*float64(total)/float64(len(servers)) + 3
+	shared := r.sharedParts()
+	best, bestWeight := -1, uint64(0)
+	for i, s := range servers {
+		key := ServerKey(s)
+		if float64(c.running[key]) > bound {
+			continue
+		}
+		weight := ^uint64(c.running[key])
+		if len(shared) > 0 {
+			weight = placement.Weight(shared[len(shared)-1].ID, key)
+		}
+		if best < 0 || weight > bestWeight {
+			best, bestWeight = i, weight
+		}
+	}
+	best = max(best, 0)
+	return Attempt{Server: servers[best], Key: ServerKey(servers[best])}
+}
+func (c hashChooser) begin(a *Attempt, _ Request, _ time.Time) { c.running[a.Key]++ }
+func (c hashChooser) first(*Attempt, time.Time)                {}
+func (c hashChooser) end(a *Attempt, _ Result, _ time.Time)    { c.running[a.Key]-- }
+
+// engineSim reads prompts in the order in which they came.
+type engineSim struct {
+	freeAt time.Time
+	kept   map[uint64]bool
+	reread int
+	slow   float64
+	// failing is the share of its requests that it fails at once.
+	failing float64
+}
+
+// take returns when the request's first event comes.
+func (e *engineSim) take(r Request, now time.Time) time.Time {
+	unread := r.PromptTokens
+	leading := true
+	for _, p := range r.Parts {
+		if leading && e.kept[p.ID] {
+			unread -= p.Tokens
+			continue
+		}
+		leading = false
+		e.kept[p.ID] = true
+	}
+	start := now
+	if e.freeAt.After(start) {
+		start = e.freeAt
+	}
+	e.freeAt = start.Add(time.Duration(float64(unread) / 47 * e.slow * float64(time.Millisecond)))
+	return e.freeAt.Add(60 * time.Millisecond)
+}
+
+// happening is something that is due at a time.
+type happening struct {
+	at  time.Time
+	do  func(now time.Time)
+	seq int
+}
+
+type happenings []happening
+
+func (h happenings) Len() int { return len(h) }
+func (h happenings) Less(i, j int) bool {
+	return h[i].at.Before(h[j].at) || h[i].at.Equal(h[j].at) && h[i].seq < h[j].seq
+}
+func (h happenings) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *happenings) Push(x any)   { *h = append(*h, x.(happening)) }
+func (h *happenings) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+// kindOfLoad is one kind of request of a load.
+type kindOfLoad struct {
+	perSecond    float64
+	objective    time.Duration
+	sharedTokens int
+	things       int
+	ownTokens    int
+	runs         time.Duration
+}
+
+// load is what is replayed.
+type load struct {
+	seconds   float64
+	engines   int
+	instances int
+	kinds     []kindOfLoad
+	// prepare changes engines before the start.
+	prepare func(engines []*engineSim)
+	// cut, if set, tells whether an engine is out of an instance's reach.
+	cut func(instance, engine int, now time.Time) bool
+}
+
+// outcomeOfLoad is what callers and engines saw.
+type outcomeOfLoad struct {
+	asked, onTime, failed int
+	reread                int
+}
+
+func (o outcomeOfLoad) String() string {
+	return fmt.Sprintf("asked %d, on time %.3f, failed %.3f, reread %d tokens",
+		o.asked, o.share(o.onTime), o.share(o.failed), o.reread)
+}
+
+func (o outcomeOfLoad) share(n int) float64 { return float64(n) / float64(o.asked) }
+
+// replay plays the load with a policy at each instance. Report is called to
+// carry reports between the instances, or nil.
+func replay(l load, seed uint64, policies []chooser, report func(now time.Time)) outcomeOfLoad {
+	random := rand.New(rand.NewPCG(seed, 7))
+	start := time.Unix(1_000_000, 0)
+	var queue happenings
+	seq := 0
+	push := func(at time.Time, do func(now time.Time)) {
+		seq++
+		heap.Push(&queue, happening{at, do, seq})
+	}
+	engines := make([]*engineSim, l.engines)
+	servers := make([]directory.BackendServer, l.engines)
+	index := make(map[uint64]int)
+	for i := range engines {
+		engines[i] = &engineSim{kept: make(map[uint64]bool), slow: 1}
+		servers[i] = directory.BackendServer{
+			ID: fmt.Sprintf("s%d", i), Slots: 64, DataCentre: fmt.Sprintf("dc%d", i%4), Service: "m",
+		}
+		index[ServerKey(servers[i])] = i
+	}
+	if l.prepare != nil {
+		l.prepare(engines)
+	}
+	var out outcomeOfLoad
+	read := make(map[uint64]bool)
+	ask := func(k kindOfLoad, thing uint64, own uint64, now time.Time) {
+		out.asked++
+		instance := random.IntN(l.instances)
+		r := Request{
+			Service: directory.Service{Name: "m", Slots: 64, MemoryTokens: 600_000}, Objective: k.objective,
+			PromptTokens: k.sharedTokens + k.ownTokens,
+			Parts:        []Part{{ID: thing, Tokens: k.sharedTokens}, {ID: own, Tokens: k.ownTokens}},
+		}
+		a := policies[instance].choose(r, servers, now)
+		i := index[a.Key]
+		e := engines[i]
+		policies[instance].begin(&a, r, now)
+		if l.cut != nil && l.cut(instance, i, now) {
+			out.failed++
+			push(now.Add(250*time.Millisecond), func(now time.Time) { policies[instance].end(&a, Failed, now) })
+			return
+		}
+		if random.Float64() < e.failing {
+			out.failed++
+			push(now.Add(2*time.Millisecond), func(now time.Time) { policies[instance].end(&a, Failed, now) })
+			return
+		}
+		if read[thing] && !e.kept[thing] {
+			out.reread += k.sharedTokens
+		}
+		read[thing] = true
+		first := e.take(r, now)
+		if first.Sub(now) <= k.objective {
+			out.onTime++
+		}
+		push(first, func(now time.Time) { policies[instance].first(&a, now) })
+		push(first.Add(k.runs), func(now time.Time) { policies[instance].end(&a, Answered, now) })
+	}
+	var own uint64 = 1 << 32
+	for n, k := range l.kinds {
+		at := 0.0
+		for {
+			at += random.ExpFloat64() / k.perSecond
+			if at > l.seconds {
+				break
+			}
+			own++
+			thing, mine := uint64(n)<<20|random.Uint64N(uint64(k.things)), own
+			push(start.Add(time.Duration(at*float64(time.Second))), func(now time.Time) { ask(k, thing, mine, now) })
+		}
+	}
+	if report != nil {
+		for at := 0.0; at < l.seconds; at += 0.1 {
+			push(start.Add(time.Duration(at*float64(time.Second))), report)
+		}
+	}
+	for queue.Len() > 0 {
+		h := heap.Pop(&queue).(happening)
+		h.do(h.at)
+	}
+	return out
+}
+
+// replayTables replays a load with the product's policy.
+func replayTables(l load, seed uint64) outcomeOfLoad {
+	tables := make([]*Table, l.instances)
+	policies := make([]chooser, l.instances)
+	for i := range tables {
+		tables[i] = NewTable(Options{DataCentre: fmt.Sprintf("dc%d", i%4), Seed: uint64(i)})
+		policies[i] = tableChooser{tables[i]}
+	}
+	return replay(l, seed, policies, func(now time.Time) {
+		for i, from := range tables {
+			reports := from.Report(now)
+			for j, to := range tables {
+				if i == j || l.cut != nil && l.cut(i, j%4, now) {
+					continue
+				}
+				to.Receive(fmt.Sprint(i), fmt.Sprintf("dc%d", i%4), reports, now)
+				to.Expire(now)
+			}
+		}
+	})
+}
+
+// replayHash replays a load with the policy to beat.
+func replayHash(l load, seed uint64) outcomeOfLoad {
+	policies := make([]chooser, l.instances)
+	for i := range policies {
+		policies[i] = hashChooser{make(map[uint64]int)}
+	}
+	return replay(l, seed, policies, nil)
+}
+
+// burstOfReviews is the first seconds of a day of high load: twice the reviews
+// come at once, and no engine keeps anything yet.
+var burstOfReviews = load{
+	seconds: 9, engines: 18, instances: 7,
+	kinds: []kindOfLoad{
+		{perSecond: 75, objective: 1500 * time.Millisecond, sharedTokens: 13300, things: 107, ownTokens: 3720, runs: 2 * time.Second},
+		{perSecond: 14, objective: 600 * time.Millisecond, sharedTokens: 6300, things: 42, ownTokens: 2890, runs: time.Second},
+		{perSecond: 34, objective: 300 * time.Millisecond, sharedTokens: 350, things: 100, ownTokens: 1110, runs: 2 * time.Second},
+	},
+}
+
+func TestBurstOfReviewsIsServedBetterThanByHashing(t *testing.T) {
+	for seed := range uint64(4) {
+		ours, theirs := replayTables(burstOfReviews, seed), replayHash(burstOfReviews, seed)
+		t.Logf("seed %d: ours %v; hashing %v", seed, ours, theirs)
+		if ours.onTime <= theirs.onTime {
+			t.Errorf("seed %d: %v, not above hashing's %v", seed, ours, theirs)
+		}
+		if ours.share(ours.onTime) < 0.85 {
+			t.Errorf("seed %d: on time %.3f, users ask for 0.85", seed, ours.share(ours.onTime))
+		}
+	}
+}
+
+func TestServersThatFailArePassedOver(t *testing.T) {
+	l := burstOfReviews
+	l.kinds = []kindOfLoad{{perSecond: 60, objective: 600 * time.Millisecond, sharedTokens: 350, things: 100, ownTokens: 1110, runs: time.Second}}
+	l.prepare = func(engines []*engineSim) {
+		for i := range 4 {
+			engines[i].failing = 0.5
+		}
+	}
+	for seed := range uint64(4) {
+		ours, theirs := replayTables(l, seed), replayHash(l, seed)
+		t.Logf("seed %d: ours %v; hashing %v", seed, ours, theirs)
+		if ours.failed*3 > theirs.failed {
+			t.Errorf("seed %d: %v, hashing %v: more than a third of the failures are left", seed, ours, theirs)
+		}
+	}
+}
+
+func TestSlowServersGetLess(t *testing.T) {
+	l := burstOfReviews
+	l.kinds = []kindOfLoad{{perSecond: 120, objective: 300 * time.Millisecond, sharedTokens: 350, things: 100, ownTokens: 2500, runs: time.Second}}
+	l.prepare = func(engines []*engineSim) {
+		for i := range 3 {
+			engines[i].slow = 6
+		}
+	}
+	for seed := range uint64(4) {
+		ours, theirs := replayTables(l, seed), replayHash(l, seed)
+		t.Logf("seed %d: ours %v; hashing %v", seed, ours, theirs)
+		if ours.onTime <= theirs.onTime {
+			t.Errorf("seed %d: %v, not above hashing's %v", seed, ours, theirs)
+		}
+	}
+}
+
+// TestCutDataCentreIsPassedOver cuts a data centre for four seconds. What an
+// instance on the other side sends there is lost.
+func TestCutDataCentreIsPassedOver(t *testing.T) {
+	l := burstOfReviews
+	l.kinds = []kindOfLoad{{perSecond: 100, objective: 600 * time.Millisecond, sharedTokens: 350, things: 100, ownTokens: 1110, runs: time.Second}}
+	start := time.Unix(1_000_000, 0)
+	l.cut = func(instance, engine int, now time.Time) bool {
+		inside := now.After(start.Add(3*time.Second)) && now.Before(start.Add(7*time.Second))
+		return inside && (instance%4 == 0) != (engine%4 == 0)
+	}
+	for seed := range uint64(4) {
+		ours, theirs := replayTables(l, seed), replayHash(l, seed)
+		t.Logf("seed %d: ours %v; hashing %v", seed, ours, theirs)
+		if ours.failed*4 > theirs.failed {
+			t.Errorf("seed %d: %v, hashing %v: more than a quarter of the failures are left", seed, ours, theirs)
+		}
+	}
+}
--- a/choice/table.go
+++ b/choice/table.go
@@ -52,6 +52,7 @@
 
 // Load is the work that instances have at a server.
 type Load struct {
+	_ struct{} `cbor:",toarray"`
 	// Running counts the requests that were sent and have not ended.
 	Running int
 	// Waiting counts those of them without a first event, and Unread their
@@ -61,11 +62,11 @@
 }
 
 func (l Load) plus(o Load) Load {
-	return Load{l.Running + o.Running, l.Waiting + o.Waiting, l.Unread + o.Unread}
+	return Load{Running: l.Running + o.Running, Waiting: l.Waiting + o.Waiting, Unread: l.Unread + o.Unread}
 }
 
 func (l Load) minus(o Load) Load {
-	return Load{l.Running - o.Running, l.Waiting - o.Waiting, l.Unread - o.Unread}
+	return Load{Running: l.Running - o.Running, Waiting: l.Waiting - o.Waiting, Unread: l.Unread - o.Unread}
 }
 
 // all is the load of all instances together.
