Follow both kinds of records with one watch; prefer the own data centre

Each answer tells the store's revision, so servers are asked for only when it has moved. Kept 0.03: what is placed by load alone stays near, and a cut breaks off fewer streams.

--- a/choice/place.go
+++ b/choice/place.go
@@ -40,7 +40,7 @@
 	// pauseSlope does the same for the pauses between events.
 	pauseSlope = 0.05
 	// farCost is that of a server in another data centre.
-	farCost = 0.004
+	farCost = 0.03
 	// jitterCost keeps instances that know the same from choosing the same.
 	jitterCost = 0.004
 	// lostWhenLate is the part of a request that is lost if it comes late.
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -28,13 +28,17 @@
 
 // Source is where records come from. Its errors are those of package objects.
 type Source interface {
+	// List returns all records of a kind and the source's revision.
 	List(ctx context.Context, kind Kind) ([]Record, int64, error)
+	// Watch returns the changes of a kind after a revision, and the source's
+	// revision, as soon as there is a change or wait has passed.
 	Watch(ctx context.Context, kind Kind, after int64, wait time.Duration) ([]Record, int64, error)
 }
 
-// Follower keeps a table up to date with one kind of records of a source.
+// Follower keeps a table up to date with a source. It watches the
+// configuration. The source's revision, which each answer tells, says whether
+// servers may have changed too, so they are asked for only then.
 type Follower struct {
-	Kind   Kind
 	Table  *Table
 	Source Source
 	// Chosen reports whether this instance is one that follows the source once
@@ -46,10 +50,13 @@
 	Count func(call, result string)
 	Log   *slog.Logger
 
-	// after is the revision from which to watch, or 0 if a list is needed.
-	after int64
-	pause time.Duration
-	lost  bool
+	// configuration and servers are the revisions up to which each is known, or
+	// 0 if a list is needed. Newest is the source's own, as last told.
+	configuration int64
+	servers       int64
+	newest        int64
+	pause         time.Duration
+	lost          bool
 	// answered is when the source last answered, in Unix nanoseconds.
 	answered atomic.Int64
 }
@@ -61,7 +68,7 @@
 // source no longer keeps what happened since.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if f.after != 0 && !f.Chosen() {
+		if f.listed() && !f.Chosen() {
 			sleep(ctx, chosenPoll)
 			continue
 		}
@@ -70,54 +77,72 @@
 			return
 		}
 		f.note(err)
-		if err == nil {
-			continue
-		}
-		if errors.Is(err, objects.ErrCompacted) {
-			f.after = 0
-			continue
+		switch {
+		case err == nil:
+		case errors.Is(err, objects.ErrCompacted):
+			f.configuration, f.servers = 0, 0
+		default:
+			f.backOff(ctx)
 		}
-		f.backOff(ctx)
 	}
 }
 
-// step makes one call and takes in its answer.
+func (f *Follower) listed() bool { return f.configuration != 0 && f.servers != 0 }
+
+// step makes the next call and takes in its answer.
 func (f *Follower) step(ctx context.Context) error {
-	if f.after == 0 {
-		return f.list(ctx)
+	switch {
+	case f.configuration == 0:
+		return f.list(ctx, KindConfiguration)
+	case f.servers == 0:
+		return f.list(ctx, KindServer)
+	case f.newest > f.servers:
+		return f.watch(ctx, KindServer, 0)
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+answerSlack)
+	return f.watch(ctx, KindConfiguration, watchWait)
+}
+
+// watch asks for the changes of a kind since the last answer.
+func (f *Follower) watch(ctx context.Context, kind Kind, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
 	defer cancel()
-	records, revision, err := f.Source.Watch(ctx, f.Kind, f.after, watchWait)
+	after := f.configuration
+	if kind == KindServer {
+		after = f.servers
+	}
+	records, revision, err := f.Source.Watch(ctx, kind, after, wait)
 	f.Count("watch", resultName(err))
 	if err != nil {
 		return err
 	}
-	now := time.Now()
-	if f.Kind == KindServer {
-		f.Changed("watch", f.Table.MergeEvents(records, revision, now))
-	} else {
-		f.Changed("watch", f.Table.Merge(records, now))
+	f.newest = max(f.newest, revision)
+	if kind == KindServer {
+		f.Changed("watch", f.Table.MergeEvents(records, revision, time.Now()))
+		f.servers = revision
+		return nil
 	}
-	f.after = revision
+	f.Changed("watch", f.Table.Merge(records, time.Now()))
+	f.configuration = revision
 	return nil
 }
 
-func (f *Follower) list(ctx context.Context) error {
+// list asks for all records of a kind.
+func (f *Follower) list(ctx context.Context, kind Kind) error {
 	ctx, cancel := context.WithTimeout(ctx, answerSlack)
 	defer cancel()
-	records, revision, err := f.Source.List(ctx, f.Kind)
+	records, revision, err := f.Source.List(ctx, kind)
 	f.Count("list", resultName(err))
 	if err != nil {
 		return err
 	}
-	now := time.Now()
-	if f.Kind == KindServer {
-		f.Changed("list", f.Table.MergeServerList(records, revision, now))
-	} else {
-		f.Changed("list", f.Table.Merge(records, now))
+	f.newest = max(f.newest, revision)
+	if kind == KindServer {
+		f.Changed("list", f.Table.MergeServerList(records, revision, time.Now()))
+		f.servers = revision
+		return nil
 	}
-	f.after = revision
+	f.Changed("list", f.Table.Merge(records, time.Now()))
+	f.configuration = revision
 	return nil
 }
 
@@ -138,14 +163,14 @@
 func (f *Follower) note(err error) {
 	if err == nil || errors.Is(err, objects.ErrCompacted) {
 		if f.lost {
-			f.Log.Info("store regained", "kind", f.Kind.String(), "revision", f.after)
+			f.Log.Info("store regained", "revision", f.newest)
 		}
 		f.lost, f.pause = false, 0
 		f.answered.Store(time.Now().UnixNano())
 		return
 	}
 	if !f.lost {
-		f.Log.Warn("store lost", "kind", f.Kind.String(), "revision", f.after, "error", err.Error())
+		f.Log.Warn("store lost", "revision", f.newest, "error", err.Error())
 	}
 	f.lost = true
 }
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -35,16 +35,15 @@
 
 // Instance is one entry instance.
 type Instance struct {
-	path     string
-	settings atomic.Pointer[platform.Settings]
-	log      *eventlog.Log
-	table    *directory.Table
-	chooser  *opaque.Chooser
-	client   *backend.Client
-	metrics  *metrics.Metrics
-	beacon   *beacon.Beacon
-	// followers hold one for each kind of records of the store.
-	followers  []*directory.Follower
+	path       string
+	settings   atomic.Pointer[platform.Settings]
+	log        *eventlog.Log
+	table      *directory.Table
+	chooser    *opaque.Chooser
+	client     *backend.Client
+	metrics    *metrics.Metrics
+	beacon     *beacon.Beacon
+	follower   *directory.Follower
 	front      *opaque.Front
 	callers    net.Listener
 	ready      net.Listener
@@ -76,9 +75,7 @@
 	i.chooser = opaque.NewChooser(choice.Options{DataCentre: s.DataCentre, Seed: seedOf(s.Name)}, s.Retries)
 	i.client = backend.NewClient(nil)
 	i.metrics = metrics.New(s.Name, s.DataCentre)
-	for _, kind := range []directory.Kind{directory.KindConfiguration, directory.KindServer} {
-		i.followers = append(i.followers, i.newFollower(kind, s.Store))
-	}
+	i.follower = i.newFollower(s.Store)
 	var err error
 	i.beacon, err = beacon.Listen(beacon.Options{
 		Name: s.Name, DataCentre: s.DataCentre, Cluster: s.Store.String(), Address: s.Peers, Seeds: s.Seeds, Table: i.table,
@@ -116,9 +113,7 @@
 	background, stop := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
 	tasks.Go(func() { i.beacon.Run(background) })
-	for _, f := range i.followers {
-		tasks.Go(func() { f.Run(background) })
-	}
+	tasks.Go(func() { i.follower.Run(background) })
 	tasks.Go(func() { i.tidy(background) })
 	tasks.Go(func() { i.watchSettings(background, reload) })
 	tasks.Go(func() { i.metrics.NewMirror(i.readings).Run(background) })
@@ -143,24 +138,17 @@
 	return err
 }
 
-// newFollower returns what keeps the table up to date with one kind of records
-// of the store.
-func (i *Instance) newFollower(kind directory.Kind, store netip.AddrPort) *directory.Follower {
+// newFollower returns what keeps the table up to date with the store.
+func (i *Instance) newFollower(store netip.AddrPort) *directory.Follower {
 	return &directory.Follower{
-		Kind: kind, Table: i.table, Changed: i.changed, Count: i.storeCalls.add, Log: i.log.Beliefs,
+		Table: i.table, Changed: i.changed, Count: i.storeCalls.add, Log: i.log.Beliefs,
 		Chosen: func() bool { return i.beacon.Watches(time.Now()) },
 		Source: &platform.Store{Base: "http://" + store.String(), HTTP: objects.NewHTTPClient(dialStore)},
 	}
 }
 
-// storeAge is how long ago the store last answered each kind of call.
-func (i *Instance) storeAge(now time.Time) time.Duration {
-	var age time.Duration
-	for _, f := range i.followers {
-		age = max(age, now.Sub(f.Answered()))
-	}
-	return age
-}
+// storeAge is how long ago the store last answered.
+func (i *Instance) storeAge(now time.Time) time.Duration { return now.Sub(i.follower.Answered()) }
 
 // changed logs what the directory learnt, and tells the others soon.
 func (i *Instance) changed(source string, changes []directory.Change) {
