--- /dev/null
+++ b/eventlog/eventlog_test.go
@@ -0,0 +1,100 @@
+package eventlog
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// blockedWriter takes nothing until it is released.
+type blockedWriter struct {
+	release chan struct{}
+	mu      sync.Mutex
+	written bytes.Buffer
+}
+
+func (b *blockedWriter) Write(p []byte) (int, error) {
+	<-b.release
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.written.Write(p)
+}
+
+// TestBlockedReaderStopsNobody writes far more than the buffer holds while
+// nothing is read. Lines of failures outlive those of successes, and lines of
+// beliefs outlive both.
+func TestBlockedReaderStopsNobody(t *testing.T) {
+	out := &blockedWriter{release: make(chan struct{})}
+	l := New(out)
+	began := time.Now()
+	text := strings.Repeat("x", 200)
+	for range 20_000 {
+		l.Successes.Info("answered", "detail", text)
+	}
+	for range 20_000 {
+		l.Failures.Warn("refused", "detail", text)
+	}
+	for n := range 100 {
+		l.Beliefs.Info("directory changed", "n", n)
+	}
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("writing took %v", took)
+	}
+	dropped := l.Dropped()
+	close(out.release)
+	l.Close()
+	if dropped[0] == 0 || dropped[1] == 0 || dropped[2] != 0 {
+		t.Errorf("dropped successes, failures, beliefs: %v", dropped)
+	}
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	counts := make(map[string]int)
+	for line := range strings.Lines(out.written.String()) {
+		var entry struct{ Msg string }
+		if err := json.Unmarshal([]byte(line), &entry); err != nil {
+			t.Fatalf("line does not parse: %v: %q", err, line)
+		}
+		counts[entry.Msg]++
+	}
+	if counts["refused"] == 0 || counts["directory changed"] != 100 || counts["answered"] == 0 {
+		t.Errorf("lines that are left: %v", counts)
+	}
+}
+
+func TestDroppedLinesAreTold(t *testing.T) {
+	out := &blockedWriter{release: make(chan struct{})}
+	l := New(out)
+	for range 10_000 {
+		l.Successes.Info("answered", "detail", strings.Repeat("x", 200))
+	}
+	close(out.release)
+	deadline := time.Now().Add(5 * time.Second)
+	for time.Now().Before(deadline) {
+		out.mu.Lock()
+		told := strings.Contains(out.written.String(), `"msg":"lines dropped","successes":`)
+		out.mu.Unlock()
+		if told {
+			l.Close()
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Error("nothing tells of dropped lines")
+}
+
+func TestLinesComeInOrder(t *testing.T) {
+	out := &blockedWriter{release: make(chan struct{})}
+	close(out.release)
+	l := New(out)
+	l.Beliefs.Info("one")
+	l.Failures.Info("two")
+	l.Successes.Info("three")
+	l.Close()
+	text := out.written.String()
+	if one, two, three := strings.Index(text, "one"), strings.Index(text, "two"), strings.Index(text, "three"); one < 0 || one > two || two > three {
+		t.Errorf("got %q", text)
+	}
+}
--- a/opaque/call.go
+++ b/opaque/call.go
@@ -15,6 +15,10 @@
 	"bergamotpin.example/bergamotpin/platform"
 )
 
+// unreadPatience is for how long the body of a request that is turned away is
+// waited for.
+const unreadPatience = time.Second
+
 // defaultDeadline is how long a request may take whose caller states nothing.
 const defaultDeadline = 30 * time.Second
 
@@ -54,6 +58,11 @@
 		prompt: platform.ReadPrompt(r.Header), lastSeen: r.Header.Get(platform.HeaderLastEvent),
 	}
 	c.path, _, _ = strings.Cut(c.target, "?")
+	if r.ContentLength != 0 {
+		// net/http reads what is left of a body before it sends an answer. A
+		// writer without deadlines is one of a test.
+		_ = http.NewResponseController(w).SetReadDeadline(c.arrived.Add(unreadPatience))
+	}
 	snapshot := f.Table.Snapshot()
 	if !snapshot.Ready {
 		return c, notRun(outcome.NotReady, returnReady)
@@ -135,13 +144,15 @@
 	// A writer without deadlines is one of a test.
 	_ = control.SetReadDeadline(c.deadline)
 	body, err := readAll(r)
-	_ = control.SetReadDeadline(time.Time{})
-	var above *http.MaxBytesError
-	switch {
-	case err == nil:
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
 		c.body = body
 		return nil
-	case errors.As(err, &above):
+	}
+	// What is left of the body is not read, so the connection can't be used.
+	w.Header().Set("Connection", "close")
+	var above *http.MaxBytesError
+	if errors.As(err, &above) {
 		return tooLarge
 	}
 	return reject(http.StatusRequestTimeout, outcome.BodyTimeout, "the body did not come whole")
--- a/opaque/front.go
+++ b/opaque/front.go
@@ -72,7 +72,7 @@
 		"sends", c.sends, "ran", c.ran, "elapsed_ms", time.Since(c.arrived).Milliseconds(),
 		"configuration", f.Table.Snapshot().Version)
 	if f.Stopping() {
-		defer w.Header().Set("Connection", "close")
+		w.Header().Set("Connection", "close")
 	}
 	refused.write(w)
 }
--- /dev/null
+++ b/opaque/front_test.go
@@ -0,0 +1,486 @@
+package opaque
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"bergamotpin.example/bergamotpin/backend"
+	"bergamotpin.example/bergamotpin/choice"
+	"bergamotpin.example/bergamotpin/directory"
+	"bergamotpin.example/bergamotpin/metrics"
+	"bergamotpin.example/bergamotpin/platform"
+	"bergamotpin.example/bergamotpin/platform/platformtest"
+)
+
+// fleet is a front before replicas.
+type fleet struct {
+	t        *testing.T
+	url      string
+	table    *directory.Table
+	front    *Front
+	replicas []*platformtest.Replica
+	revision int64
+	ids      int
+}
+
+// Routes of the fleet: one of each kind, on the host "h.example".
+const (
+	pathSafe      = "/safe/"
+	pathUnsafe    = "/unsafe/"
+	pathStream    = "/stream/"
+	pathResumable = "/resumable/"
+	pathPublic    = "/public/"
+)
+
+const fleetConfiguration = `{"version":%d,"routes":[
+{"name":"safe","host":"h.example","path_prefix":"/safe/","type":"safe","timeout_ms":1500,"slo_ms":100,"service":"s","max_attempts":2},
+{"name":"unsafe","host":"h.example","path_prefix":"/unsafe/","type":"unsafe","timeout_ms":1500,"slo_ms":100,"service":"s","max_attempts":1},
+{"name":"stream","host":"h.example","path_prefix":"/stream/","type":"stream","timeout_ms":1500,"slo_ms":300,"service":"s","max_attempts":1,"gap_target_ms":200,"priority":3},
+{"name":"resumable","host":"h.example","path_prefix":"/resumable/","type":"stream","timeout_ms":4000,"slo_ms":300,"service":"s","max_attempts":2,"resumable":true,"gap_target_ms":200},
+{"name":"public","host":"h.example","path_prefix":"/public/","type":"safe","timeout_ms":1500,"slo_ms":100,"service":"s","max_attempts":1,"public":true}],
+"services":[{"name":"s","max_conns":100,"engine":{"slots":64,"kv_capacity":100000}}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":[{"name":"org","api_keys":[%s],"priority":1}]}`
+
+func newFleet(t *testing.T, replicas int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, table: directory.NewTable(platform.Decoder{}), revision: 1}
+	m := metrics.New("test", "dc1")
+	t.Cleanup(func() { _ = m.Close() })
+	retries := platform.RetryLimits{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
+	quiet := slog.New(slog.DiscardHandler)
+	f.front = New(Options{
+		Table: f.table, Chooser: NewChooser(choice.Options{DataCentre: "dc1", Seed: 1}, retries),
+		Client: backend.NewClient(nil), Metrics: m, Successes: quiet, Failures: quiet,
+		Stopping: func() bool { return false },
+	})
+	server := httptest.NewServer(f.front)
+	t.Cleanup(server.Close)
+	f.url = server.URL
+	for n := range replicas {
+		r := platformtest.NewReplica(fmt.Sprintf("i-%d", n), "s")
+		t.Cleanup(r.Close)
+		f.replicas = append(f.replicas, r)
+		f.write(directory.KindServer, r.ID, r.Entry("ready"))
+	}
+	f.configure(1, `"key"`)
+	return f
+}
+
+func (f *fleet) write(kind directory.Kind, name, spec string) {
+	f.revision++
+	f.table.Merge([]directory.Record{{Kind: kind, Name: name, Revision: f.revision, Spec: []byte(spec)}}, time.Now())
+}
+
+func (f *fleet) configure(version int, keys string) {
+	f.write(directory.KindConfiguration, "main", fmt.Sprintf(fleetConfiguration, version, keys))
+}
+
+func (f *fleet) behave(b platformtest.Behaviour) {
+	for _, r := range f.replicas {
+		r.Behave(b)
+	}
+}
+
+// ran lists the replicas that ran something, once for each run.
+func (f *fleet) ran() []string {
+	var out []string
+	for _, r := range f.replicas {
+		for _, got := range r.Received() {
+			if got.Ran {
+				out = append(out, r.ID)
+			}
+		}
+	}
+	return out
+}
+
+func (f *fleet) request(path string) *http.Request {
+	f.ids++
+	r, err := http.NewRequest(http.MethodPost, f.url+path, strings.NewReader("the body"))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r.Host = "h.example"
+	r.Header.Set(platform.HeaderRequestID, fmt.Sprint("request-", f.ids))
+	r.Header.Set(platform.HeaderKey, "key")
+	return r
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (f *fleet) do(r *http.Request) reply {
+	f.t.Helper()
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, resp.Header, string(body), err}
+}
+
+func (f *fleet) expectStatus(got reply, want int) {
+	f.t.Helper()
+	if got.err != nil || got.status != want {
+		f.t.Errorf("got status %d, %v, %q, want %d", got.status, got.err, got.body, want)
+	}
+}
+
+func TestRequestIsPassedOnUnchanged(t *testing.T) {
+	f := newFleet(t, 1)
+	r := f.request("/safe/a%2Fb/../c?x=1&y=%20")
+	r.Header.Set("X-Own", "kept")
+	r.Header.Set(platform.HeaderOrganisation, "forged")
+	r.Header.Set(platform.HeaderPriority, "0")
+	r.Header.Set(platform.HeaderDeadline, "900")
+	r.Header.Set("X-Bergamotpin-Hold", "forged")
+	f.expectStatus(f.do(r), 200)
+	got := f.replicas[0].Received()[0]
+	if got.Method != "POST" || got.Target != "/safe/a%2Fb/../c?x=1&y=%20" || got.Host != "h.example" || got.Body != "the body" {
+		t.Errorf("got %s %s %s %q", got.Method, got.Target, got.Host, got.Body)
+	}
+	for name, want := range map[string]string{
+		"X-Own": "kept", platform.HeaderOrganisation: "org", platform.HeaderPriority: "1", platform.HeaderKey: "",
+		"X-Bergamotpin-Hold": "", platform.HeaderExpectServer: "i-0", platform.HeaderRequestID: "request-1",
+	} {
+		if got.Header.Get(name) != want {
+			t.Errorf("%s is %q, want %q", name, got.Header.Get(name), want)
+		}
+	}
+	left, err := platform.Deadline(got.Header, 0)
+	if err != nil || left > 900*time.Millisecond || left < 500*time.Millisecond {
+		t.Errorf("the server was given %v, %v of 900 ms", left, err)
+	}
+}
+
+func TestAnswerIsPassedBackUnchanged(t *testing.T) {
+	f := newFleet(t, 1)
+	f.behave(platformtest.Behaviour{Status: 404})
+	got := f.do(f.request(pathSafe))
+	f.expectStatus(got, 404)
+	if got.body != "body of request-1 by i-0" || got.header.Get(platform.HeaderServerStamp) != "stamp-i-0" {
+		t.Errorf("got %q, %v", got.body, got.header)
+	}
+}
+
+func TestWhatIsWrongWithARequestIsTold(t *testing.T) {
+	f := newFleet(t, 1)
+	cases := map[string]struct {
+		change func(r *http.Request)
+		want   int
+	}{
+		"unknown host":  {func(r *http.Request) { r.Host = "other.example" }, 404},
+		"unknown path":  {func(r *http.Request) { r.URL.Path = "/nowhere/" }, 404},
+		"unknown key":   {func(r *http.Request) { r.Header.Set(platform.HeaderKey, "wrong") }, 401},
+		"no key":        {func(r *http.Request) { r.Header.Del(platform.HeaderKey) }, 401},
+		"no id":         {func(r *http.Request) { r.Header.Del(platform.HeaderRequestID) }, 400},
+		"bad deadline":  {func(r *http.Request) { r.Header.Set(platform.HeaderDeadline, "soon") }, 400},
+		"long header":   {func(r *http.Request) { r.Header.Set("X-Long", strings.Repeat("x", 20000)) }, 431},
+		"long body":     {func(r *http.Request) { r.Body, r.ContentLength = longBody(2000), 2000 }, 413},
+		"long chunked":  {func(r *http.Request) { r.Body, r.ContentLength = longBody(2000), -1 }, 413},
+		"chunked":       {func(r *http.Request) { r.Body, r.ContentLength = longBody(900), -1 }, 200},
+		"public no key": {func(r *http.Request) { r.URL.Path = pathPublic; r.Header.Del(platform.HeaderKey) }, 200},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := f.request(pathSafe)
+			c.change(r)
+			got := f.do(r)
+			f.expectStatus(got, c.want)
+			if c.want != 200 && got.body == "" {
+				t.Error("nothing says what is wrong")
+			}
+		})
+	}
+}
+
+func longBody(n int) io.ReadCloser { return io.NopCloser(strings.NewReader(strings.Repeat("x", n))) }
+
+func TestInstanceWithoutConfigurationTakesNothing(t *testing.T) {
+	f := newFleet(t, 1)
+	f.front.Table = directory.NewTable(platform.Decoder{})
+	got := f.do(f.request(pathSafe))
+	f.expectStatus(got, 503)
+	if got.header.Get("Retry-After") == "" {
+		t.Error("nothing says when to come back")
+	}
+}
+
+// TestUnsafeRequestRunsOnce has servers fail in each way: only what did not run
+// goes to another server.
+func TestUnsafeRequestRunsOnce(t *testing.T) {
+	cases := map[string]struct {
+		behaviour platformtest.Behaviour
+		runs      int
+		status    int
+	}{
+		"answered":    {platformtest.Behaviour{}, 1, 200},
+		"its own 500": {platformtest.Behaviour{Status: 500}, 1, 500},
+		"no stamp":    {platformtest.Behaviour{NoStamp: true}, 1, 502},
+		"hang":        {platformtest.Behaviour{Hang: true}, 1, 504},
+		"refused":     {platformtest.Behaviour{Refuse: true}, 0, 503},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 3)
+			f.behave(c.behaviour)
+			got := f.do(f.request(pathUnsafe))
+			f.expectStatus(got, c.status)
+			if n := len(f.ran()); n != c.runs {
+				t.Errorf("%d runs, want %d", n, c.runs)
+			}
+			if back := got.header.Get("Retry-After"); (c.status == 503) != (back != "") {
+				t.Errorf("Retry-After is %q", back)
+			}
+		})
+	}
+}
+
+func TestRefusedSendGoesElsewhere(t *testing.T) {
+	f := newFleet(t, 3)
+	f.replicas[0].Behave(platformtest.Behaviour{Refuse: true})
+	f.replicas[1].Behave(platformtest.Behaviour{Refuse: true})
+	for range 5 {
+		f.expectStatus(f.do(f.request(pathUnsafe)), 200)
+	}
+	for _, id := range f.ran() {
+		if id != "i-2" {
+			t.Errorf("%s ran a request that it refused", id)
+		}
+	}
+}
+
+// TestAddressThatAnotherServerHas has an entry point at a server of another
+// name, which must run nothing.
+func TestAddressThatAnotherServerHas(t *testing.T) {
+	f := newFleet(t, 2)
+	f.write(directory.KindServer, "i-old", f.replicas[0].Entry("ready"))
+	f.write(directory.KindServer, "i-0", f.replicas[0].Entry("draining"))
+	for range 6 {
+		f.expectStatus(f.do(f.request(pathUnsafe)), 200)
+	}
+	if slices.Contains(f.ran(), "i-0") {
+		t.Error("a server ran what was meant for another")
+	}
+}
+
+// TestSafeRequestUsesItsServers counts the servers that a failing request runs
+// on.
+func TestSafeRequestUsesItsServers(t *testing.T) {
+	f := newFleet(t, 4)
+	f.behave(platformtest.Behaviour{Status: 500})
+	got := f.do(f.request(pathSafe))
+	f.expectStatus(got, 500)
+	if got.header.Get(platform.HeaderServerStamp) == "" {
+		t.Error("the server's own failure lost its signature")
+	}
+	if n := len(f.ran()); n != 2 {
+		t.Errorf("%d runs, the route allows 2", n)
+	}
+	f.replicas[0].Behave(platformtest.Behaviour{})
+	f.replicas[1].Behave(platformtest.Behaviour{})
+	f.replicas[2].Behave(platformtest.Behaviour{})
+	for range 5 {
+		f.expectStatus(f.do(f.request(pathSafe)), 200)
+	}
+}
+
+func TestHangingServerIsLeftForAnother(t *testing.T) {
+	f := newFleet(t, 2)
+	f.replicas[0].Behave(platformtest.Behaviour{Hang: true})
+	for range 4 {
+		began := time.Now()
+		f.expectStatus(f.do(f.request(pathSafe)), 200)
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("took %v", took)
+		}
+	}
+}
+
+func TestStreamIsPassedEventByEvent(t *testing.T) {
+	f := newFleet(t, 1)
+	f.behave(platformtest.Behaviour{Events: 4, EventPause: 100 * time.Millisecond})
+	resp, err := http.DefaultClient.Do(f.request(pathStream))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	began := time.Now()
+	lines := bufio.NewScanner(resp.Body)
+	if !lines.Scan() || lines.Text() != "id: 1" {
+		t.Fatalf("got %q", lines.Text())
+	}
+	if took := time.Since(began); took > 90*time.Millisecond {
+		t.Errorf("the first event came after %v, with the next one", took)
+	}
+	rest := 0
+	for lines.Scan() {
+		rest++
+	}
+	if rest != 3*4-1 || lines.Err() != nil {
+		t.Errorf("%d lines more, %v", rest, lines.Err())
+	}
+}
+
+// events is the whole answer of a stream whose numbers are these servers'.
+func events(servers ...string) string {
+	var b strings.Builder
+	for n, id := range servers {
+		fmt.Fprintf(&b, "id: %d\ndata: %s-%d\n\n", n+1, id, n+1)
+	}
+	return b.String()
+}
+
+func TestStreamGoesOnAtAnotherServer(t *testing.T) {
+	f := newFleet(t, 2)
+	f.behave(platformtest.Behaviour{Events: 5, BreakAfter: 2})
+	first := f.do(f.request(pathResumable))
+	if first.err == nil {
+		t.Errorf("a stream that never ended looks complete: %q", first.body)
+	}
+	f = newFleet(t, 2)
+	f.replicas[0].Behave(platformtest.Behaviour{Events: 5, BreakAfter: 2})
+	f.replicas[1].Behave(platformtest.Behaviour{Events: 5})
+	resumed := false
+	for range 6 {
+		got := f.do(f.request(pathResumable))
+		f.expectStatus(got, 200)
+		switch got.body {
+		case events("i-1", "i-1", "i-1", "i-1", "i-1"):
+		case events("i-0", "i-0", "i-1", "i-1", "i-1"):
+			resumed = true
+			if got.header.Get(platform.HeaderServerStamp) != "stamp-i-0" {
+				t.Errorf("the answer bears %q", got.header.Get(platform.HeaderServerStamp))
+			}
+		default:
+			t.Errorf("got %q", got.body)
+		}
+	}
+	if !resumed {
+		t.Error("no stream went on at another server")
+	}
+}
+
+func TestStreamThatMayNotResumeIsBrokenOff(t *testing.T) {
+	f := newFleet(t, 2)
+	f.behave(platformtest.Behaviour{Events: 5, BreakAfter: 2})
+	got := f.do(f.request(pathStream))
+	if got.err == nil {
+		t.Errorf("it looks complete: %q", got.body)
+	}
+	if got.body != events(f.ran()[0], f.ran()[0]) {
+		t.Errorf("got %q: no half event may go out", got.body)
+	}
+	if n := len(f.ran()); n != 1 {
+		t.Errorf("%d runs, want 1", n)
+	}
+}
+
+func TestLeavingCallerStopsTheWork(t *testing.T) {
+	for name, b := range map[string]platformtest.Behaviour{
+		"before the answer": {Hang: true},
+		"inside a stream":   {Events: 1000, EventPause: 10 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			f.behave(b)
+			ctx, cancel := context.WithTimeout(context.Background(), 150*time.Millisecond)
+			defer cancel()
+			got := f.do(f.request(pathStream).WithContext(ctx))
+			if got.err == nil {
+				t.Fatalf("got %+v", got)
+			}
+			left := time.Now()
+			for f.replicas[0].Cancelled() == 0 && time.Since(left) < 2*time.Second {
+				time.Sleep(time.Millisecond)
+			}
+			if took := time.Since(left); took > 400*time.Millisecond {
+				t.Errorf("the server worked on for %v", took)
+			}
+		})
+	}
+}
+
+// TestAnswerComesByTheRoutesTime has a server work longer than the route
+// allows, with and without a begun stream.
+func TestAnswerComesByTheRoutesTime(t *testing.T) {
+	for name, b := range map[string]platformtest.Behaviour{
+		"nothing": {Hang: true}, "stream": {Events: 100, EventPause: 50 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			f.behave(b)
+			began := time.Now()
+			got := f.do(f.request(pathStream))
+			if took := time.Since(began); took > 1900*time.Millisecond {
+				t.Errorf("took %v, the route allows 1.5 s", took)
+			}
+			if got.err == nil && got.status != 504 {
+				t.Errorf("got %+v", got)
+			}
+		})
+	}
+}
+
+// TestRevokedKeyStopsARequestThatIsTriedAgain revokes the key while the first
+// server holds the request.
+func TestRevokedKeyStopsARequestThatIsTriedAgain(t *testing.T) {
+	f := newFleet(t, 2)
+	f.behave(platformtest.Behaviour{Status: 500, Delay: 150 * time.Millisecond})
+	time.AfterFunc(50*time.Millisecond, func() { f.configure(2, `"another"`) })
+	f.expectStatus(f.do(f.request(pathSafe)), 500)
+	if n := len(f.ran()); n != 1 {
+		t.Errorf("%d runs, the second came after the key was gone", n)
+	}
+	f.expectStatus(f.do(f.request(pathSafe)), 401)
+}
+
+func TestNoServerIsToldAtOnce(t *testing.T) {
+	f := newFleet(t, 1)
+	f.write(directory.KindServer, "i-0", f.replicas[0].Entry("draining"))
+	began := time.Now()
+	got := f.do(f.request(pathSafe))
+	f.expectStatus(got, 503)
+	if got.header.Get("Retry-After") == "" || time.Since(began) > 200*time.Millisecond {
+		t.Errorf("after %v: %v", time.Since(began), got.header)
+	}
+}
+
+func TestUnreadBodyDoesNotEndTheConnectionUnanswered(t *testing.T) {
+	f := newFleet(t, 1)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	// Half of the stated body comes, then nothing.
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\n%s: half\r\n%s: key\r\n%s: 300\r\nContent-Length: 100\r\n\r\nhalf",
+		pathUnsafe, platform.HeaderRequestID, platform.HeaderKey, platform.HeaderDeadline)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusRequestTimeout || len(f.ran()) != 0 {
+		t.Errorf("got %d, ran %v", resp.StatusCode, f.ran())
+	}
+}
--- a/opaque/refusal.go
+++ b/opaque/refusal.go
@@ -45,7 +45,11 @@
 
 func (r *refusal) write(w http.ResponseWriter) {
 	h := w.Header()
+	closing := h.Get("Connection")
 	clear(h)
+	if closing != "" {
+		h.Set("Connection", closing)
+	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if r.retryAfter > 0 {
 		h.Set(platform.RetryAfterName, platform.FormatRetryAfter(r.retryAfter))
