Know the servers before the configuration; tell more of a failed attempt

The configuration makes it ready, so it comes last. Ruled out: servers without entries, all were listed. Logs of a stream whose caller left named the connection that we had closed as cut; they name the caller now, and how long the server had been silent. Before: a few 503 after each start.

--- /dev/null
+++ b/beacon/beacon_test.go
@@ -0,0 +1,251 @@
+package beacon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"bergamotpin.example/bergamotpin/choice"
+	"bergamotpin.example/bergamotpin/directory"
+)
+
+// plainDecoder reads a configuration that is written as its version.
+type plainDecoder struct{}
+
+func (plainDecoder) Configuration(spec []byte) (directory.Configuration, error) {
+	var c directory.Configuration
+	return c, json.Unmarshal(spec, &c.Version)
+}
+
+func (plainDecoder) Server(id string, _ []byte) (directory.BackendServer, error) {
+	return directory.BackendServer{ID: id, Service: "m"}, nil
+}
+
+// peerNode is one instance's part of the exchange.
+type peerNode struct {
+	*Beacon
+	table *directory.Table
+	// storeAge is how long ago the store answered it.
+	storeAge time.Duration
+	mu       sync.Mutex
+	reports  map[string][]choice.ServerReport
+	stop     context.CancelFunc
+	done     chan struct{}
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func startNode(t *testing.T, name string, storeAge time.Duration, seeds ...netip.AddrPort) *peerNode {
+	t.Helper()
+	n := &peerNode{
+		table: directory.NewTable(plainDecoder{}), storeAge: storeAge,
+		reports: make(map[string][]choice.ServerReport), done: make(chan struct{}),
+	}
+	b, err := Listen(Options{
+		Name: name, DataCentre: "dc", Cluster: "test", Address: freeAddress(t), Seeds: seeds, Table: n.table,
+		Reports: func(time.Time) []choice.ServerReport {
+			return []choice.ServerReport{{Key: uint64(len(name)), Load: choice.Load{Running: 3}, Parts: []uint64{7}}}
+		},
+		Receive: func(peer, _ string, reports []choice.ServerReport, _ time.Time) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.reports[peer] = reports
+		},
+		Changed: func(string, []directory.Change) {}, Log: slog.New(slog.DiscardHandler),
+		StoreAge: n.age,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Beacon = b
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	go func() {
+		defer close(n.done)
+		b.Run(ctx)
+	}()
+	t.Cleanup(n.end)
+	return n
+}
+
+func (n *peerNode) end() {
+	n.stop()
+	<-n.done
+}
+
+func await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for !holds() {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: not within 10 s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (n *peerNode) live() int {
+	live, _ := n.Instances()
+	return live
+}
+
+func configured(version int64) directory.Record {
+	return directory.Record{Kind: directory.KindConfiguration, Name: "main", Revision: version, Spec: fmt.Append(nil, version)}
+}
+
+func TestInstancesFindEachOtherByOneSeed(t *testing.T) {
+	a := startNode(t, "a", 0)
+	b := startNode(t, "bb", 0, a.opts.Address)
+	c := startNode(t, "ccc", 0, a.opts.Address)
+	for _, n := range []*peerNode{a, b, c} {
+		await(t, "three live instances", func() bool { return n.live() == 3 })
+	}
+	await(t, "reports of b at c", func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		r := c.reports["bb"]
+		return len(r) == 1 && r[0].Load.Running == 3 && len(r[0].Parts) == 1 && r[0].Parts[0] == 7
+	})
+}
+
+// TestConfigurationReachesAnInstanceThatHasNoStore gives a change to one
+// instance only.
+func TestConfigurationReachesAnInstanceThatHasNoStore(t *testing.T) {
+	a := startNode(t, "a", 0)
+	b := startNode(t, "b", time.Hour, a.opts.Address)
+	await(t, "two live instances", func() bool { return a.live() == 2 && b.live() == 2 })
+	a.table.Merge([]directory.Record{configured(5), {Kind: directory.KindServer, Name: "i-1", Revision: 6}}, time.Now())
+	a.Nudge()
+	began := time.Now()
+	await(t, "the configuration at b", func() bool {
+		s := b.table.Snapshot()
+		return s.Version == 5 && len(s.Servers) == 1
+	})
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("took %v", took)
+	}
+	a.table.Merge([]directory.Record{{Kind: directory.KindServer, Name: "i-1", Revision: 7, Deleted: true}}, time.Now())
+	a.Nudge()
+	await(t, "the delete at b", func() bool { return b.table.Snapshot().Servers["i-1"].Gone })
+}
+
+func TestSilentInstanceIsNoticedAndRemembered(t *testing.T) {
+	a := startNode(t, "a", 0)
+	b := startNode(t, "b", 0, a.opts.Address)
+	await(t, "two live instances", func() bool { return a.live() == 2 })
+	b.end()
+	await(t, "one live instance", func() bool { return a.live() == 1 })
+	if _, known := a.Instances(); known != 2 {
+		t.Errorf("%d known instances, want the silent one too: it may only be cut off", known)
+	}
+}
+
+// TestTooFewWatchersAreReplaced has the store turn the watchers away: the others
+// take their place.
+func TestTooFewWatchersAreReplaced(t *testing.T) {
+	nodes := []*peerNode{startNode(t, "n0", 0)}
+	for i := 1; i < 5; i++ {
+		nodes = append(nodes, startNode(t, fmt.Sprint("n", i), 0, nodes[0].opts.Address))
+	}
+	watching := func() []*peerNode {
+		var out []*peerNode
+		for _, n := range nodes {
+			if n.Watches(time.Now()) {
+				out = append(out, n)
+			}
+		}
+		return out
+	}
+	await(t, "all live and two watchers", func() bool {
+		for _, n := range nodes {
+			if n.live() != len(nodes) {
+				return false
+			}
+		}
+		return len(watching()) == watchers
+	})
+	turnedAway := watching()
+	for _, n := range turnedAway {
+		n.mu.Lock()
+		n.storeAge = time.Hour
+		n.mu.Unlock()
+	}
+	await(t, "two more watchers", func() bool { return len(watching()) >= 2*watchers })
+}
+
+func TestLateAndForeignMessagesChangeNothing(t *testing.T) {
+	m := newMembers(netip.MustParseAddrPort("10.0.0.1:1"))
+	now := time.Unix(100, 0)
+	from := netip.MustParseAddrPort("10.0.0.2:1")
+	hear := func(started int64, sequence uint64) bool {
+		_, news, _ := m.hear(message{Name: "b", Address: from, Started: started, Sequence: sequence}, now)
+		return news
+	}
+	if !hear(5, 2) || hear(5, 2) || hear(5, 1) || hear(4, 9) || !hear(5, 3) || !hear(6, 1) {
+		t.Error("a message was taken twice, out of order, or of a life before")
+	}
+	if _, news, _ := m.hear(message{Name: "a", Address: m.self, Started: 9, Sequence: 9}, now); news {
+		t.Error("an instance took its own message")
+	}
+	for _, raw := range [][]byte{nil, {0xff}, []byte("junk")} {
+		if _, err := decode(raw); err == nil {
+			t.Errorf("%q was read", raw)
+		}
+	}
+}
+
+func TestMessageFitsIntoADatagram(t *testing.T) {
+	m := message{Name: "a", Address: netip.MustParseAddrPort("10.0.0.1:1")}
+	for n := range 500 {
+		m.Reports = append(m.Reports, choice.ServerReport{Key: uint64(n) << 40, Load: choice.Load{Running: 9, Waiting: 9, Unread: 99999}})
+	}
+	raw, err := encode(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := decode(raw)
+	if err != nil || len(raw) > maxDatagramBytes || len(got.Reports) < 20 {
+		t.Errorf("%d bytes, %d reports, %v", len(raw), len(got.Reports), err)
+	}
+}
+
+func TestEachMemberHasItsTurn(t *testing.T) {
+	m := newMembers(netip.MustParseAddrPort("10.0.0.1:1"))
+	for n := range 50 {
+		m.learn(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(n)}), 1), time.Unix(1, 0))
+	}
+	sent := make(map[netip.AddrPort]int)
+	for range 50 {
+		for _, a := range m.next(fanout) {
+			sent[a]++
+		}
+	}
+	for a, n := range sent {
+		if n != fanout {
+			t.Errorf("%v was sent to %d times, want %d", a, n, fanout)
+		}
+	}
+	if len(sent) != 50 {
+		t.Errorf("%d of 50 were sent to", len(sent))
+	}
+}
+
+func (n *peerNode) age(time.Time) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.storeAge
+}
--- a/beacon/fetch.go
+++ b/beacon/fetch.go
@@ -98,12 +98,13 @@
 
 func (b *Beacon) fetchMissing(e member, m message) {
 	revision, servers := b.opts.Table.Digest()
-	if m.Revision > revision {
-		b.fetch(e, pathConfiguration)
-	}
+	// The servers come before the configuration, which makes an instance ready.
 	if m.Servers != servers && b.fetch(e, pathServers) == 0 {
 		b.rememberFruitless(e, m.Servers, servers)
 	}
+	if m.Revision > revision {
+		b.fetch(e, pathConfiguration)
+	}
 }
 
 // rememberFruitless keeps this instance from asking again until either side's
--- a/cmd/bergamotpin/check_test.go
+++ b/cmd/bergamotpin/check_test.go
@@ -10,7 +10,7 @@
 		dir := filepath.Join("..", "..", "examples", user)
 		settings := []string{filepath.Join(dir, "dc1-1.toml")}
 		resources := []string{filepath.Join(dir, "resources.toml")}
-		if err := checkFiles(settings, resources); err != nil {
+		if err := checkFiles(settings, resources, nil); err != nil {
 			t.Error(err)
 		}
 	}
--- a/cmd/bergamotpin/explain.go
+++ b/cmd/bergamotpin/explain.go
@@ -16,8 +16,12 @@
 	addresses := cmd.Flag("operators", "Operators' address of an instance. Repeat for several.").
 		Default("127.0.0.1:8081").Envar("BERGAMOTPIN_OPERATORS").Strings()
 	token := cmd.Flag("token", "Operators' token.").Envar("BERGAMOTPIN_TOKEN").String()
+	logs := cmd.Flag("log", "Read the story from logs of instances instead, in a file or from standard input (-).").String()
 	request := cmd.Arg("request", "The id in the answer's header Bergamotpin-Request. Without it all that is kept is shown.").String()
 	return command{cmd.FullCommand(), func(ctx context.Context) error {
+		if *logs != "" {
+			return storyFromFile(*logs, *request)
+		}
 		return explainAll(ctx, *addresses, *token, *request)
 	}}
 }
--- a/cmd/bergamotpin/serve.go
+++ b/cmd/bergamotpin/serve.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"bergamotpin.example/bergamotpin/instance"
+	"bergamotpin.example/bergamotpin/platform"
 	"bergamotpin.example/bergamotpin/resourcefile"
 	"bergamotpin.example/bergamotpin/settings"
 )
@@ -34,15 +35,22 @@
 	cmd := app.Command("check", "Check settings and resource files. Nothing is started or written. Exit code 2: a file is at fault.")
 	settingsFiles := cmd.Flag("config", "Settings file. Repeat for several.").Short('c').Strings()
 	resourceFiles := cmd.Flag("file", "Resource file. Repeat for several.").Short('f').Strings()
+	platformFiles := cmd.Flag("settings", "Settings file of the users' platform. Repeat for several.").Short('s').Strings()
 	return command{cmd.FullCommand(), func(context.Context) error {
-		if len(*settingsFiles)+len(*resourceFiles) == 0 {
-			return &exitError{exitUsage, errors.New("name a file with -c or -f")}
+		if len(*settingsFiles)+len(*resourceFiles)+len(*platformFiles) == 0 {
+			return &exitError{exitUsage, errors.New("name a file with -c, -f or -s")}
 		}
-		return checkFiles(*settingsFiles, *resourceFiles)
+		return checkFiles(*settingsFiles, *resourceFiles, *platformFiles)
 	}}
 }
 
-func checkFiles(settingsFiles, resourceFiles []string) error {
+func checkFiles(settingsFiles, resourceFiles, platformFiles []string) error {
+	for _, path := range platformFiles {
+		if _, err := platform.LoadSettings(path); err != nil {
+			return &exitError{exitUsage, err}
+		}
+		fmt.Println(path, "ok")
+	}
 	for _, path := range settingsFiles {
 		if _, err := loadSettings(path); err != nil {
 			return err
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -92,10 +92,11 @@
 // step makes the next call and takes in its answer.
 func (f *Follower) step(ctx context.Context) error {
 	switch {
-	case f.configuration == 0:
-		return f.list(ctx, KindConfiguration)
 	case f.servers == 0:
+		// Before the configuration, which makes an instance ready.
 		return f.list(ctx, KindServer)
+	case f.configuration == 0:
+		return f.list(ctx, KindConfiguration)
 	case f.newest > f.servers:
 		return f.watch(ctx, KindServer, 0)
 	}
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -35,32 +35,43 @@
 
 // Instance is one entry instance.
 type Instance struct {
-	path       string
-	settings   atomic.Pointer[platform.Settings]
-	log        *eventlog.Log
-	table      *directory.Table
-	chooser    *opaque.Chooser
-	client     *backend.Client
-	metrics    *metrics.Metrics
-	beacon     *beacon.Beacon
-	follower   *directory.Follower
-	front      *opaque.Front
-	callers    net.Listener
-	ready      net.Listener
-	open       *connections
-	stopping   atomic.Bool
-	storeCalls storeCalls
+	options  Options
+	settings atomic.Pointer[platform.Settings]
+	log      *eventlog.Log
+	table    *directory.Table
+	chooser  *opaque.Chooser
+	client   *backend.Client
+	metrics  *metrics.Metrics
+	beacon   *beacon.Beacon
+	follower *directory.Follower
+	front    *opaque.Front
+	callers  net.Listener
+	ready    net.Listener
+	// metricsListener is nil without a port for metrics.
+	metricsListener net.Listener
+	open            *connections
+	stopping        atomic.Bool
+	storeCalls      storeCalls
 }
 
-// Start reads the settings file at path and listens. Lines of the log go to
-// out.
-func Start(path string, out io.Writer) (*Instance, error) {
-	s, err := platform.LoadSettings(path)
+// Options says what an instance is started with.
+type Options struct {
+	// Path is that of the platform's settings file.
+	Path string
+	// Out takes the lines of the log.
+	Out io.Writer
+	// MetricsPort is the port on which the instance tells its metrics, or 0.
+	MetricsPort uint16
+}
+
+// Start reads the settings and listens.
+func Start(o Options) (*Instance, error) {
+	s, err := platform.LoadSettings(o.Path)
 	if err != nil {
 		return nil, err
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
-	i := &Instance{path: path, log: eventlog.New(out), open: newConnections()}
+	i := &Instance{options: o, log: eventlog.New(o.Out), open: newConnections()}
 	i.settings.Store(&s)
 	if err := i.assemble(s); err != nil {
 		i.log.Close()
@@ -96,6 +107,13 @@
 	if i.ready, err = net.Listen("tcp4", s.Ready.String()); err != nil {
 		return errors.Wrap(err, "ready")
 	}
+	if i.options.MetricsPort == 0 {
+		return nil
+	}
+	address := netip.AddrPortFrom(s.Ready.Addr(), i.options.MetricsPort)
+	if i.metricsListener, err = net.Listen("tcp4", address.String()); err != nil {
+		return errors.Wrap(err, "metrics")
+	}
 	return nil
 }
 
@@ -120,9 +138,13 @@
 
 	callers := i.callersServer()
 	ready := &http.Server{Handler: http.HandlerFunc(i.serveReady), ReadHeaderTimeout: time.Second}
-	failed := make(chan error, 2)
+	metricsServer := &http.Server{Handler: i.metrics.Handler(), ReadHeaderTimeout: time.Second}
+	failed := make(chan error, 3)
 	tasks.Go(func() { failed <- callers.Serve(i.callers) })
 	tasks.Go(func() { failed <- ready.Serve(i.ready) })
+	if i.metricsListener != nil {
+		tasks.Go(func() { failed <- metricsServer.Serve(i.metricsListener) })
+	}
 	var err error
 	select {
 	case <-ctx.Done():
@@ -132,7 +154,9 @@
 	stop()
 	_ = callers.Close()
 	_ = ready.Close()
+	_ = metricsServer.Close()
 	tasks.Wait()
+	_ = i.metrics.Close()
 	i.log.Beliefs.Info("stop")
 	i.log.Close()
 	return err
@@ -192,8 +216,6 @@
 // serveReady answers the platform's question whether to send requests here.
 func (i *Instance) serveReady(w http.ResponseWriter, r *http.Request) {
 	switch {
-	case r.URL.Path == PathMetrics:
-		i.metrics.Handler().ServeHTTP(w, r)
 	case r.URL.Path != platform.PathReady:
 		w.WriteHeader(http.StatusNotFound)
 	case i.stopping.Load() || !i.table.Snapshot().Ready:
--- a/edge/readings.go
+++ b/edge/readings.go
@@ -6,9 +6,6 @@
 	"bergamotpin.example/bergamotpin/metrics"
 )
 
-// PathMetrics is where the ready address serves metrics as text.
-const PathMetrics = "/metrics"
-
 // storeCall is one kind of call to the store and its result.
 type storeCall struct{ call, result string }
 
--- a/edge/reload.go
+++ b/edge/reload.go
@@ -18,7 +18,7 @@
 func (i *Instance) watchSettings(ctx context.Context, reload <-chan struct{}) {
 	ticker := time.NewTicker(settingsPoll)
 	defer ticker.Stop()
-	last, _ := os.ReadFile(i.path)
+	last, _ := os.ReadFile(i.options.Path)
 	for {
 		told := false
 		select {
@@ -28,7 +28,7 @@
 			told = true
 		case <-ticker.C:
 		}
-		raw, err := os.ReadFile(i.path)
+		raw, err := os.ReadFile(i.options.Path)
 		if err != nil {
 			i.log.Beliefs.Warn("settings kept", "error", err.Error())
 			continue
--- a/opaque/exchange.go
+++ b/opaque/exchange.go
@@ -69,12 +69,16 @@
 		if done {
 			return
 		}
+		if x.caller.Err() != nil {
+			// What broke then is the connection that was closed for that.
+			failed.reason = outcome.CallerLeft
+		}
 		x.last = failed
 		if failed.ran {
 			c.ran++
 		}
 		x.logFailed(&a, failed)
-		if x.caller.Err() != nil || failed.reason == outcome.CallerLeft {
+		if failed.reason == outcome.CallerLeft {
 			x.left()
 			return
 		}
@@ -155,10 +159,16 @@
 	if failed.err != nil {
 		text = failed.err.Error()
 	}
+	silent := time.Duration(0)
+	if x.stream.begun {
+		silent = time.Since(x.stream.lastAt)
+	}
 	x.front.Failures.Warn("attempt failed",
-		"request", x.call.id, "server", a.Server.ID, "reason", failed.reason.String(), "may_have_run", failed.ran, "detail", text,
-		"route", x.call.route.Name, "elapsed_ms", time.Since(x.call.arrived).Milliseconds(),
-		"expected_ms", a.Expected.Milliseconds(), "candidates", a.Candidates)
+		"request", x.call.id, "server", a.Server.ID, "data_centre", a.Server.DataCentre, "reason", failed.reason.String(),
+		"may_have_run", failed.ran, "detail", text, "route", x.call.route.Name,
+		"events", x.stream.events, "silent_ms", silent.Milliseconds(),
+		"elapsed_ms", time.Since(x.call.arrived).Milliseconds(), "expected_ms", a.Expected.Milliseconds(),
+		"cost", a.Cost, "running", a.Load.Running, "unread", a.Load.Unread, "kept", a.Kept, "candidates", a.Candidates)
 }
 
 // attempt sends the request to a server and relays the answer. It reports
