Turn long prompts away that would be late anyway; count slots and memory

Cause: on the grown site twice the reviews come as the engines can read; all were taken and all were late, memory ran out, and servers with a long queue reset connections.

--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -18,8 +18,10 @@
 const (
 	// interval is the time between two rounds.
 	interval = 100 * time.Millisecond
-	// fanout is how many instances are sent to in a round.
+	// fanout is how many instances are sent to in a round, at least.
 	fanout = 8
+	// turnRounds is in how many rounds each instance has its turn.
+	turnRounds = 2.5
 )
 
 // Options sets up a Beacon. All fields but Seeds are required.
@@ -161,7 +163,7 @@
 		Known: b.members.known(b.sequence), Reports: reports, DataCentre: b.opts.DataCentre,
 		StoreAgeMs: b.opts.StoreAge(now).Milliseconds(),
 	}
-	targets := b.members.next(fanout)
+	targets := b.members.next(max(fanout, int(float64(len(b.members.all))/turnRounds)))
 	b.mu.Unlock()
 	raw, err := encode(m)
 	if err != nil {
--- a/choice/kept.go
+++ b/choice/kept.go
@@ -81,6 +81,12 @@
 	return r.Parts[:len(r.Parts)-1]
 }
 
+// memory estimates the tokens that a running request takes of an engine's
+// memory. Half of its shared parts is counted, since several requests use them.
+func (r Request) memory() int {
+	return r.PromptTokens - sumTokens(r.sharedParts())/2 + r.AnswerTokens/2
+}
+
 // sumTokens counts the tokens of parts.
 func sumTokens(parts []Part) int {
 	sum := 0
--- a/choice/place.go
+++ b/choice/place.go
@@ -22,6 +22,9 @@
 	chunkTokens = 2048
 	// eventTokens is how many tokens one event holds.
 	eventTokens = 4
+	// slotMs is how long a request waits for a slot for each one before it that
+	// waits for one.
+	slotMs = 30
 	// callMs is what a plain service takes for a call.
 	callMs = 20.0
 )
@@ -35,6 +38,10 @@
 	// delayCost is the cost of each millisecond by which reading a prompt delays
 	// one request that waits at the same server.
 	delayCost = 0.0005
+	// safeMemory is the part of an engine's memory that running requests may
+	// take, and crowdCost the cost of all of it beyond.
+	safeMemory = 0.7
+	crowdCost  = 6.0
 	// waitSlope spreads requests that would be on time anywhere.
 	waitSlope = 0.10
 	// pauseSlope does the same for the pauses between events.
@@ -97,7 +104,8 @@
 	a.Load, a.Slowness = load, slowness
 	var firstMillis, pauseMillis float64
 	if r.Service.IsEngine() {
-		firstMillis, pauseMillis = engineTimes(load, max(r.PromptTokens-a.Kept, 0))
+		firstMillis, pauseMillis = engineTimes(load, max(r.PromptTokens-a.Kept, 0), a.Server.Slots)
+		a.Cost += crowding(load.Memory+r.memory(), r.Service.MemoryTokens)
 	} else {
 		firstMillis = callTime(load, a.Server.Slots)
 	}
@@ -106,7 +114,7 @@
 	pause := ratio(pauseMillis*slowness, r.LongestPause)
 	late := max(lateness(first), lateness(pause*lateFrom))
 	failing := s.failing(now)
-	a.Cost = failing + (1-failing)*late*lostWhenLate
+	a.Cost += failing + (1-failing)*late*lostWhenLate
 	a.Cost += waitSlope*first + pauseSlope*pause
 	if r.Service.IsEngine() {
 		a.Cost += delayCost * readMillis(r.PromptTokens-a.Kept) * slowness * float64(load.Waiting)
@@ -122,9 +130,10 @@
 
 // engineTimes estimates the time to the first event and the pauses at an
 // engine that has to read this many tokens of the request, in milliseconds.
-func engineTimes(load Load, unread int) (first, pause float64) {
-	step := stepMs + stepMsPerRun*float64(load.Running)
+func engineTimes(load Load, unread, slots int) (first, pause float64) {
+	step := stepMs + stepMsPerRun*float64(min(load.Running, slots))
 	first = firstMs + eventTokens*step + readMillis(load.Unread+unread)
+	first += slotMs * float64(max(load.Running+1-slots, 0))
 	// How much of each step goes to reading depends on what waits to be read.
 	reading := readMillis(min(load.Unread+unread, chunkTokens))
 	return first, eventTokens * (step + reading)
@@ -133,6 +142,13 @@
 // readMillis is the time in which an engine reads tokens.
 func readMillis(tokens int) float64 { return float64(tokens) / readTokensPerMs }
 
+// crowding is the cost of filling an engine's memory beyond what is safe: when
+// it runs out, running requests are put back and read again.
+func crowding(used, memory int) float64 {
+	over := float64(used)/float64(memory) - safeMemory
+	return max(over, 0) * crowdCost
+}
+
 // callTime estimates the time of a call to a plain service, in milliseconds.
 func callTime(load Load, slots int) float64 {
 	rounds := float64(load.Running+1) / float64(slots)
--- a/choice/table.go
+++ b/choice/table.go
@@ -59,14 +59,22 @@
 	// prompt tokens, as far as the server did not keep them.
 	Waiting int
 	Unread  int
+	// Memory counts the tokens that the requests take of an engine's memory.
+	Memory int
 }
 
 func (l Load) plus(o Load) Load {
-	return Load{Running: l.Running + o.Running, Waiting: l.Waiting + o.Waiting, Unread: l.Unread + o.Unread}
+	return Load{
+		Running: l.Running + o.Running, Waiting: l.Waiting + o.Waiting,
+		Unread: l.Unread + o.Unread, Memory: l.Memory + o.Memory,
+	}
 }
 
 func (l Load) minus(o Load) Load {
-	return Load{Running: l.Running - o.Running, Waiting: l.Waiting - o.Waiting, Unread: l.Unread - o.Unread}
+	return Load{
+		Running: l.Running - o.Running, Waiting: l.Waiting - o.Waiting,
+		Unread: l.Unread - o.Unread, Memory: l.Memory - o.Memory,
+	}
 }
 
 // all is the load of all instances together.
@@ -140,6 +148,7 @@
 	Candidates int
 
 	unread  int
+	memory  int
 	began   time.Time
 	started bool
 }
@@ -153,6 +162,8 @@
 	s.own.Running++
 	s.own.Waiting++
 	s.own.Unread += a.unread
+	a.memory = r.memory()
+	s.own.Memory += a.memory
 	shared := r.sharedParts()
 	s.kept.add(shared, now)
 	s.tell(shared, now)
@@ -179,6 +190,7 @@
 		s.own.Unread -= a.unread
 	}
 	s.own.Running--
+	s.own.Memory -= a.memory
 	s.evidence.observeResult(result, now)
 	way := t.reachOf(a.Server.DataCentre)
 	way.running--
--- a/opaque/chooser.go
+++ b/opaque/chooser.go
@@ -6,6 +6,7 @@
 
 	"bergamotpin.example/bergamotpin/choice"
 	"bergamotpin.example/bergamotpin/directory"
+	"bergamotpin.example/bergamotpin/outcome"
 	"bergamotpin.example/bergamotpin/platform"
 )
 
@@ -40,17 +41,21 @@
 	return known
 }
 
-// Begin chooses a server and counts the attempt there. It fails if there is no
-// candidate.
-func (c *Chooser) Begin(r choice.Request, candidates []directory.BackendServer) (choice.Attempt, bool) {
+// Begin chooses a server and counts the attempt there. It refuses without a
+// candidate, and if the request should come back later.
+func (c *Chooser) Begin(r choice.Request, candidates []directory.BackendServer) (choice.Attempt, *refusal) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	a, ok := c.table.Choose(r, candidates, now)
-	if ok {
-		c.table.Begin(&a, r, now)
+	if !ok {
+		return a, notRun(outcome.NoBackendServer, returnSoon)
+	}
+	if later, ok := c.table.Admit(r, a); !ok {
+		return a, notRun(outcome.Infeasible, later)
 	}
-	return a, ok
+	c.table.Begin(&a, r, now)
+	return a, nil
 }
 
 // FirstEvent records that the attempt's answer began.
--- a/opaque/front.go
+++ b/opaque/front.go
@@ -11,7 +11,6 @@
 	"bergamotpin.example/bergamotpin/choice"
 	"bergamotpin.example/bergamotpin/directory"
 	"bergamotpin.example/bergamotpin/metrics"
-	"bergamotpin.example/bergamotpin/outcome"
 )
 
 const (
@@ -85,11 +84,7 @@
 		return choice.Attempt{}, refused
 	}
 	candidates := untried(snapshot.Usable(c.service.Name, time.Now()), c.tried)
-	a, ok := f.Chooser.Begin(c.needs(), candidates)
-	if !ok {
-		return a, notRun(outcome.NoBackendServer, returnSoon)
-	}
-	return a, nil
+	return f.Chooser.Begin(c.needs(), candidates)
 }
 
 func untried(servers []directory.BackendServer, tried map[string]bool) []directory.BackendServer {
