Read from the configuration how many tokens an event holds

Cause: the pauses between events were worked out for four tokens an event; the grown sites send five.

--- a/choice/place.go
+++ b/choice/place.go
@@ -20,8 +20,6 @@
 	firstMs = 30.0
 	// chunkTokens is how much of prompts is read between two tokens.
 	chunkTokens = 2048
-	// eventTokens is how many tokens one event holds.
-	eventTokens = 4
 	// slotMs is how long a request waits for a slot for each one before it that
 	// waits for one.
 	slotMs = 30
@@ -104,7 +102,7 @@
 	a.Load, a.Slowness = load, slowness
 	var firstMillis, pauseMillis float64
 	if r.Service.IsEngine() {
-		firstMillis, pauseMillis = engineTimes(load, max(r.PromptTokens-a.Kept, 0), a.Server.Slots)
+		firstMillis, pauseMillis = engineTimes(load, max(r.PromptTokens-a.Kept, 0), r.Service)
 		a.Cost += crowding(load.Memory+r.memory(), r.Service.MemoryTokens)
 	} else {
 		firstMillis = callTime(load, a.Server.Slots)
@@ -130,7 +128,8 @@
 
 // engineTimes estimates the time to the first event and the pauses at an
 // engine that has to read this many tokens of the request, in milliseconds.
-func engineTimes(load Load, unread, slots int) (first, pause float64) {
+func engineTimes(load Load, unread int, service directory.Service) (first, pause float64) {
+	slots, eventTokens := service.Slots, float64(service.EventTokens)
 	step := stepMs + stepMsPerRun*float64(min(load.Running, slots))
 	first = firstMs + eventTokens*step + readMillis(load.Unread+unread)
 	first += slotMs * float64(max(load.Running+1-slots, 0))
--- a/choice/replay_test.go
+++ b/choice/replay_test.go
@@ -186,7 +186,7 @@
 		out.asked++
 		instance := random.IntN(l.instances)
 		r := Request{
-			Service: directory.Service{Name: "m", Slots: 64, MemoryTokens: 600_000}, Objective: k.objective,
+			Service: directory.Service{Name: "m", Slots: 64, MemoryTokens: 600_000, EventTokens: 4}, Objective: k.objective,
 			PromptTokens: k.sharedTokens + k.ownTokens,
 			Parts:        []Part{{ID: thing, Tokens: k.sharedTokens}, {ID: own, Tokens: k.ownTokens}},
 		}
--- a/choice/table_test.go
+++ b/choice/table_test.go
@@ -9,7 +9,7 @@
 
 var (
 	begin    = time.Unix(1000, 0)
-	engines  = directory.Service{Name: "m", Slots: 64, MemoryTokens: 600_000}
+	engines  = directory.Service{Name: "m", Slots: 64, MemoryTokens: 600_000, EventTokens: 4}
 	prompt   = Request{Service: engines, Objective: time.Second, PromptTokens: 5000, Parts: []Part{{1, 4000}, {2, 1000}}}
 	serverOf = func(id string) directory.BackendServer {
 		return directory.BackendServer{ID: id, Service: "m", Slots: 64, DataCentre: "dc0"}
--- a/directory/types.go
+++ b/directory/types.go
@@ -71,10 +71,12 @@
 	// MaxConnections bounds the connections to one server, those of all
 	// instances together.
 	MaxConnections int
-	// Slots is how many requests an engine runs at once, and MemoryTokens the
-	// tokens that it holds. Both are zero for a service without a model.
+	// Slots is how many requests an engine runs at once, MemoryTokens the tokens
+	// that it holds, and EventTokens those in one event of a stream. All are zero
+	// for a service without a model.
 	Slots        int
 	MemoryTokens int
+	EventTokens  int
 }
 
 // IsEngine reports whether the service's servers run a model.
