--- a/edge/instance.go
+++ b/edge/instance.go
@@ -29,6 +29,9 @@
 	// memoryShare is the part of the allowed memory that the runtime aims to
 	// stay under.
 	memoryShare = 0.7
+	// heapGrowth is by how many percent the heap grows between two collections.
+	// Memory costs the users more than processor time.
+	heapGrowth = 50
 	// housekeeping is the time between two rounds of tidying.
 	housekeeping = 250 * time.Millisecond
 )
@@ -70,6 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
+	debug.SetGCPercent(heapGrowth)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	i := &Instance{options: o, log: eventlog.New(o.Out), open: newConnections()}
 	i.settings.Store(&s)
