--- a/choice/table_test.go
+++ b/choice/table_test.go
@@ -173,3 +173,11 @@
 		t.Errorf("%d servers are left", len(table.servers))
 	}
 }
+
+func serversOf(ids ...string) []directory.BackendServer {
+	var out []directory.BackendServer
+	for _, id := range ids {
+		out = append(out, serverOf(id))
+	}
+	return out
+}
