Leave a data centre that is out of reach, whatever its servers keep

A doubted data centre cost 0.6 and reading a kept part again 2.0, so prompts whose parts lay across the cut were sent there again and again, until the budget of repeats was spent (explain: attempt failed, server_unreachable, kept 13300, then refused). Ruled out: the detection (peers were silent at 34.9 s), the budget itself. A send without any answer now speaks against a silent data centre for 6 s, and a failure that came as an answer no longer does.

--- a/choice/evidence.go
+++ b/choice/evidence.go
@@ -32,8 +32,10 @@
 const (
 	// Answered means that the server answered as it should.
 	Answered Result = iota + 1
-	// Failed means that it failed, fell silent or broke off.
+	// Failed means that it failed or broke off: the way to it stands.
 	Failed
+	// Silent means that nothing came from it, not even a refusal.
+	Silent
 	// Cancelled says nothing of the server.
 	Cancelled
 )
@@ -68,7 +70,7 @@
 	switch r {
 	case Answered:
 		e.sends++
-	case Failed:
+	case Failed, Silent:
 		e.sends++
 		e.failures++
 	}
--- a/choice/reach.go
+++ b/choice/reach.go
@@ -11,10 +11,12 @@
 	// its instances or its servers, before it is doubted. Instances tell of
 	// themselves several times in it.
 	silentFor = 350 * time.Millisecond
-	// failedFor is for how long a failed send speaks against a silent one.
-	failedFor = 2 * time.Second
-	// doubtCost is the cost of a server in a data centre that is doubted.
-	doubtCost = 0.6
+	// failedFor is for how long a send without any answer speaks against a silent
+	// one. An instance there that is heard again ends the doubt at once.
+	failedFor = 6 * time.Second
+	// doubtCost is the cost of a server in a data centre that is doubted. It is
+	// above that of reading any prompt again: what the server keeps is of no use.
+	doubtCost = 5.0
 )
 
 // reach is what is known of the way to a data centre.
@@ -38,7 +40,7 @@
 func (t *Table) Heard(dataCentre string, now time.Time) { t.reachOf(dataCentre).heard = now }
 
 // doubted reports whether a data centre seems to be out of reach: it is silent
-// though answers are due, or though a send there failed.
+// though answers are due, or after a send there that got none.
 func (t *Table) doubted(dataCentre string, now time.Time) bool {
 	if dataCentre == t.opts.DataCentre {
 		return false
--- a/choice/table.go
+++ b/choice/table.go
@@ -195,9 +195,9 @@
 	way := t.reachOf(a.Server.DataCentre)
 	way.running--
 	switch result {
-	case Answered:
+	case Answered, Failed:
 		way.heard = now
-	case Failed:
+	case Silent:
 		way.failed = now
 	}
 }
--- a/opaque/exchange.go
+++ b/opaque/exchange.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -202,8 +203,14 @@
 
 // blame says what a failure tells of the server.
 func (x *exchange) blame(failed failure) choice.Result {
-	if x.caller.Err() != nil || failed.reason == outcome.CallerLeft {
+	switch {
+	case x.caller.Err() != nil, failed.reason == outcome.CallerLeft:
 		return choice.Cancelled
+	case errors.Is(failed.err, syscall.ECONNREFUSED), errors.Is(failed.err, syscall.ECONNRESET):
+		// The server's machine said so, so the way to it stands.
+		return choice.Failed
+	case failed.reason == outcome.ServerUnreachable, failed.reason == outcome.ServerTimeout:
+		return choice.Silent
 	}
 	return choice.Failed
 }
