Try a service across a cut by one request at a time

Ruled out: other ways to the service, the cut data centre reaches no instance. Now one request tries and the others are refused at once with a second to come back.

--- a/choice/admit.go
+++ b/choice/admit.go
@@ -5,7 +5,11 @@
 // that would be late anyway, and would take much of the engines' time, are told
 // at once when to come back.
 
-import "time"
+import (
+	"time"
+
+	"bergamotpin.example/bergamotpin/outcome"
+)
 
 const (
 	// refuseAt is the part of its objective from which on a long prompt's
@@ -19,23 +23,36 @@
 	earliestReturn = 400 * time.Millisecond
 	latestReturn   = 3 * time.Second
 	returnSpread   = 0.5
+	// cutReturn is when a caller should come back whose service is out of reach.
+	// Callers with little time left come back sooner than told.
+	cutReturn = time.Second
 )
 
 // Admit reports whether the attempt that was chosen for a request should be
-// made. If not, it says when the caller should come back.
-func (t *Table) Admit(r Request, a Attempt) (retryAfter time.Duration, ok bool) {
+// made: then the reason is outcome.ReasonNone. If not, it says why, and when the
+// caller should come back.
+func (t *Table) Admit(r Request, a Attempt, now time.Time) (outcome.Reason, time.Duration) {
+	if t.onTrial(a.Server.DataCentre, now) {
+		// The best server lies across a cut, so all do. One request at a time
+		// finds out when that ends; the others need not wait for its timeout.
+		return outcome.ServerUnreachable, t.spread(cutReturn)
+	}
 	if !r.Service.IsEngine() || r.Objective <= 0 {
-		return 0, true
+		return outcome.ReasonNone, 0
 	}
 	if readMillis(r.PromptTokens-a.Kept) < heavyMillis {
-		return 0, true
+		return outcome.ReasonNone, 0
 	}
 	expected := time.Duration(float64(a.Expected) * a.Slowness)
 	limit := time.Duration(refuseAt * float64(r.Objective))
 	if expected <= limit {
-		return 0, true
+		return outcome.ReasonNone, 0
 	}
 	wait := min(max(expected-r.Objective/2, earliestReturn), latestReturn)
-	spread := 1 + returnSpread*(t.random.Float64()-0.5)
-	return time.Duration(float64(wait) * spread), false
+	return outcome.Infeasible, t.spread(wait)
+}
+
+// spread varies a time to return.
+func (t *Table) spread(wait time.Duration) time.Duration {
+	return time.Duration(float64(wait) * (1 + returnSpread*(t.random.Float64()-0.5)))
 }
--- a/choice/admit_test.go
+++ b/choice/admit_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 	"time"
+
+	"bergamotpin.example/bergamotpin/directory"
+	"bergamotpin.example/bergamotpin/outcome"
 )
 
 // TestOnlyWhatWouldBeLateIsTurnedAway fills one engine with long prompts.
@@ -13,8 +16,8 @@
 	taken := 0
 	for range 20 {
 		a, _ := table.Choose(long, serversOf("a"), begin)
-		later, ok := table.Admit(long, a)
-		if !ok {
+		reason, later := table.Admit(long, a, begin)
+		if reason != outcome.ReasonNone {
 			if later < earliestReturn/2 || later > 2*latestReturn {
 				t.Errorf("told to come back after %v", later)
 			}
@@ -28,11 +31,11 @@
 		t.Errorf("%d long prompts were taken before one was turned away, want about 7", taken)
 	}
 	a, _ := table.Choose(short, serversOf("a"), begin)
-	if _, ok := table.Admit(short, a); !ok {
+	if reason, _ := table.Admit(short, a, begin); reason != outcome.ReasonNone {
 		t.Error("a short prompt was turned away: it takes next to no time")
 	}
 	a, _ = table.Choose(long, serversOf("a", "b"), begin)
-	if _, ok := table.Admit(long, a); !ok || a.Server.ID != "b" {
+	if reason, _ := table.Admit(long, a, begin); reason != outcome.ReasonNone || a.Server.ID != "b" {
 		t.Error("a long prompt was turned away while a server was free")
 	}
 }
@@ -47,8 +50,8 @@
 	least, most := time.Hour, time.Duration(0)
 	for range 100 {
 		a, _ := table.Choose(long, serversOf("a"), begin)
-		later, ok := table.Admit(long, a)
-		if ok {
+		reason, later := table.Admit(long, a, begin)
+		if reason != outcome.Infeasible {
 			t.Fatal("taken")
 		}
 		least, most = min(least, later), max(most, later)
@@ -73,3 +76,35 @@
 		}
 	}
 }
+
+// TestServiceAcrossACutIsTriedByOneAtATime has a service with servers in one
+// other data centre only, which falls silent.
+func TestServiceAcrossACutIsTriedByOneAtATime(t *testing.T) {
+	table := newTable()
+	far := serverOf("a")
+	far.DataCentre = "dc1"
+	call := Request{Service: directory.Service{Name: "s"}, Objective: 100 * time.Millisecond}
+	table.Heard("dc1", begin)
+	lost := send(t, table, call, begin, far)
+	later := begin.Add(time.Second)
+	admitted := func() bool {
+		a, _ := table.Choose(call, []directory.BackendServer{far}, later)
+		reason, _ := table.Admit(call, a, later)
+		return reason == outcome.ReasonNone
+	}
+	if !admitted() {
+		t.Error("turned away before any send went unanswered")
+	}
+	table.End(lost, Silent, later)
+	if !admitted() {
+		t.Error("nobody tries whether the cut is over")
+	}
+	trial := send(t, table, call, later, far)
+	if admitted() {
+		t.Error("a second request waits for the timeout of the first")
+	}
+	table.End(trial, Answered, later)
+	if !admitted() {
+		t.Error("turned away after an answer came")
+	}
+}
--- a/choice/reach.go
+++ b/choice/reach.go
@@ -51,3 +51,10 @@
 	}
 	return r.running > 0 || r.failed.After(r.heard) && now.Sub(r.failed) < failedFor
 }
+
+// onTrial reports whether a doubted data centre is being tried: a send there got
+// no answer, and another one is under way.
+func (t *Table) onTrial(dataCentre string, now time.Time) bool {
+	r := t.reachOf(dataCentre)
+	return t.doubted(dataCentre, now) && r.running > 0 && r.failed.After(r.heard)
+}
--- a/opaque/chooser.go
+++ b/opaque/chooser.go
@@ -51,8 +51,8 @@
 	if !ok {
 		return a, notRun(outcome.NoBackendServer, returnSoon)
 	}
-	if later, ok := c.table.Admit(r, a); !ok {
-		return a, notRun(outcome.Infeasible, later)
+	if reason, later := c.table.Admit(r, a, now); reason != outcome.ReasonNone {
+		return a, notRun(reason, later)
 	}
 	c.table.Begin(&a, r, now)
 	return a, nil
