--- a/backend/send.go
+++ b/backend/send.go
@@ -97,7 +97,7 @@
 	conn.keep = keepFor(a.Header)
 	if err := a.WaitUntil(r.Deadline); err != nil {
 		a.Close()
-		return nil, &engine.SendError{Reason: outcome.StreamCut, Err: err}
+		return nil, &engine.SendError{Reason: readFailure(ctx, err), Err: err}
 	}
 	return a, nil
 }
--- a/opaque/exchange.go
+++ b/opaque/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"syscall"
@@ -263,9 +264,12 @@
 	return true, failure{}
 }
 
+// cutReason says why an answer ended early. The instance itself closes a
+// connection only when the request's time is over or its caller left, which the
+// caller's context tells.
 func cutReason(err error) outcome.Reason {
 	var timeout interface{ Timeout() bool }
-	if errors.As(err, &timeout) && timeout.Timeout() {
+	if errors.Is(err, net.ErrClosed) || errors.As(err, &timeout) && timeout.Timeout() {
 		return outcome.ServerTimeout
 	}
 	return outcome.StreamCut
--- a/opaque/relay.go
+++ b/opaque/relay.go
@@ -51,7 +51,7 @@
 	events := bufio.NewReaderSize(answer, eventBufferBytes)
 	for {
 		if err := answer.WaitUntil(x.call.nextEventBy(time.Now())); err != nil {
-			return false, failure{reason: outcome.StreamCut, ran: true, err: err}
+			return false, failure{reason: cutReason(err), ran: true, err: err}
 		}
 		event, err := readEvent(events)
 		if err == io.EOF && len(event) == 0 {
