--- a/edge/callers.go
+++ b/edge/callers.go
@@ -131,9 +131,10 @@
 	i.beacon.Leave()
 	i.log.Beliefs.Info("leaving", "open", i.open.open())
 	began := time.Now()
-	end := began.Add(i.settings.Load().StopGrace - lastMoments)
+	grace := i.settings.Load().StopGrace
+	end := began.Add(grace - lastMoments)
 	callers.SetKeepAlivesEnabled(false)
-	time.Sleep(stillSent)
+	time.Sleep(min(stillSent, grace/3))
 	_ = i.callers.Close()
 	for i.open.open() > 0 && time.Now().Before(end) {
 		time.Sleep(pollOpen)
