--- a/directory/follow.go
+++ b/directory/follow.go
@@ -98,7 +98,12 @@
 	case f.configuration == 0:
 		return f.list(ctx, KindConfiguration)
 	case f.newest > f.servers:
-		return f.watch(ctx, KindServer, 0)
+		err := f.watch(ctx, KindServer, 0)
+		if err == nil && f.newest > f.servers {
+			// The answer is older than one before it. It won't be for long.
+			sleep(ctx, chosenPoll)
+		}
+		return err
 	}
 	return f.watch(ctx, KindConfiguration, watchWait)
 }
--- a/directory/follow_test.go
+++ b/directory/follow_test.go
@@ -93,6 +93,11 @@
 }
 
 func follow(t *testing.T, source *scriptedSource, chosen func() bool, test func(table *Table, f *Follower)) {
+	t.Helper()
+	followSource(t, source, chosen, test)
+}
+
+func followSource(t *testing.T, source Source, chosen func() bool, test func(table *Table, f *Follower)) {
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -154,6 +159,31 @@
 	})
 }
 
+// staleServers tells an old revision with each answer about servers.
+type staleServers struct{ *scriptedSource }
+
+func (s staleServers) Watch(ctx context.Context, kind Kind, after int64, wait time.Duration) ([]Record, int64, error) {
+	records, revision, err := s.scriptedSource.Watch(ctx, kind, after, wait)
+	if kind == KindServer {
+		return nil, after, err
+	}
+	return records, revision, err
+}
+
+func TestOldAnswersDoNotLeadToCallsWithoutPause(t *testing.T) {
+	source := newSource()
+	source.put(configuration(0, 1))
+	followSource(t, staleServers{source}, always, func(*Table, *Follower) {
+		source.put(configuration(0, 2))
+		time.Sleep(watchWait + time.Second)
+		source.mu.Lock()
+		defer source.mu.Unlock()
+		if n := source.calls["watch server"]; n > 25 {
+			t.Errorf("%d calls in a second", n)
+		}
+	})
+}
+
 func TestInstanceThatIsNotChosenOnlyLists(t *testing.T) {
 	source := newSource()
 	source.put(configuration(0, 1))
--- a/opaque/front_test.go
+++ b/opaque/front_test.go
@@ -24,7 +24,7 @@
 
 // fleet is a front before replicas.
 type fleet struct {
-	t        *testing.T
+	t        testing.TB
 	url      string
 	table    *directory.Table
 	front    *Front
@@ -52,7 +52,7 @@
 "limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_ms":3000,"idle_timeout_ms":15000},
 "tenants":[{"name":"org","api_keys":[%s],"priority":1}]}`
 
-func newFleet(t *testing.T, replicas int) *fleet {
+func newFleet(t testing.TB, replicas int) *fleet {
 	t.Helper()
 	f := &fleet{t: t, table: directory.NewTable(platform.Decoder{}), revision: 1}
 	m := metrics.New("test", "dc1")
