Take a huge prompt where nothing waits

Ruled out: the limit itself; what must be long is the wait for others. Before: TestHugePromptIsTakenByAFreeEngine fails, infeasible. After: taken.

--- a/choice/admit.go
+++ b/choice/admit.go
@@ -15,6 +15,9 @@
 	// refuseAt is the part of its objective from which on a long prompt's
 	// expected time leads to a refusal.
 	refuseAt = 1.5
+	// refuseBacklog is the part of its objective that must be spent waiting for
+	// others' prompts: a prompt that is late by its own size comes back as late.
+	refuseBacklog = 0.7
 	// heavyMillis is the reading time from which on a request is worth refusing:
 	// less would hardly help the others.
 	heavyMillis = 40
@@ -44,8 +47,8 @@
 		return outcome.ReasonNone, 0
 	}
 	expected := time.Duration(float64(a.Expected) * a.Slowness)
-	limit := time.Duration(refuseAt * float64(r.Objective))
-	if expected <= limit {
+	backlog := readMillis(a.Load.Unread) * a.Slowness
+	if expected <= time.Duration(refuseAt*float64(r.Objective)) || ratio(backlog, r.Objective) < refuseBacklog {
 		return outcome.ReasonNone, 0
 	}
 	wait := min(max(expected-r.Objective/2, earliestReturn), latestReturn)
--- a/choice/admit_test.go
+++ b/choice/admit_test.go
@@ -108,3 +108,14 @@
 		t.Error("turned away after an answer came")
 	}
 }
+
+// TestHugePromptIsTakenByAFreeEngine has a prompt whose reading alone takes
+// longer than a refusal's limit: coming back later would not help it.
+func TestHugePromptIsTakenByAFreeEngine(t *testing.T) {
+	table := newTable()
+	huge := Request{Service: engines, Objective: 600 * time.Millisecond, PromptTokens: 60000}
+	a, _ := table.Choose(huge, serversOf("a"), begin)
+	if reason, _ := table.Admit(huge, a, begin); reason != outcome.ReasonNone {
+		t.Errorf("turned away with %v while nothing waits", reason)
+	}
+}
