Keep the words of the platform's wire in platform/, in tests too

Cause: two test files wrote whole configurations in the platform's words. Ruled out: a second decoder for tests. A stale comment went.

--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -35,7 +35,7 @@
 	Seeds   []netip.AddrPort
 	Table   *directory.Table
 	// Reports returns what to tell of the servers, and Receive takes what a
-	// peer told. Lost is called for a peer that fell silent.
+	// peer told.
 	Reports func(now time.Time) []choice.ServerReport
 	Receive func(peer, dataCentre string, reports []choice.ServerReport, now time.Time)
 	// StoreAge is how long ago the store last answered this instance.
--- a/edge/instance_test.go
+++ b/edge/instance_test.go
@@ -118,11 +118,11 @@
 
 func (r *running) send(t *testing.T, id string) (*http.Response, error) {
 	t.Helper()
-	req, err := http.NewRequest(http.MethodGet, "http://"+r.settings.Load().Callers.String()+"/s/", nil)
+	req, err := http.NewRequest(http.MethodGet, "http://"+r.settings.Load().Callers.String()+platformtest.PathStream, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	req.Host = "h.example"
+	req.Host = platformtest.Host
 	req.Header.Set(platform.HeaderRequestID, id)
 	return http.DefaultClient.Do(req)
 }
@@ -138,8 +138,8 @@
 	}
 }
 
-const plainConfiguration = `{"version":%d,"routes":[{"name":"r","host":"h.example","path_prefix":"/s/","type":"stream","timeout_ms":9000,"slo_ms":300,"service":"s","max_attempts":1,"gap_target_ms":200}],
-"services":[{"name":"s","max_conns":100}],"limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
+// configurationText is a configuration whose streams may take nine seconds.
+func configurationText(version int) string { return platformtest.Configuration(version, 9000) }
 
 func newPlatform(t *testing.T) (*platformtest.Store, *platformtest.Replica) {
 	t.Helper()
@@ -163,7 +163,7 @@
 	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
 		t.Errorf("got %+v, %v", resp, err)
 	}
-	store.Put("config", "main", fmt.Sprintf(plainConfiguration, 1))
+	store.Put("config", "main", configurationText(1))
 	await(t, "ready", i.isReady)
 	resp, err = i.send(t, "first")
 	if err != nil || resp.StatusCode != http.StatusOK {
@@ -176,7 +176,7 @@
 // the store turns everybody away.
 func TestStartWithoutAStoreTakesTheConfigurationOfAPeer(t *testing.T) {
 	store, _ := newPlatform(t)
-	store.Put("config", "main", fmt.Sprintf(plainConfiguration, 1))
+	store.Put("config", "main", configurationText(1))
 	port := freePort(t, "127.0.0.2")
 	first := startInstance(t, "127.0.0.2", port, store.URL, 3)
 	await(t, "the first instance is ready", first.isReady)
@@ -189,7 +189,7 @@
 func TestStopFinishesWhatIsOpen(t *testing.T) {
 	store, replica := newPlatform(t)
 	replica.Behave(platformtest.Behaviour{Events: 30, EventPause: 100 * time.Millisecond})
-	store.Put("config", "main", fmt.Sprintf(plainConfiguration, 1))
+	store.Put("config", "main", configurationText(1))
 	i := startInstance(t, "127.0.0.2", freePort(t, "127.0.0.2"), store.URL, 6)
 	await(t, "ready", i.isReady)
 	resp, err := i.send(t, "open")
@@ -255,7 +255,7 @@
 func TestEveryLogLineParses(t *testing.T) {
 	store, replica := newPlatform(t)
 	replica.Behave(platformtest.Behaviour{Events: 3, BreakAfter: 1})
-	store.Put("config", "main", fmt.Sprintf(plainConfiguration, 1))
+	store.Put("config", "main", configurationText(1))
 	store.Put("servers", "i-2", `{"service":1}`)
 	i := startInstance(t, "127.0.0.2", freePort(t, "127.0.0.2"), store.URL, 3)
 	await(t, "ready", i.isReady)
--- a/opaque/front_test.go
+++ b/opaque/front_test.go
@@ -22,6 +22,9 @@
 	"bergamotpin.example/bergamotpin/platform/platformtest"
 )
 
+// forgedHeader is one that only the system may set.
+const forgedHeader = platform.HeaderHold
+
 // fleet is a front before replicas.
 type fleet struct {
 	t        testing.TB
@@ -33,25 +36,16 @@
 	ids      int
 }
 
-// Routes of the fleet: one of each kind, on the host "h.example".
+// The paths of the fleet's routes, and the time of a stream that may not resume.
 const (
-	pathSafe      = "/safe/"
-	pathUnsafe    = "/unsafe/"
-	pathStream    = "/stream/"
-	pathResumable = "/resumable/"
-	pathPublic    = "/public/"
+	pathSafe      = platformtest.PathSafe
+	pathUnsafe    = platformtest.PathUnsafe
+	pathStream    = platformtest.PathStream
+	pathResumable = platformtest.PathResumable
+	pathPublic    = platformtest.PathPublic
+	streamMs      = 1500
 )
 
-const fleetConfiguration = `{"version":%d,"routes":[
-{"name":"safe","host":"h.example","path_prefix":"/safe/","type":"safe","timeout_ms":1500,"slo_ms":100,"service":"s","max_attempts":2},
-{"name":"unsafe","host":"h.example","path_prefix":"/unsafe/","type":"unsafe","timeout_ms":1500,"slo_ms":100,"service":"s","max_attempts":1},
-{"name":"stream","host":"h.example","path_prefix":"/stream/","type":"stream","timeout_ms":1500,"slo_ms":300,"service":"s","max_attempts":1,"gap_target_ms":200,"priority":3},
-{"name":"resumable","host":"h.example","path_prefix":"/resumable/","type":"stream","timeout_ms":4000,"slo_ms":300,"service":"s","max_attempts":2,"resumable":true,"gap_target_ms":200},
-{"name":"public","host":"h.example","path_prefix":"/public/","type":"safe","timeout_ms":1500,"slo_ms":100,"service":"s","max_attempts":1,"public":true}],
-"services":[{"name":"s","max_conns":100,"engine":{"slots":64,"kv_capacity":100000}}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_ms":3000,"idle_timeout_ms":15000},
-"tenants":[{"name":"org","api_keys":[%s],"priority":1}]}`
-
 func newFleet(t testing.TB, replicas int) *fleet {
 	t.Helper()
 	f := &fleet{t: t, table: directory.NewTable(platform.Decoder{}), revision: 1}
@@ -73,7 +67,7 @@
 		f.replicas = append(f.replicas, r)
 		f.write(directory.KindServer, r.ID, r.Entry("ready"))
 	}
-	f.configure(1, `"key"`)
+	f.configure(1, "key")
 	return f
 }
 
@@ -82,8 +76,8 @@
 	f.table.Merge([]directory.Record{{Kind: kind, Name: name, Revision: f.revision, Spec: []byte(spec)}}, time.Now())
 }
 
-func (f *fleet) configure(version int, keys string) {
-	f.write(directory.KindConfiguration, "main", fmt.Sprintf(fleetConfiguration, version, keys))
+func (f *fleet) configure(version int, key string) {
+	f.write(directory.KindConfiguration, "main", platformtest.Configuration(version, streamMs, key))
 }
 
 func (f *fleet) behave(b platformtest.Behaviour) {
@@ -149,7 +143,7 @@
 	r.Header.Set(platform.HeaderOrganisation, "forged")
 	r.Header.Set(platform.HeaderPriority, "0")
 	r.Header.Set(platform.HeaderDeadline, "900")
-	r.Header.Set("X-Bergamotpin-Hold", "forged")
+	r.Header.Set(forgedHeader, "forged")
 	f.expectStatus(f.do(r), 200)
 	got := f.replicas[0].Received()[0]
 	if got.Method != "POST" || got.Target != "/safe/a%2Fb/../c?x=1&y=%20" || got.Host != "h.example" || got.Body != "the body" {
@@ -157,7 +151,7 @@
 	}
 	for name, want := range map[string]string{
 		"X-Own": "kept", platform.HeaderOrganisation: "org", platform.HeaderPriority: "1", platform.HeaderKey: "",
-		"X-Bergamotpin-Hold": "", platform.HeaderExpectServer: "i-0", platform.HeaderRequestID: "request-1",
+		forgedHeader: "", platform.HeaderExpectServer: "i-0", platform.HeaderRequestID: "request-1",
 	} {
 		if got.Header.Get(name) != want {
 			t.Errorf("%s is %q, want %q", name, got.Header.Get(name), want)
@@ -443,7 +437,7 @@
 func TestRevokedKeyStopsARequestThatIsTriedAgain(t *testing.T) {
 	f := newFleet(t, 2)
 	f.behave(platformtest.Behaviour{Status: 500, Delay: 150 * time.Millisecond})
-	time.AfterFunc(50*time.Millisecond, func() { f.configure(2, `"another"`) })
+	time.AfterFunc(50*time.Millisecond, func() { f.configure(2, "another") })
 	f.expectStatus(f.do(f.request(pathSafe)), 500)
 	if n := len(f.ran()); n != 1 {
 		t.Errorf("%d runs, the second came after the key was gone", n)
