Serve without metrics where their port is taken

Ruled out: a port of port_range, which the deploy file can't name. Before: Start failed with 'metrics: address already in use'. After: a line 'metrics not served'.

--- a/edge/instance.go
+++ b/edge/instance.go
@@ -111,14 +111,23 @@
 	if i.ready, err = net.Listen("tcp4", s.Ready.String()); err != nil {
 		return errors.Wrap(err, "ready")
 	}
+	i.listenForMetrics(s)
+	return nil
+}
+
+// listenForMetrics opens the port for metrics, if there is one. An instance that
+// can't have it, since the platform gave it to something else, serves without.
+func (i *Instance) listenForMetrics(s platform.Settings) {
 	if i.options.MetricsPort == 0 {
-		return nil
+		return
 	}
 	address := netip.AddrPortFrom(s.Ready.Addr(), i.options.MetricsPort)
-	if i.metricsListener, err = net.Listen("tcp4", address.String()); err != nil {
-		return errors.Wrap(err, "metrics")
+	listener, err := net.Listen("tcp4", address.String())
+	if err != nil {
+		i.log.Beliefs.Warn("metrics not served", "address", address, "error", err.Error())
+		return
 	}
-	return nil
+	i.metricsListener = listener
 }
 
 func seedOf(name string) uint64 {
--- a/edge/instance_test.go
+++ b/edge/instance_test.go
@@ -241,6 +241,32 @@
 	await(t, "the new grace without a signal", func() bool { return i.settings.Load().StopGrace == 4*time.Second })
 }
 
+// TestTakenMetricsPortStopsNothing gives the port of the ready address.
+func TestTakenMetricsPortStopsNothing(t *testing.T) {
+	ip := "127.0.0.4"
+	ready := netip.AddrPortFrom(netip.MustParseAddr(ip), freePort(t, ip))
+	callers := netip.AddrPortFrom(netip.MustParseAddr(ip), freePort(t, ip))
+	peers := freePort(t, ip)
+	path := filepath.Join(t.TempDir(), "settings.conf")
+	text := fmt.Sprintf(settingsText, "edge", callers, ready, peers, peers+1, 3, "127.0.0.1:1")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	log := &lockedBuffer{}
+	i, err := Start(Options{Path: path, Out: log, MetricsPort: ready.Port()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := i.Run(ctx, nil); err != nil {
+		t.Error(err)
+	}
+	if !strings.Contains(log.String(), `"msg":"metrics not served"`) {
+		t.Errorf("nothing tells of it: %s", log.String())
+	}
+}
+
 func TestBadSettingsStartNothing(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "settings.conf")
 	if err := os.WriteFile(path, []byte("node_name=x\nzone=z\nlisten.frontend=nowhere\n"), 0o600); err != nil {
