Forget what peers told of a server together with the server

Cause: read as a newcomer: a server whose entry lapsed for over a second was forgotten with the peers' loads, but their last reports were kept; when it came back, the next report of each was first taken out of the new row, which stood below nothing from then on, so that too much was sent there. Ruled out: a negative load from lost datagrams, reports replace each other. Before: TestForgottenServerComesBackWithoutDebt fails with 0 of 1 request. After: passes.

--- a/choice/table.go
+++ b/choice/table.go
@@ -100,8 +100,14 @@
 // still has work there.
 func (t *Table) Forget(wanted func(key uint64) bool) {
 	for key, s := range t.servers {
-		if !wanted(key) && s.own.Running == 0 {
-			delete(t.servers, key)
+		if wanted(key) || s.own.Running > 0 {
+			continue
+		}
+		delete(t.servers, key)
+		// What peers told of it went with the row, so it must not be taken out
+		// of a later one.
+		for _, report := range t.peers {
+			delete(report.servers, key)
 		}
 	}
 }
--- a/choice/table_test.go
+++ b/choice/table_test.go
@@ -186,3 +186,18 @@
 	}
 	return out
 }
+
+// TestForgottenServerComesBackWithoutDebt forgets a server whose entry lapsed
+// while a peer had work there, and meets it again.
+func TestForgottenServerComesBackWithoutDebt(t *testing.T) {
+	one, two := newTable(), newTable()
+	send(t, one, prompt, begin, serverOf("a"))
+	two.Receive("one", "dc1", one.Report(begin), begin)
+	two.Forget(func(uint64) bool { return false })
+	key := ServerKey(serverOf("a"))
+	two.row(key)
+	two.Receive("one", "dc1", one.Report(begin), begin)
+	if got := two.servers[key].others; got.Running != 1 || got.Unread != 5000 {
+		t.Errorf("got %+v of the peer, want its one request", got)
+	}
+}
