Count answers on time and the time to the first event on the platform too

Cause: the operations page named first_token and targets, which the front for opaque requests never recorded. Ruled out: dropping them from the page; on-call engineers need both. Before: TestMetricsTellOfAnswers finds neither.

--- a/opaque/exchange.go
+++ b/opaque/exchange.go
@@ -302,10 +302,21 @@
 	}
 }
 
+// onTime reports whether an answer that took this long met its objective.
+func (x *exchange) onTime(took time.Duration) bool {
+	route := x.call.route
+	if !x.stream.begun {
+		return took <= route.Objective
+	}
+	return x.stream.first <= route.Objective && (route.LongestPause <= 0 || x.stream.longest <= route.LongestPause)
+}
+
 func (x *exchange) logAnswered(server string, status int) {
 	c := x.call
 	a := x.placed
-	x.front.Metrics.Class(c.className()).Final(outcome.Completed)
+	class := x.front.Metrics.Class(c.className())
+	class.Final(outcome.Completed)
+	class.Target(x.onTime(time.Since(c.arrived)))
 	x.front.Successes.Info("answered",
 		"request", c.id, "route", c.route.Name, "server", server, "status", status, "sends", c.sends,
 		"prompt", c.prompt.Tokens, "kept", a.Kept, "expected_ms", a.Expected.Milliseconds(), "cost", a.Cost,
--- a/opaque/front_test.go
+++ b/opaque/front_test.go
@@ -478,3 +478,29 @@
 		t.Errorf("got %d, ran %v", resp.StatusCode, f.ran())
 	}
 }
+
+// TestMetricsTellOfAnswers reads the metrics' text after answers on time and
+// late.
+func TestMetricsTellOfAnswers(t *testing.T) {
+	f := newFleet(t, 1)
+	f.behave(platformtest.Behaviour{Events: 2})
+	f.expectStatus(f.do(f.request(pathStream)), 200)
+	f.behave(platformtest.Behaviour{Events: 2, EventPause: 300 * time.Millisecond})
+	f.expectStatus(f.do(f.request(pathStream)), 200)
+	deadline := time.Now().Add(5 * time.Second)
+	for {
+		w := httptest.NewRecorder()
+		f.front.Metrics.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		text := w.Body.String()
+		met := strings.Contains(text, `target="met"} 1`)
+		missed := strings.Contains(text, `target="missed"} 1`)
+		first := strings.Contains(text, "first_token_count")
+		if met && missed && first {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("met %v, missed %v, first token %v in:\n%s", met, missed, first, text)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
--- a/opaque/relay.go
+++ b/opaque/relay.go
@@ -83,6 +83,7 @@
 	if !s.begun {
 		s.begun = true
 		s.first = time.Since(x.call.arrived)
+		x.front.Metrics.Class(x.call.className()).FirstToken(s.first)
 		copyHeader(x.w, platform.AnswerHeader(answer.Header))
 		x.w.WriteHeader(answer.StatusCode)
 	} else {
