Tell of gaps, budgets, peers, standing of servers and each send

Cause: an on-call engineer could not see why requests went past a server, how much of the retry budget was left, how old the configuration was, or what an instance that was killed had open: a request had lines only at its end.

Now: 'sent' before each send with what decided it (so 'answered' no longer repeats it), 'server held' and 'data centre held' when a line is crossed, gauges for peers, budget, configuration, open requests, histograms for gaps and whole answers. explain adds the next start or stop of an instance whose request has no end.

Batches over a pipe's 4 KB were torn and mixed with those of other processes.

TestBlockedLogReaderCostsNoRequest hangs if lines are written directly.

--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -134,6 +134,23 @@
 	return len(b.members.live()) + 1, b.members.everLive() + 1
 }
 
+// Counts returns how many other instances there are, by their state.
+func (b *Beacon) Counts() Counts {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.members.counts()
+}
+
+// ConfigurationAge is how long ago the store confirmed, to this instance or to
+// one that it hears, that there is no newer configuration than the one here.
+func (b *Beacon) ConfigurationAge(now time.Time) time.Duration {
+	revision, _ := b.opts.Table.Digest()
+	own := b.opts.StoreAge(now)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return min(own, now.Sub(b.members.confirmedAt(revision)))
+}
+
 func (b *Beacon) sendRounds(ctx context.Context) {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
--- a/beacon/members.go
+++ b/beacon/members.go
@@ -141,6 +141,42 @@
 	return out
 }
 
+// Counts says how many other instances there are, by their state.
+type Counts struct {
+	Live, Leaving int
+	// Silent instances were heard before, Unheard ones are only told of.
+	Silent, Unheard int
+}
+
+func (m *members) counts() Counts {
+	var c Counts
+	for _, e := range m.all {
+		switch {
+		case e.Live && e.Leaving:
+			c.Leaving++
+		case e.Live:
+			c.Live++
+		case e.Name != "":
+			c.Silent++
+		default:
+			c.Unheard++
+		}
+	}
+	return c
+}
+
+// confirmedAt is when the store last answered a live member that has no newer
+// configuration than this revision, or zero.
+func (m *members) confirmedAt(revision int64) time.Time {
+	var newest time.Time
+	for _, e := range m.all {
+		if e.Live && e.Revision <= revision && e.StoreAt.After(newest) {
+			newest = e.StoreAt
+		}
+	}
+	return newest
+}
+
 // everLive counts the members that were heard at least once and are remembered.
 func (m *members) everLive() int {
 	n := 0
--- a/choice/budget.go
+++ b/choice/budget.go
@@ -46,16 +46,21 @@
 // number of repeats that all instances together may make beside ratio times the
 // requests, and instances how many there are.
 func (b *Budget) Repeat(ratio, slack float64, instances int, now time.Time) bool {
-	at := b.advance(now)
+	if b.Left(ratio, slack, instances, now) < 1 {
+		return false
+	}
+	b.repeats[b.advance(now)]++
+	return true
+}
+
+// Left is how many more repeats are allowed now, by the same limits.
+func (b *Budget) Left(ratio, slack float64, instances int, now time.Time) int {
+	b.advance(now)
 	var requests, repeats int
 	for i := range budgetParts {
 		requests += b.requests[i]
 		repeats += b.repeats[i]
 	}
 	allowed := budgetMargin * (ratio*float64(requests) + slack/float64(max(instances, 1)))
-	if float64(repeats+1) > allowed {
-		return false
-	}
-	b.repeats[at]++
-	return true
+	return max(int(allowed)-repeats, 0)
 }
--- a/choice/reach.go
+++ b/choice/reach.go
@@ -25,6 +25,8 @@
 	failed time.Time
 	// running counts this instance's requests at its servers.
 	running int
+	// standing is how the data centre was last said to be held.
+	standing Standing
 }
 
 func (t *Table) reachOf(dataCentre string) *reach {
--- a/choice/table.go
+++ b/choice/table.go
@@ -49,6 +49,8 @@
 	// told are the parts that this instance sent there lately, which the others
 	// are to hear of.
 	told []toldPart
+	// standing is how the server was last said to be held.
+	standing Standing
 }
 
 // Load is the work that instances have at a server.
--- a/cmd/bergamotpin/story.go
+++ b/cmd/bergamotpin/story.go
@@ -29,7 +29,7 @@
 // storyOf reads logs of any number of instances and writes what they say of a
 // request, in order of time.
 func storyOf(logs io.Reader, request string, out io.Writer) error {
-	var lines []logLine
+	var lines, lives []logLine
 	scanner := bufio.NewScanner(logs)
 	scanner.Buffer(make([]byte, 0, 64<<10), maxLogLineBytes)
 	prefix := ""
@@ -46,6 +46,9 @@
 		if line.Request == request {
 			lines = append(lines, line)
 		}
+		if line.tellsOfLife() {
+			lives = append(lives, line)
+		}
 	}
 	if err := scanner.Err(); err != nil {
 		return errors.Wrap(err, "log")
@@ -53,8 +56,33 @@
 	if len(lines) == 0 {
 		return errors.Errorf("no line names request %q", request)
 	}
+	sortByTime(lines)
+	sortByTime(lives)
+	return writeStory(append(lines, lifeAfter(lines[len(lines)-1], lives)...), out)
+}
+
+func sortByTime(lines []logLine) {
 	slices.SortStableFunc(lines, func(a, b logLine) int { return a.Time.Compare(b.Time) })
-	return writeStory(lines, out)
+}
+
+// tellsOfLife reports whether the line tells of its process as a whole.
+func (l logLine) tellsOfLife() bool {
+	return slices.Contains([]string{"start", "leaving", "left", "stop"}, l.Msg)
+}
+
+// lifeAfter is what became of the process that wrote the last line of a story,
+// if the request has no end there: a process that was killed says nothing, but
+// its successor starts.
+func lifeAfter(last logLine, lives []logLine) []logLine {
+	if last.Msg != "sent" && last.Msg != "attempt failed" {
+		return nil
+	}
+	for _, life := range lives {
+		if life.prefix == last.prefix && life.Time.After(last.Time) {
+			return []logLine{life}
+		}
+	}
+	return nil
 }
 
 func parseLogLine(text string) (logLine, bool) {
--- a/cmd/bergamotpin/story_test.go
+++ b/cmd/bergamotpin/story_test.go
@@ -29,3 +29,23 @@
 		t.Error("no error")
 	}
 }
+
+// TestStoryWithoutAnEndTellsWhatBecameOfTheInstance has an instance killed
+// inside a request, and another one start meanwhile.
+func TestStoryWithoutAnEndTellsWhatBecameOfTheInstance(t *testing.T) {
+	const logs = `edge-a {"time":"2026-01-01T00:00:01Z","msg":"sent","request":"r1","server":"s1"}
+edge-a {"time":"2026-01-01T00:00:00Z","msg":"start"}
+edge-b {"time":"2026-01-01T00:00:02Z","msg":"start"}
+edge-a {"time":"2026-01-01T00:00:03Z","msg":"start"}
+`
+	var out strings.Builder
+	if err := storyOf(strings.NewReader(logs), "r1", &out); err != nil {
+		t.Fatal(err)
+	}
+	want := `00:00:01.000 edge-a sent: server="s1"
+00:00:03.000 edge-a start:
+`
+	if out.String() != want {
+		t.Errorf("got %q", out.String())
+	}
+}
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -55,6 +55,7 @@
 	open            *connections
 	stopping        atomic.Bool
 	storeCalls      storeCalls
+	standings       standings
 }
 
 // Options says what an instance is started with.
@@ -214,6 +215,7 @@
 		case <-ticker.C:
 		}
 		snapshot := i.table.Snapshot()
+		i.tellStandings(snapshot, time.Now())
 		i.chooser.Forget(snapshot)
 		wanted := make(map[string]bool, len(snapshot.Servers))
 		for _, b := range snapshot.Servers {
--- a/edge/instance_test.go
+++ b/edge/instance_test.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -76,34 +75,26 @@
 }
 
 func startInstance(t *testing.T, ip string, peerPort uint16, storeURL string, graceSeconds int) *running {
+	t.Helper()
+	log := &lockedBuffer{}
+	r := startInstanceTo(t, log, ip, peerPort, storeURL, graceSeconds)
+	r.log = log
+	return r
+}
+
+// startInstanceTo starts an instance that logs to out.
+func startInstanceTo(t *testing.T, out io.Writer, ip string, peerPort uint16, storeURL string, graceSeconds int) *running {
 	t.Helper()
 	callers := netip.AddrPortFrom(netip.MustParseAddr(ip), freePort(t, ip))
 	ready := netip.AddrPortFrom(netip.MustParseAddr(ip), freePort(t, ip))
-	r := &running{
-		log: &lockedBuffer{}, path: filepath.Join(t.TempDir(), "settings.conf"),
-		reload: make(chan struct{}), done: make(chan struct{}),
-	}
 	text := fmt.Sprintf(settingsText, "edge-"+ip, callers, ready, peerPort, peerPort+1, graceSeconds, strings.TrimPrefix(storeURL, "http://"))
-	if err := os.WriteFile(r.path, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	i, err := Start(Options{Path: r.path, Out: r.log})
+	r := &running{path: writeSettings(t, text), reload: make(chan struct{})}
+	i, err := Start(Options{Path: r.path, Out: out})
 	if err != nil {
 		t.Fatal(err)
 	}
 	r.Instance = i
-	ctx, cancel := context.WithCancel(context.Background())
-	r.stop = cancel
-	go func() {
-		defer close(r.done)
-		if err := i.Run(ctx, r.reload); err != nil {
-			t.Error(err)
-		}
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-r.done
-	})
+	r.stop, r.done = run(t, i, r.reload)
 	return r
 }
 
@@ -247,11 +238,7 @@
 	ready := netip.AddrPortFrom(netip.MustParseAddr(ip), freePort(t, ip))
 	callers := netip.AddrPortFrom(netip.MustParseAddr(ip), freePort(t, ip))
 	peers := freePort(t, ip)
-	path := filepath.Join(t.TempDir(), "settings.conf")
-	text := fmt.Sprintf(settingsText, "edge", callers, ready, peers, peers+1, 3, "127.0.0.1:1")
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	path := writeSettings(t, fmt.Sprintf(settingsText, "edge", callers, ready, peers, peers+1, 3, "127.0.0.1:1"))
 	log := &lockedBuffer{}
 	i, err := Start(Options{Path: path, Out: log, MetricsPort: ready.Port()})
 	if err != nil {
@@ -268,10 +255,7 @@
 }
 
 func TestBadSettingsStartNothing(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "settings.conf")
-	if err := os.WriteFile(path, []byte("node_name=x\nzone=z\nlisten.frontend=nowhere\n"), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	path := writeSettings(t, "node_name=x\nzone=z\nlisten.frontend=nowhere\n")
 	_, err := Start(Options{Path: path, Out: io.Discard})
 	if err == nil || !strings.Contains(err.Error(), "line 3: listen.frontend") {
 		t.Errorf("got %v", err)
--- a/edge/readings.go
+++ b/edge/readings.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"slices"
 	"sync"
+	"time"
 
 	"bergamotpin.example/bergamotpin/metrics"
 )
@@ -37,19 +39,48 @@
 	return out
 }
 
-// readings are the counters that the parts keep.
+// readings are the counters and gauges that the parts keep.
 func (i *Instance) readings() []metrics.Reading {
-	dropped := i.log.Dropped()
-	out := i.storeCalls.readings()
-	for n, class := range [...]string{"successes", "failures", "beliefs"} {
-		out = append(out, metrics.Reading{
-			Name: "log_lines_dropped", Count: dropped[n],
-			Tags: [2]metrics.Tag{{Label: "class", Value: class}},
-		})
+	now := time.Now()
+	out := slices.Concat(i.storeCalls.readings(), i.logReadings(), i.peerReadings(), i.standings.readings())
+	for _, left := range i.chooser.RepeatsLeft(now) {
+		out = append(out, gauge("retries_left", "service", left.Service, int64(left.Sends)))
 	}
 	return append(out,
-		metrics.Reading{Name: "connections_made", Count: i.client.Counters.Connected.Load()},
-		metrics.Reading{Name: "connections_reused", Count: i.client.Counters.Reused.Load()},
-		metrics.Reading{Name: "foreign_answers", Count: i.client.Counters.Foreign.Load()},
+		gauge("configuration_version", "", "", int64(i.table.Snapshot().Version)),
+		gauge("configuration_age_ms", "", "", i.beacon.ConfigurationAge(now).Milliseconds()),
+		gauge("requests_open", "", "", int64(i.open.open())),
+		counter("connections_made", "", "", i.client.Counters.Connected.Load()),
+		counter("connections_reused", "", "", i.client.Counters.Reused.Load()),
+		counter("foreign_answers", "", "", i.client.Counters.Foreign.Load()),
 	)
 }
+
+func (i *Instance) logReadings() []metrics.Reading {
+	var out []metrics.Reading
+	dropped := i.log.Dropped()
+	for n, class := range [...]string{"successes", "failures", "beliefs"} {
+		out = append(out, counter("log_lines_dropped", "class", class, dropped[n]))
+	}
+	return out
+}
+
+func (i *Instance) peerReadings() []metrics.Reading {
+	counts := i.beacon.Counts()
+	return []metrics.Reading{
+		gauge("peers", "state", "live", int64(counts.Live)),
+		gauge("peers", "state", "leaving", int64(counts.Leaving)),
+		gauge("peers", "state", "silent", int64(counts.Silent)),
+		gauge("peers", "state", "unheard", int64(counts.Unheard)),
+	}
+}
+
+func counter(name, label, value string, count int64) metrics.Reading {
+	return metrics.Reading{Name: name, Tags: [2]metrics.Tag{{Label: label, Value: value}}, Count: count}
+}
+
+func gauge(name, label, value string, level int64) metrics.Reading {
+	r := counter(name, label, value, level)
+	r.Gauge = true
+	return r
+}
--- a/eventlog/eventlog.go
+++ b/eventlog/eventlog.go
@@ -1,6 +1,7 @@
 package eventlog
 
 import (
+	"bytes"
 	"io"
 	"log/slog"
 	"sync"
@@ -12,6 +13,10 @@
 	bufferBytes = 512 << 10
 	// flushInterval is how long a line may wait while the reader keeps up.
 	flushInterval = 50 * time.Millisecond
+	// writeBytes bounds the lines of one write, unless a single one is longer: a
+	// pipe takes that many at once, so lines of several processes that share a
+	// reader are not torn.
+	writeBytes = 4096
 	// closeWait bounds the wait for a reader at the end of the process.
 	closeWait = 200 * time.Millisecond
 )
@@ -112,10 +117,7 @@
 			closing = true
 		}
 		batch = l.swap(batch)
-		if len(batch) > 0 {
-			// Without a reader there is nowhere to tell of it.
-			_, _ = l.out.Write(batch)
-		}
+		l.write(batch)
 		l.tellDropped()
 		if closing {
 			return
@@ -123,6 +125,27 @@
 	}
 }
 
+// write writes whole lines, as many at once as a pipe takes.
+func (l *Log) write(batch []byte) {
+	for len(batch) > 0 {
+		n := wholeLines(batch)
+		// Without a reader there is nowhere to tell of a failure.
+		_, _ = l.out.Write(batch[:n])
+		batch = batch[n:]
+	}
+}
+
+// wholeLines is how many bytes of a batch to write at once.
+func wholeLines(batch []byte) int {
+	if len(batch) <= writeBytes {
+		return len(batch)
+	}
+	if end := bytes.LastIndexByte(batch[:writeBytes], '\n'); end >= 0 {
+		return end + 1
+	}
+	return bytes.IndexByte(batch, '\n') + 1
+}
+
 // swap takes the pending lines and hands back the buffer of the last batch.
 func (l *Log) swap(spare []byte) []byte {
 	l.mu.Lock()
--- a/eventlog/eventlog_test.go
+++ b/eventlog/eventlog_test.go
@@ -98,3 +98,41 @@
 		t.Errorf("got %q", text)
 	}
 }
+
+// writes keeps each write apart.
+type writes struct {
+	mu  sync.Mutex
+	all []string
+}
+
+func (w *writes) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.all = append(w.all, string(p))
+	return len(p), nil
+}
+
+// TestWritesHoldWholeLines has many lines wait for one flush: a reader that
+// several processes share tells their lines apart only if no write ends inside
+// one, and a pipe takes a write at once only up to its size.
+func TestWritesHoldWholeLines(t *testing.T) {
+	out := &writes{}
+	l := New(out)
+	for n := range 200 {
+		l.Beliefs.Info("line", "n", n, "detail", strings.Repeat("x", n))
+	}
+	l.Beliefs.Info("long line", "detail", strings.Repeat("x", 3*4096))
+	l.Beliefs.Info("last line")
+	l.Close()
+	lines := 0
+	for _, w := range out.all {
+		n := strings.Count(w, "\n")
+		if !strings.HasSuffix(w, "\n") || len(w) > 4096 && n != 1 {
+			t.Errorf("a write of %d bytes with %d lines", len(w), n)
+		}
+		lines += n
+	}
+	if lines != 202 {
+		t.Errorf("%d lines", lines)
+	}
+}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -91,10 +91,12 @@
 	wasted     tally.Counter
 	tokens     tally.Counter
 	firstToken tally.Histogram
+	gap        tally.Histogram
+	whole      tally.Histogram
 }
 
-// firstTokenBuckets are the bounds of the first-token histogram.
-var firstTokenBuckets = tally.DurationBuckets{
+// latencyBuckets are the bounds of the histograms of times.
+var latencyBuckets = tally.DurationBuckets{
 	10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond,
 	100 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond,
 	time.Second, 2 * time.Second, 5 * time.Second, 10 * time.Second, 30 * time.Second,
@@ -127,7 +129,9 @@
 		missed:     scope.Tagged(map[string]string{"target": "missed"}).Counter("targets"),
 		wasted:     scope.Counter("wasted_tokens"),
 		tokens:     scope.Counter("tokens"),
-		firstToken: scope.Histogram("first_token", firstTokenBuckets),
+		firstToken: scope.Histogram("first_token", latencyBuckets),
+		gap:        scope.Histogram("event_gap", latencyBuckets),
+		whole:      scope.Histogram("whole_answer", latencyBuckets),
 	}
 	for _, f := range finals {
 		c.finals[f] = scope.Tagged(map[string]string{"outcome": f.String()}).Counter("requests")
@@ -150,6 +154,12 @@
 // FirstToken records the time from the request to its first token.
 func (c *Class) FirstToken(d time.Duration) { c.firstToken.RecordDuration(d) }
 
+// Gap records the time between two events of one stream.
+func (c *Class) Gap(d time.Duration) { c.gap.RecordDuration(d) }
+
+// WholeAnswer records the time from the request to the end of its answer.
+func (c *Class) WholeAnswer(d time.Duration) { c.whole.RecordDuration(d) }
+
 // Tokens counts tokens that reached the caller.
 func (c *Class) Tokens(n int) { c.tokens.Inc(int64(n)) }
 
--- a/metrics/mirror.go
+++ b/metrics/mirror.go
@@ -7,12 +7,14 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// Reading is the present value of a counter that a part keeps itself.
+// Reading is the present value of a counter or gauge that a part keeps itself.
 type Reading struct {
 	Name string
-	// Tags tell counters of one name apart. A tag without a label is left out.
-	Tags  [maxTags]Tag
+	// Tags tell readings of one name apart. A tag without a label is left out.
+	Tags [maxTags]Tag
+	// Count is a sum since the start, or a present level if Gauge is set.
 	Count int64
+	Gauge bool
 }
 
 // maxTags is how many tags a reading may have.
@@ -26,7 +28,7 @@
 type Mirror struct {
 	scope tally.Scope
 	read  func() []Reading
-	shown map[mirrorKey]mirrored
+	shown map[mirrorKey]*mirrored
 }
 
 type mirrorKey struct {
@@ -34,15 +36,26 @@
 	tags [maxTags]Tag
 }
 
-// mirrored is a counter and how much of it was reported.
+// mirrored is a counter and how much of it was reported, or a gauge.
 type mirrored struct {
 	counter tally.Counter
+	gauge   tally.Gauge
 	last    int64
 }
 
+// show reports what is new of a reading.
+func (m *mirrored) show(r Reading) {
+	if r.Gauge {
+		m.gauge.Update(float64(r.Count))
+		return
+	}
+	m.counter.Inc(r.Count - m.last)
+	m.last = r.Count
+}
+
 // NewMirror returns a mirror of what read returns.
 func (m *Metrics) NewMirror(read func() []Reading) *Mirror {
-	return &Mirror{scope: m.scope, read: read, shown: make(map[mirrorKey]mirrored)}
+	return &Mirror{scope: m.scope, read: read, shown: make(map[mirrorKey]*mirrored)}
 }
 
 // Run reports the counters until ctx ends.
@@ -64,20 +77,24 @@
 		key := mirrorKey{r.Name, r.Tags}
 		shown, ok := m.shown[key]
 		if !ok {
-			shown.counter = m.counter(r)
+			shown = m.open(r)
+			m.shown[key] = shown
 		}
-		shown.counter.Inc(r.Count - shown.last)
-		shown.last = r.Count
-		m.shown[key] = shown
+		shown.show(r)
 	}
 }
 
-func (m *Mirror) counter(r Reading) tally.Counter {
+// open returns what a reading is shown in.
+func (m *Mirror) open(r Reading) *mirrored {
 	tags := make(map[string]string, maxTags)
 	for _, t := range r.Tags {
 		if t.Label != "" {
 			tags[t.Label] = t.Value
 		}
 	}
-	return m.scope.Tagged(tags).Counter(r.Name)
+	scope := m.scope.Tagged(tags)
+	if r.Gauge {
+		return &mirrored{gauge: scope.Gauge(r.Name)}
+	}
+	return &mirrored{counter: scope.Counter(r.Name)}
 }
--- a/opaque/chooser.go
+++ b/opaque/chooser.go
@@ -119,6 +119,33 @@
 	c.table.Receive(peer, dataCentre, reports, now)
 }
 
+// Standings returns which servers and data centres are held differently since
+// the last call.
+func (c *Chooser) Standings(now time.Time) []choice.StandingChange {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Standings(now)
+}
+
+// RepeatsLeft is how many more sends a service's budget allows an instance.
+type RepeatsLeft struct {
+	Service string
+	Sends   int
+}
+
+// RepeatsLeft returns what is left of the budget of each service that had
+// requests.
+func (c *Chooser) RepeatsLeft(now time.Time) []RepeatsLeft {
+	instances := c.Instances()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	left := make([]RepeatsLeft, 0, len(c.budgets))
+	for service, b := range c.budgets {
+		left = append(left, RepeatsLeft{service, b.Left(c.retries.Ratio, c.retries.Slack, instances, now)})
+	}
+	return left
+}
+
 // Forget drops what is known of servers and services that the snapshot lacks.
 func (c *Chooser) Forget(s *directory.Snapshot) {
 	wanted := make(map[uint64]bool, len(s.Servers))
--- a/opaque/exchange.go
+++ b/opaque/exchange.go
@@ -15,6 +15,7 @@
 	"bergamotpin.example/bergamotpin/choice"
 	"bergamotpin.example/bergamotpin/directory"
 	"bergamotpin.example/bergamotpin/engine"
+	"bergamotpin.example/bergamotpin/metrics"
 	"bergamotpin.example/bergamotpin/outcome"
 	"bergamotpin.example/bergamotpin/platform"
 )
@@ -30,12 +31,12 @@
 	// caller ends when the caller leaves.
 	caller context.Context
 
+	// class counts for the request's kind and rank.
+	class  *metrics.Class
 	stream relay
 	// spare is a server's own failure, passed on if no other server answers.
 	spare *wholeAnswer
 	last  failure
-	// placed is the last choice of a server.
-	placed choice.Attempt
 }
 
 // failure is how an attempt failed.
@@ -64,9 +65,9 @@
 			x.giveUp(refused)
 			return
 		}
-		x.placed = a
 		c.tried[a.Server.ID] = true
 		c.sends++
+		x.logSent(&a)
 		done, failed := x.attempt(ctx, &a)
 		if done {
 			return
@@ -125,7 +126,7 @@
 	case refused == nil:
 		refused = notRun(x.last.reason, returnSoon)
 	}
-	x.front.Metrics.Class(c.className()).Final(finalOf(c))
+	x.class.Final(finalOf(c))
 	x.front.finish(x.w, c, refused)
 }
 
@@ -139,7 +140,7 @@
 // breakOff ends a stream that can't be completed without its end.
 func (x *exchange) breakOff() {
 	c := x.call
-	x.front.Metrics.Class(c.className()).Final(outcome.Unknown)
+	x.class.Final(outcome.Unknown)
 	x.front.Failures.Warn("broken off", "request", c.id, "reason", x.last.reason.String(), "events", x.stream.events,
 		"sends", c.sends, "elapsed_ms", time.Since(c.arrived).Milliseconds())
 	// The server closes the connection without completing the answer.
@@ -149,13 +150,24 @@
 // left records that the caller is gone.
 func (x *exchange) left() {
 	c := x.call
-	x.front.Metrics.Class(c.className()).Final(outcome.Abandoned)
+	x.class.Final(outcome.Abandoned)
 	x.front.Failures.Info("caller left", "request", c.id, "sends", c.sends, "elapsed_ms", time.Since(c.arrived).Milliseconds())
 	if x.stream.begun {
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// logSent records where a request goes and why there. The line is written before
+// the send, so that it outlives an instance that is killed meanwhile.
+func (x *exchange) logSent(a *choice.Attempt) {
+	c := x.call
+	x.front.Successes.Info("sent",
+		"request", c.id, "route", c.route.Name, "server", a.Server.ID, "data_centre", a.Server.DataCentre, "send", c.sends,
+		"left_ms", time.Until(c.deadline).Milliseconds(), "prompt", c.prompt.Tokens, "kept", a.Kept,
+		"expected_ms", a.Expected.Milliseconds(), "cost", a.Cost, "slowness", a.Slowness,
+		"running", a.Load.Running, "unread", a.Load.Unread, "candidates", a.Candidates)
+}
+
 func (x *exchange) logFailed(a *choice.Attempt, failed failure) {
 	text := ""
 	if failed.err != nil {
@@ -169,8 +181,7 @@
 		"request", x.call.id, "server", a.Server.ID, "data_centre", a.Server.DataCentre, "reason", failed.reason.String(),
 		"may_have_run", failed.ran, "detail", text, "route", x.call.route.Name,
 		"events", x.stream.events, "silent_ms", silent.Milliseconds(),
-		"elapsed_ms", time.Since(x.call.arrived).Milliseconds(), "expected_ms", a.Expected.Milliseconds(),
-		"cost", a.Cost, "running", a.Load.Running, "unread", a.Load.Unread, "kept", a.Kept, "candidates", a.Candidates)
+		"elapsed_ms", time.Since(x.call.arrived).Milliseconds(), "expected_ms", a.Expected.Milliseconds())
 }
 
 // attempt sends the request to a server and relays the answer. It reports
@@ -313,14 +324,12 @@
 
 func (x *exchange) logAnswered(server string, status int) {
 	c := x.call
-	a := x.placed
-	class := x.front.Metrics.Class(c.className())
-	class.Final(outcome.Completed)
-	class.Target(x.onTime(time.Since(c.arrived)))
+	took := time.Since(c.arrived)
+	x.class.Final(outcome.Completed)
+	x.class.Target(x.onTime(took))
+	x.class.WholeAnswer(took)
 	x.front.Successes.Info("answered",
 		"request", c.id, "route", c.route.Name, "server", server, "status", status, "sends", c.sends,
-		"prompt", c.prompt.Tokens, "kept", a.Kept, "expected_ms", a.Expected.Milliseconds(), "cost", a.Cost,
-		"slowness", a.Slowness, "running", a.Load.Running, "unread", a.Load.Unread, "candidates", a.Candidates,
 		"events", x.stream.events, "first_ms", x.stream.first.Milliseconds(), "pause_ms", x.stream.longest.Milliseconds(),
-		"elapsed_ms", time.Since(c.arrived).Milliseconds(), "objective_ms", c.route.Objective.Milliseconds())
+		"elapsed_ms", took.Milliseconds(), "objective_ms", c.route.Objective.Milliseconds())
 }
--- a/opaque/front.go
+++ b/opaque/front.go
@@ -58,7 +58,7 @@
 	f.Chooser.CountRequest(c.service.Name)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	x := &exchange{front: f, call: c, w: w, caller: r.Context()}
+	x := &exchange{front: f, call: c, w: w, caller: r.Context(), class: f.Metrics.Class(c.className())}
 	x.run(ctx)
 }
 
--- a/opaque/relay.go
+++ b/opaque/relay.go
@@ -83,12 +83,14 @@
 	if !s.begun {
 		s.begun = true
 		s.first = time.Since(x.call.arrived)
-		x.front.Metrics.Class(x.call.className()).FirstToken(s.first)
+		x.class.FirstToken(s.first)
 		copyHeader(x.w, platform.AnswerHeader(answer.Header))
 		x.w.WriteHeader(answer.StatusCode)
 	} else {
 		x.front.Chooser.Event(a)
-		s.longest = max(s.longest, time.Since(s.lastAt))
+		gap := time.Since(s.lastAt)
+		s.longest = max(s.longest, gap)
+		x.class.Gap(gap)
 	}
 	s.lastAt = time.Now()
 	if numbered {
