Leave some engines to urgent requests; look at a sample of servers in a crowd

And 76 instances that hear of each other each 250 ms meet at the same server: 59 of 149 estimates of one second went to one engine of 90, 160 of 168 calls to one server of 4.

Now: a third of a service's engines is left to the ranks above the least urgent one, in equal parts; above eight instances each looks at those that keep its parts and at a sample of two servers' worth for each instance.

Ruled out: engines order by rank (first events come after all that was sent before, at any rank).

--- a/choice/kept.go
+++ b/choice/kept.go
@@ -98,10 +98,13 @@
 
 // home is the server that is first in order for a part: every instance that
 // knows of no other place sends such prompts there.
-func home(part uint64, servers []uint64) int {
+func home(part uint64, servers []uint64, reserved reservation, position int) int {
 	best := -1
 	var most uint64
 	for i, s := range servers {
+		if reserved.barred(i, position) {
+			continue
+		}
 		if w := placement.Weight(part, s); best < 0 || w > most {
 			best, most = i, w
 		}
--- a/choice/place.go
+++ b/choice/place.go
@@ -58,7 +58,8 @@
 	overdueSlope = 0.1
 )
 
-// Choose returns the best of the candidates. It fails only without candidates.
+// Choose returns the best of the candidates, or of a sample of them if many
+// instances choose at a time. It fails only without candidates.
 func (t *Table) Choose(r Request, candidates []directory.BackendServer, now time.Time) (Attempt, bool) {
 	if len(candidates) == 0 {
 		return Attempt{}, false
@@ -75,19 +76,28 @@
 		attempts[i] = Attempt{Server: c, Key: keys[i], Candidates: len(candidates), Kept: kept}
 		mostKept = max(mostKept, kept)
 	}
+	reserved := reserve(r, keys)
 	first := -1
 	if len(shared) > 0 {
-		first = home(shared[len(shared)-1].ID, keys)
+		first = home(shared[len(shared)-1].ID, keys, reserved, r.Position)
 	}
-	best := 0
+	sample := t.sample(len(candidates), func(i int) bool { return reserved.own(i, r.Position) })
+	best := -1
 	for i := range attempts {
 		a := &attempts[i]
+		keeps := mostKept > 0 && a.Kept == mostKept
+		if !keeps && i != first && !sample.has(i) {
+			continue
+		}
 		t.weigh(a, r, now)
 		a.Cost += rereadCost * float64(max(mostKept-a.Kept, 0))
 		if i != first {
 			a.Cost += strayCost * float64(sumTokens(shared)-mostKept)
 		}
-		if a.Cost < attempts[best].Cost {
+		if reserved.barred(i, r.Position) {
+			a.Cost += reservedCost
+		}
+		if best < 0 || a.Cost < attempts[best].Cost {
 			best = i
 		}
 	}
--- a/choice/replay_test.go
+++ b/choice/replay_test.go
@@ -1,13 +1,16 @@
 package choice
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"bergamotpin.example/bergamotpin/directory"
+	"bergamotpin.example/bergamotpin/outcome"
 	"bergamotpin.example/bergamotpin/placement"
 )
 
@@ -17,7 +20,8 @@
 
 // chooser is a policy under test at one instance.
 type chooser interface {
-	choose(r Request, servers []directory.BackendServer, now time.Time) Attempt
+	// choose says where the request goes, or why it is turned away.
+	choose(r Request, servers []directory.BackendServer, now time.Time) (Attempt, outcome.Reason)
 	begin(a *Attempt, r Request, now time.Time)
 	first(a *Attempt, now time.Time)
 	end(a *Attempt, result Result, now time.Time)
@@ -26,9 +30,10 @@
 // tableChooser is the product's own policy.
 type tableChooser struct{ table *Table }
 
-func (c tableChooser) choose(r Request, servers []directory.BackendServer, now time.Time) Attempt {
+func (c tableChooser) choose(r Request, servers []directory.BackendServer, now time.Time) (Attempt, outcome.Reason) {
 	a, _ := c.table.Choose(r, servers, now)
-	return a
+	reason, _ := c.table.Admit(r, a, now)
+	return a, reason
 }
 func (c tableChooser) begin(a *Attempt, r Request, now time.Time) { c.table.Begin(a, r, now) }
 func (c tableChooser) first(a *Attempt, now time.Time)            { c.table.FirstEvent(a, now) }
@@ -41,7 +46,7 @@
 // over 1.5 times the mean plus 3; the fewest requests without a prompt.
 type hashChooser struct{ running map[uint64]int }
 
-func (c hashChooser) choose(r Request, servers []directory.BackendServer, _ time.Time) Attempt {
+func (c hashChooser) choose(r Request, servers []directory.BackendServer, _ time.Time) (Attempt, outcome.Reason) {
 	total := 0
 	for _, s := range servers {
 		total += c.running[ServerKey(s)]
@@ -63,7 +68,7 @@
 		}
 	}
 	best = max(best, 0)
-	return Attempt{Server: servers[best], Key: ServerKey(servers[best])}
+	return Attempt{Server: servers[best], Key: ServerKey(servers[best])}, outcome.ReasonNone
 }
 func (c hashChooser) begin(a *Attempt, _ Request, _ time.Time) { c.running[a.Key]++ }
 func (c hashChooser) first(*Attempt, time.Time)                {}
@@ -128,6 +133,8 @@
 	things       int
 	ownTokens    int
 	runs         time.Duration
+	// position is that of a Request.
+	position int
 }
 
 // load is what is replayed.
@@ -138,6 +145,8 @@
 	kinds     []kindOfLoad
 	// prepare changes engines before the start.
 	prepare func(engines []*engineSim)
+	// reportEvery is the time between two reports in seconds, or 0 for 0.1.
+	reportEvery float64
 	// cut, if set, tells whether an engine is out of an instance's reach.
 	cut func(instance, engine int, now time.Time) bool
 }
@@ -146,11 +155,21 @@
 type outcomeOfLoad struct {
 	asked, onTime, failed int
 	reread                int
+	// kinds are the outcomes of each kind of request.
+	kinds []outcomeOfKind
 }
 
+type outcomeOfKind struct{ asked, onTime, turnedAway int }
+
+func (o outcomeOfKind) share() float64 { return float64(o.onTime) / float64(o.asked) }
+
 func (o outcomeOfLoad) String() string {
-	return fmt.Sprintf("asked %d, on time %.3f, failed %.3f, reread %d tokens",
+	text := fmt.Sprintf("asked %d, on time %.3f, failed %.3f, reread %d tokens",
 		o.asked, o.share(o.onTime), o.share(o.failed), o.reread)
+	for _, k := range o.kinds {
+		text += fmt.Sprintf("; %d %.3f (%d away)", k.asked, k.share(), k.turnedAway)
+	}
+	return text
 }
 
 func (o outcomeOfLoad) share(n int) float64 { return float64(n) / float64(o.asked) }
@@ -179,17 +198,23 @@
 	if l.prepare != nil {
 		l.prepare(engines)
 	}
-	var out outcomeOfLoad
+	out := outcomeOfLoad{kinds: make([]outcomeOfKind, len(l.kinds))}
 	read := make(map[uint64]bool)
-	ask := func(k kindOfLoad, thing uint64, own uint64, now time.Time) {
+	ask := func(kind int, thing uint64, own uint64, now time.Time) {
+		k := l.kinds[kind]
 		out.asked++
+		out.kinds[kind].asked++
 		instance := random.IntN(l.instances)
 		r := Request{
 			Service: directory.Service{Name: "m", Slots: 64, MemoryTokens: 600_000, EventTokens: 4}, Objective: k.objective,
-			PromptTokens: k.sharedTokens + k.ownTokens,
-			Parts:        []Part{{ID: thing, Tokens: k.sharedTokens}, {ID: own, Tokens: k.ownTokens}},
+			Position: k.position, Ranks: 3, PromptTokens: k.sharedTokens + k.ownTokens,
+			Parts: []Part{{ID: thing, Tokens: k.sharedTokens}, {ID: own, Tokens: k.ownTokens}},
+		}
+		a, reason := policies[instance].choose(r, servers, now)
+		if reason != outcome.ReasonNone {
+			out.kinds[kind].turnedAway++
+			return
 		}
-		a := policies[instance].choose(r, servers, now)
 		i := index[a.Key]
 		e := engines[i]
 		policies[instance].begin(&a, r, now)
@@ -210,6 +235,7 @@
 		first := e.take(r, now)
 		if first.Sub(now) <= k.objective {
 			out.onTime++
+			out.kinds[kind].onTime++
 		}
 		unreached := func(now time.Time) bool { return l.cut != nil && l.cut(instance, i, now) }
 		push(first, func(now time.Time) {
@@ -235,11 +261,11 @@
 			}
 			own++
 			thing, mine := uint64(n)<<20|random.Uint64N(uint64(k.things)), own
-			push(start.Add(time.Duration(at*float64(time.Second))), func(now time.Time) { ask(k, thing, mine, now) })
+			push(start.Add(time.Duration(at*float64(time.Second))), func(now time.Time) { ask(n, thing, mine, now) })
 		}
 	}
 	if report != nil {
-		for at := 0.0; at < l.seconds; at += 0.1 {
+		for at := 0.0; at < l.seconds; at += cmp.Or(l.reportEvery, 0.1) {
 			push(start.Add(time.Duration(at*float64(time.Second))), report)
 		}
 	}
@@ -256,6 +282,7 @@
 	policies := make([]chooser, l.instances)
 	for i := range tables {
 		tables[i] = NewTable(Options{DataCentre: fmt.Sprintf("dc%d", i%4), Seed: uint64(i)})
+		tables[i].SetInstances(l.instances)
 		policies[i] = tableChooser{tables[i]}
 	}
 	return replay(l, seed, policies, func(now time.Time) {
@@ -286,12 +313,49 @@
 var burstOfReviews = load{
 	seconds: 9, engines: 18, instances: 7,
 	kinds: []kindOfLoad{
-		{perSecond: 75, objective: 1500 * time.Millisecond, sharedTokens: 13300, things: 107, ownTokens: 3720, runs: 2 * time.Second},
-		{perSecond: 14, objective: 600 * time.Millisecond, sharedTokens: 6300, things: 42, ownTokens: 2890, runs: time.Second},
+		{perSecond: 75, objective: 1500 * time.Millisecond, sharedTokens: 13300, things: 107, ownTokens: 3720, runs: 2 * time.Second, position: 2},
+		{perSecond: 14, objective: 600 * time.Millisecond, sharedTokens: 6300, things: 42, ownTokens: 2890, runs: time.Second, position: 1},
 		{perSecond: 34, objective: 300 * time.Millisecond, sharedTokens: 350, things: 100, ownTokens: 1110, runs: 2 * time.Second},
 	},
 }
 
+// tooManyReviews is more than the engines can read: the reviews alone take all
+// of their time. They are the least urgent.
+func tooManyReviews(instances int) load {
+	l := burstOfReviews
+	l.instances = instances
+	l.kinds = slices.Clone(l.kinds)
+	l.kinds[0].perSecond = 130
+	return l
+}
+
+// TestUrgentPromptsPassLongOnes has more reviews come than can be read. They may
+// be late, but the short prompts, which are more urgent, must not: the users ask
+// for 0.85 of a day of high load.
+func TestUrgentPromptsPassLongOnes(t *testing.T) {
+	for _, instances := range []int{7, 40} {
+		compare(t, tooManyReviews(instances), func(ours, theirs outcomeOfLoad) bool {
+			reviews, short := ours.kinds[0], ours.kinds[2]
+			return short.share() >= 0.85 && ours.kinds[1].share() >= 0.85 && ours.onTime > theirs.onTime &&
+				reviews.turnedAway < reviews.asked/2
+		})
+	}
+}
+
+// TestManyInstancesDontMeetAtOneServer has so many instances choose that what
+// one did is not known to the others when they choose. Half of what the engines
+// can read comes. Users ask for 0.85 of a day of high load.
+func TestManyInstancesDontMeetAtOneServer(t *testing.T) {
+	l := burstOfReviews
+	l.seconds, l.engines, l.instances, l.reportEvery = 4, 60, 76, 0.25
+	l.kinds = []kindOfLoad{{perSecond: 500, objective: 300 * time.Millisecond, sharedTokens: 350, things: 100, ownTokens: 2500, runs: time.Second}}
+	for seed := range uint64(2) {
+		if got := replayTables(l, seed); got.share(got.onTime) < 0.85 {
+			t.Errorf("seed %d: %v", seed, got)
+		}
+	}
+}
+
 // compare replays a load with both policies at several seeds and checks that
 // the product's own does as well as good says.
 func compare(t *testing.T, l load, good func(ours, theirs outcomeOfLoad) bool) {
--- /dev/null
+++ b/choice/sample.go
@@ -0,0 +1,45 @@
+package choice
+
+import "slices"
+
+// The load this answers: many instances choose within the time in which they
+// hear of each other. All know the same, so all would find the same server
+// idle, and meet there. Each looks only at some of the servers, drawn anew for
+// each request, so that about as many choose a server as it takes.
+
+const (
+	// crowd is from how many instances on each looks at a sample only.
+	crowd = 8
+	// lookers is how many instances look at a server for each request that all of
+	// them place, and leastSample the least number of servers to look at.
+	lookers     = 2
+	leastSample = 2
+)
+
+// SetInstances tells how many instances choose.
+func (t *Table) SetInstances(n int) { t.instances = n }
+
+// drawn says which of a list of servers were drawn. The zero value has all.
+type drawn []bool
+
+func (d drawn) has(i int) bool { return len(d) == 0 || d[i] }
+
+// sample draws from n servers, and again from those that are the request's own.
+func (t *Table) sample(n int, own func(i int) bool) drawn {
+	if t.instances <= crowd || t.sampleSize(n) >= n {
+		return nil
+	}
+	d := make(drawn, n)
+	all := t.random.Perm(n)
+	for _, i := range all[:t.sampleSize(n)] {
+		d[i] = true
+	}
+	owned := slices.DeleteFunc(all, func(i int) bool { return !own(i) })
+	for _, i := range owned[:min(t.sampleSize(len(owned)), len(owned))] {
+		d[i] = true
+	}
+	return d
+}
+
+// sampleSize is how many of n servers to look at.
+func (t *Table) sampleSize(n int) int { return max((n*lookers+t.instances-1)/t.instances, leastSample) }
--- a/choice/table.go
+++ b/choice/table.go
@@ -25,6 +25,8 @@
 	servers map[uint64]*server
 	peers   map[string]*peerReport
 	reaches map[string]*reach
+	// instances is how many choose, this one included.
+	instances int
 }
 
 // NewTable returns an empty table.
@@ -121,9 +123,12 @@
 	// plain service, and LongestPause that between events.
 	Objective    time.Duration
 	LongestPause time.Duration
-	PromptTokens int
-	AnswerTokens int
-	Parts        []Part
+	// Position is how many ranks of the service's routes are more urgent than the
+	// request's own, and Ranks how many there are.
+	Position, Ranks int
+	PromptTokens    int
+	AnswerTokens    int
+	Parts           []Part
 }
 
 // Part is one part of a prompt.
--- a/directory/snapshot.go
+++ b/directory/snapshot.go
@@ -30,6 +30,8 @@
 	owners    map[string]Organisation
 	byService map[string][]BackendServer
 	needsKeys bool
+	// ranks are the different ranks of the routes to each service, in order.
+	ranks map[string][]int
 }
 
 func newSnapshot() *Snapshot {
@@ -51,6 +53,16 @@
 	for _, routes := range s.hosts {
 		slices.SortStableFunc(routes, func(a, b Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
 	}
+	s.ranks = make(map[string][]int)
+	for _, r := range c.Routes {
+		for _, target := range r.Targets {
+			s.ranks[target.Service] = append(s.ranks[target.Service], r.Priority)
+		}
+	}
+	for service, ranks := range s.ranks {
+		slices.Sort(ranks)
+		s.ranks[service] = slices.Compact(ranks)
+	}
 	s.services = make(map[string]Service, len(c.Services))
 	for _, service := range c.Services {
 		s.services[service.Name] = service
@@ -106,6 +118,14 @@
 	return service, ok
 }
 
+// Position tells where a rank stands among those of a service's routes: how many
+// different ones are more urgent, and how many there are.
+func (s *Snapshot) Position(service string, rank int) (position, ranks int) {
+	ordered := s.ranks[service]
+	position, _ = slices.BinarySearch(ordered, rank)
+	return position, len(ordered)
+}
+
 // Services lists the names of the services that have servers.
 func (s *Snapshot) Services() []string {
 	names := make([]string, 0, len(s.byService))
--- a/opaque/call.go
+++ b/opaque/call.go
@@ -176,7 +176,7 @@
 }
 
 // needs is what a choice has to know.
-func (c *call) needs() choice.Request {
+func (c *call) needs(s *directory.Snapshot) choice.Request {
 	r := choice.Request{
 		Service: c.service, Objective: c.route.Objective, LongestPause: c.route.LongestPause,
 		PromptTokens: c.prompt.Tokens, AnswerTokens: c.prompt.AnswerTokens,
@@ -185,6 +185,7 @@
 	for i, p := range c.prompt.Parts {
 		r.Parts[i] = choice.Part(p)
 	}
+	r.Position, r.Ranks = s.Position(c.service.Name, c.route.Priority)
 	return r
 }
 
--- a/opaque/chooser.go
+++ b/opaque/chooser.go
@@ -45,8 +45,10 @@
 // candidate, and if the request should come back later.
 func (c *Chooser) Begin(r choice.Request, candidates []directory.BackendServer) (choice.Attempt, *refusal) {
 	now := time.Now()
+	instances := c.Instances()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.table.SetInstances(instances)
 	a, ok := c.table.Choose(r, candidates, now)
 	if !ok {
 		return a, notRun(outcome.NoBackendServer, returnSoon)
--- a/opaque/exchange.go
+++ b/opaque/exchange.go
@@ -163,7 +163,7 @@
 	c := x.call
 	x.front.Successes.Info("sent",
 		"request", c.id, "route", c.route.Name, "server", a.Server.ID, "data_centre", a.Server.DataCentre, "send", c.sends,
-		"left_ms", time.Until(c.deadline).Milliseconds(), "prompt", c.prompt.Tokens, "kept", a.Kept,
+		"rank", c.priority(), "left_ms", time.Until(c.deadline).Milliseconds(), "prompt", c.prompt.Tokens, "kept", a.Kept,
 		"expected_ms", a.Expected.Milliseconds(), "cost", a.Cost, "slowness", a.Slowness,
 		"running", a.Load.Running, "unread", a.Load.Unread, "candidates", a.Candidates)
 }
--- a/opaque/front.go
+++ b/opaque/front.go
@@ -84,7 +84,7 @@
 		return choice.Attempt{}, refused
 	}
 	candidates := untried(snapshot.Usable(c.service.Name, time.Now()), c.tried)
-	return f.Chooser.Begin(c.needs(), candidates)
+	return f.Chooser.Begin(c.needs(snapshot), candidates)
 }
 
 func untried(servers []directory.BackendServer, tried map[string]bool) []directory.BackendServer {
