Turn long prompts away sooner

Now: from 0.85 of the objective on, if half of it is spent behind others. TestOnlyWhatWouldBeLateIsTurnedAway counts on the new limit, as narrowly.

--- a/choice/admit.go
+++ b/choice/admit.go
@@ -14,10 +14,10 @@
 const (
 	// refuseAt is the part of its objective from which on a long prompt's
 	// expected time leads to a refusal.
-	refuseAt = 1.5
+	refuseAt = 0.85
 	// refuseBacklog is the part of its objective that must be spent waiting for
 	// others' prompts: a prompt that is late by its own size comes back as late.
-	refuseBacklog = 0.7
+	refuseBacklog = 0.5
 	// heavyMillis is the reading time from which on a request is worth refusing:
 	// less would hardly help the others.
 	heavyMillis = 40
