Tell other data centres sums, by speakers, when there are many instances

Cause: with 76 instances each told each what it does. Now: above 16 others, instances tell those of their own data centre each round; four speakers of a data centre tell one speaker each of the others the sums, who passes them on; all others get a beacon without reports each half second. Keys of servers and parts have 32 bits. A follower waits 40 ms after an answer with changes, so that one call brings a crowd of them.

--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -38,6 +38,10 @@
 	// peer told.
 	Reports func(now time.Time) []choice.ServerReport
 	Receive func(peer, dataCentre string, reports []choice.ServerReport, now time.Time)
+	// Digest returns the sums over this data centre's instances, and ReceiveDigest
+	// takes those of another.
+	Digest        func(now time.Time) []choice.ServerReport
+	ReceiveDigest func(dataCentre string, reports []choice.ServerReport, now time.Time)
 	// StoreAge is how long ago the store last answered this instance.
 	StoreAge func(now time.Time) time.Duration
 	// Changed is called with what fetched records changed.
@@ -169,34 +173,70 @@
 func (b *Beacon) sendRound(now time.Time) {
 	reports := b.opts.Reports(now)
 	revision, servers := b.opts.Table.Digest()
+	storeAge := b.opts.StoreAge(now)
 	b.mu.Lock()
 	for _, e := range b.members.expire(now) {
 		b.opts.Log.Warn("peer silent", "peer", e.Name, "address", e.Address, "age_ms", now.Sub(e.Heard).Milliseconds())
 	}
 	b.sequence++
-	m := message{
+	p := b.planRound(storeAge)
+	full := message{
 		Cluster: b.opts.Cluster, Name: b.opts.Name, Started: b.started, Sequence: b.sequence,
 		Address: b.opts.Address, Leaving: b.leaving, Revision: revision, Servers: servers,
-		Known: b.members.known(b.sequence), Reports: reports, DataCentre: b.opts.DataCentre,
-		StoreAgeMs: b.opts.StoreAge(now).Milliseconds(),
+		Known: b.members.known(b.sequence, maxKnown), Reports: reports, DataCentre: b.opts.DataCentre,
+		StoreAgeMs: storeAge.Milliseconds(),
 	}
-	targets := b.members.next(max(fanout, int(float64(len(b.members.all))/turnRounds)))
+	light := full
+	light.Reports, light.Known = nil, b.members.known(b.sequence, farKnown)
 	b.mu.Unlock()
+	b.sendAll(full, p.full)
+	b.sendAll(light, p.light)
+	if len(p.digest) > 0 {
+		b.sendDigest(now, p.digest)
+	}
+}
+
+// sendAll sends one message to several instances.
+func (b *Beacon) sendAll(m message, targets []netip.AddrPort) {
+	if len(targets) == 0 {
+		return
+	}
 	raw, err := encode(m)
 	if err != nil {
 		b.opts.Log.Error("beacon not encoded", "error", err)
 		return
 	}
 	for _, to := range targets {
-		// A datagram that can't be sent is like one that is lost.
-		_, _ = b.socket.WriteToUDPAddrPort(raw, to)
+		b.send(raw, to)
 	}
 }
 
+// sendDigest tells other data centres what this one does.
+func (b *Beacon) sendDigest(now time.Time, targets []netip.AddrPort) {
+	datagrams, err := encodeAll(message{
+		Cluster: b.opts.Cluster, Name: b.opts.Name, Started: b.started, Address: b.opts.Address,
+		DataCentre: b.opts.DataCentre, Digest: true, Reports: b.opts.Digest(now),
+	})
+	if err != nil {
+		b.opts.Log.Error("digest not encoded", "error", err)
+		return
+	}
+	for _, raw := range datagrams {
+		for _, to := range targets {
+			b.send(raw, to)
+		}
+	}
+}
+
+func (b *Beacon) send(raw []byte, to netip.AddrPort) {
+	// A datagram that can't be sent is like one that is lost.
+	_, _ = b.socket.WriteToUDPAddrPort(raw, to)
+}
+
 func (b *Beacon) receive() {
 	buffer := make([]byte, 64<<10)
 	for {
-		n, _, err := b.socket.ReadFromUDPAddrPort(buffer)
+		n, from, err := b.socket.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -208,6 +248,10 @@
 		if err != nil || m.Cluster != b.opts.Cluster {
 			continue
 		}
+		if m.Digest {
+			b.takeDigest(m, buffer[:n], from, time.Now())
+			continue
+		}
 		b.take(m, time.Now())
 	}
 }
--- a/beacon/members.go
+++ b/beacon/members.go
@@ -18,13 +18,14 @@
 
 // member is another instance.
 type member struct {
-	Name     string
-	Address  netip.AddrPort
-	Started  int64
-	Sequence uint64
-	Heard    time.Time
-	Live     bool
-	Leaving  bool
+	Name       string
+	DataCentre string
+	Address    netip.AddrPort
+	Started    int64
+	Sequence   uint64
+	Heard      time.Time
+	Live       bool
+	Leaving    bool
 	// StoreAt is when the store last answered the member.
 	StoreAt  time.Time
 	Revision int64
@@ -36,11 +37,16 @@
 
 // members is the table of the other instances, by address.
 type members struct {
-	self   netip.AddrPort
-	all    map[netip.AddrPort]*member
-	cursor int
+	self netip.AddrPort
+	all  map[netip.AddrPort]*member
+	// near and far are whose turn it is among the members of the own data centre
+	// and among the others.
+	near, far turn
 }
 
+// turn is how far a round over some members has come.
+type turn struct{ cursor int }
+
 func newMembers(self netip.AddrPort) *members {
 	return &members{self: self, all: make(map[netip.AddrPort]*member)}
 }
@@ -65,7 +71,8 @@
 		return e, false, false
 	}
 	returned = !e.Live
-	e.Name, e.Started, e.Sequence = msg.Name, msg.Started, msg.Sequence
+	e.Name, e.DataCentre = msg.Name, msg.DataCentre
+	e.Started, e.Sequence = msg.Started, msg.Sequence
 	e.Leaving, e.Revision, e.Servers = msg.Leaving, msg.Revision, msg.Servers
 	e.Heard, e.Live = now, true
 	e.StoreAt = now.Add(-time.Duration(msg.StoreAgeMs) * time.Millisecond)
@@ -91,33 +98,45 @@
 	return silent
 }
 
-// next returns up to n members to send to, each in its turn.
-func (m *members) next(n int) []netip.AddrPort {
-	order := m.sorted()
+// next returns up to n of some addresses, each in its turn.
+func (t *turn) next(order []netip.AddrPort, n int) []netip.AddrPort {
 	if len(order) <= n {
 		return order
 	}
 	out := make([]netip.AddrPort, 0, n)
 	for range n {
-		m.cursor = (m.cursor + 1) % len(order)
-		out = append(out, order[m.cursor])
+		t.cursor = (t.cursor + 1) % len(order)
+		out = append(out, order[t.cursor])
 	}
 	return out
 }
 
-// known returns some addresses of live members for a message.
-func (m *members) known(round uint64) []netip.AddrPort {
+// in lists the members of a data centre, and the others: those not heard yet are
+// among these.
+func (m *members) in(dataCentre string) (near, far []netip.AddrPort) {
+	for _, a := range m.sorted() {
+		if m.all[a].DataCentre == dataCentre {
+			near = append(near, a)
+			continue
+		}
+		far = append(far, a)
+	}
+	return near, far
+}
+
+// known returns up to most addresses of live members for a message.
+func (m *members) known(round uint64, most int) []netip.AddrPort {
 	var live []netip.AddrPort
 	for _, a := range m.sorted() {
 		if m.all[a].Live {
 			live = append(live, a)
 		}
 	}
-	if len(live) <= maxKnown {
+	if len(live) <= most {
 		return live
 	}
 	start := int(round % uint64(len(live)))
-	return slices.Concat(live[start:], live[:start])[:maxKnown]
+	return slices.Concat(live[start:], live[:start])[:most]
 }
 
 func (m *members) sorted() []netip.AddrPort {
--- a/beacon/message.go
+++ b/beacon/message.go
@@ -12,6 +12,9 @@
 // maxDatagramBytes is the largest datagram that no link has to split.
 const maxDatagramBytes = 1400
 
+// maxReports is the number of reports from which on no message holds more.
+const maxReports = 64
+
 // message is one datagram.
 type message struct {
 	// Cluster keeps datagrams of another system at a reused address apart.
@@ -34,6 +37,9 @@
 	DataCentre string `cbor:"11,keyasint"`
 	// StoreAgeMs is how long ago the store answered the sender.
 	StoreAgeMs int64 `cbor:"12,keyasint,omitempty"`
+	// Digest says that Reports are sums over the sender's data centre, for the
+	// servers that are named.
+	Digest bool `cbor:"13,keyasint,omitempty"`
 }
 
 // errMalformed reports a datagram that is no message.
@@ -54,6 +60,25 @@
 	}
 }
 
+// encodeAll writes a message in as many datagrams as its reports take.
+func encodeAll(m message) ([][]byte, error) {
+	var out [][]byte
+	for rest := m.Reports; len(rest) > 0; {
+		m.Reports = rest[:min(len(rest), maxReports)]
+		raw, err := cbor.Marshal(m)
+		for err == nil && len(raw) > maxDatagramBytes && len(m.Reports) > 1 {
+			m.Reports = m.Reports[:len(m.Reports)*3/4]
+			raw, err = cbor.Marshal(m)
+		}
+		if err != nil {
+			return nil, errors.Wrap(err, "encode")
+		}
+		out = append(out, raw)
+		rest = rest[len(m.Reports):]
+	}
+	return out, nil
+}
+
 func decode(raw []byte) (message, error) {
 	var m message
 	if err := cbor.Unmarshal(raw, &m); err != nil {
--- a/beacon/watchers.go
+++ b/beacon/watchers.go
@@ -13,10 +13,10 @@
 	watchers = 2
 	// freshFor is how long ago the store must have answered a watcher for it to
 	// count as one.
-	freshFor = time.Second
+	freshFor = 1300 * time.Millisecond
 	// behindFor is for how long an instance may lack what another one has before
 	// it asks the store itself.
-	behindFor = 400 * time.Millisecond
+	behindFor = 700 * time.Millisecond
 )
 
 // Watches reports whether this instance is one of those that follow the store:
--- a/choice/peers.go
+++ b/choice/peers.go
@@ -31,8 +31,9 @@
 
 // peerReport is what a peer reported last.
 type peerReport struct {
-	at      time.Time
-	servers map[uint64]ServerReport
+	at         time.Time
+	dataCentre string
+	servers    map[uint64]ServerReport
 }
 
 // minReported is the least evidence that is worth reporting.
@@ -67,11 +68,15 @@
 func (t *Table) Receive(peer, dataCentre string, reports []ServerReport, now time.Time) {
 	t.Heard(dataCentre, now)
 	t.dropReport(peer, now)
-	kept := &peerReport{at: now, servers: make(map[uint64]ServerReport, len(reports))}
+	kept := &peerReport{at: now, dataCentre: dataCentre, servers: make(map[uint64]ServerReport, len(reports))}
 	for _, r := range reports {
 		kept.servers[r.Key] = r
 		t.addReport(r, 1, now)
-		t.row(r.Key).kept.addIDs(r.Parts, now)
+		s := t.row(r.Key)
+		s.kept.addIDs(r.Parts, now)
+		if dataCentre == t.opts.DataCentre {
+			s.passOn(r.Parts, now)
+		}
 	}
 	t.peers[peer] = kept
 }
@@ -83,6 +88,7 @@
 			t.dropReport(peer, now)
 		}
 	}
+	t.expireDigests(now)
 }
 
 func (t *Table) dropReport(peer string, now time.Time) {
--- a/choice/table.go
+++ b/choice/table.go
@@ -25,6 +25,7 @@
 	servers map[uint64]*server
 	peers   map[string]*peerReport
 	reaches map[string]*reach
+	digests map[string]digest
 	// instances is how many choose, this one included.
 	instances int
 }
@@ -37,6 +38,7 @@
 		servers: make(map[uint64]*server),
 		peers:   make(map[string]*peerReport),
 		reaches: make(map[string]*reach),
+		digests: make(map[string]digest),
 	}
 }
 
@@ -51,6 +53,10 @@
 	// told are the parts that this instance sent there lately, which the others
 	// are to hear of.
 	told []toldPart
+	// passed are parts that others of the data centre told of, and busyAt is when
+	// the data centre last had something to tell of the server.
+	passed []toldPart
+	busyAt time.Time
 	// standing is how the server was last said to be held.
 	standing Standing
 }
@@ -85,11 +91,18 @@
 // all is the load of all instances together.
 func (s *server) all() Load { return s.own.plus(s.others) }
 
-// ServerKey identifies one start of a server in reports between instances.
+// ServerKey identifies one start of a server in reports between instances. It
+// has 32 bits, which is enough to tell hundreds apart and short to tell.
 func ServerKey(b directory.BackendServer) uint64 {
-	return placement.Weight(xxhash.Sum64String(b.ID), uint64(b.Born))
+	return placement.Weight(xxhash.Sum64String(b.ID), uint64(b.Born)) >> 32
 }
 
+// PartKey is the short form of a part's ID for reports between instances.
+func PartKey(id uint64) uint64 { return placement.Weight(id, partSeed) >> 32 }
+
+// partSeed is any number that all instances share.
+const partSeed = 0x9a27
+
 // row returns the server's row, a new one if it is not known.
 func (t *Table) row(key uint64) *server {
 	s, ok := t.servers[key]
@@ -113,6 +126,9 @@
 		for _, report := range t.peers {
 			delete(report.servers, key)
 		}
+		for _, d := range t.digests {
+			delete(d, key)
+		}
 	}
 }
 
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -21,6 +21,9 @@
 	answerSlack = 1500 * time.Millisecond
 	// chosenPoll is the time between two looks at whether to follow.
 	chosenPoll = 50 * time.Millisecond
+	// gather is the pause after an answer with changes. They come in crowds, when
+	// many servers start or leave, and one call brings what came meanwhile.
+	gather = 40 * time.Millisecond
 	// Bounds of the pause after a failed call.
 	minPause = 100 * time.Millisecond
 	maxPause = time.Second
@@ -125,10 +128,13 @@
 	if kind == KindServer {
 		f.Changed("watch", f.Table.MergeEvents(records, revision, time.Now()))
 		f.servers = revision
-		return nil
+	} else {
+		f.Changed("watch", f.Table.Merge(records, time.Now()))
+		f.configuration = revision
+	}
+	if len(records) > 0 {
+		sleep(ctx, gather)
 	}
-	f.Changed("watch", f.Table.Merge(records, time.Now()))
-	f.configuration = revision
 	return nil
 }
 
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -96,6 +96,7 @@
 	i.beacon, err = beacon.Listen(beacon.Options{
 		Name: s.Name, DataCentre: s.DataCentre, Cluster: s.Store.String(), Address: s.Peers, Seeds: s.Seeds, Table: i.table,
 		Reports: i.chooser.Reports, Receive: i.chooser.Receive, Changed: i.changed,
+		Digest: i.chooser.Digest, ReceiveDigest: i.chooser.ReceiveDigest,
 		StoreAge: i.storeAge, Log: i.log.Beliefs,
 	})
 	if err != nil {
--- a/opaque/call.go
+++ b/opaque/call.go
@@ -183,7 +183,7 @@
 		Parts: make([]choice.Part, len(c.prompt.Parts)),
 	}
 	for i, p := range c.prompt.Parts {
-		r.Parts[i] = choice.Part(p)
+		r.Parts[i] = choice.Part{ID: choice.PartKey(p.ID), Tokens: p.Tokens}
 	}
 	r.Position, r.Ranks = s.Position(c.service.Name, c.route.Priority)
 	return r
--- a/opaque/chooser.go
+++ b/opaque/chooser.go
@@ -114,6 +114,21 @@
 	return c.table.Report(now)
 }
 
+// Digest returns what to tell other data centres of the servers: the sums over
+// this one's instances.
+func (c *Chooser) Digest(now time.Time) []choice.ServerReport {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Digest(now)
+}
+
+// ReceiveDigest takes in the sums that another data centre told.
+func (c *Chooser) ReceiveDigest(dataCentre string, reports []choice.ServerReport, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.ReceiveDigest(dataCentre, reports, now)
+}
+
 // Receive takes in what another instance told.
 func (c *Chooser) Receive(peer, dataCentre string, reports []choice.ServerReport, now time.Time) {
 	c.mu.Lock()
