Tell callers to come back later if all servers are behind

Now: if even the fastest server that was looked at would be late, the caller is told half to all of the third of its time that callers wait at most. If only the server that keeps its parts is behind, it comes back as soon as before. TestReturnIsLaterIfAllServersAreBehind failed before.

--- a/choice/admit.go
+++ b/choice/admit.go
@@ -26,6 +26,9 @@
 	earliestReturn = 400 * time.Millisecond
 	latestReturn   = 3 * time.Second
 	returnSpread   = 0.5
+	// longestWait is the part of the time left that callers wait at most before
+	// they come back.
+	longestWait = 1.0 / 3
 	// cutReturn is when a caller should come back whose service is out of reach.
 	// Callers with little time left come back sooner than told.
 	cutReturn = time.Second
@@ -46,11 +49,16 @@
 	if readMillis(r.PromptTokens-a.Kept) < heavyMillis {
 		return outcome.ReasonNone, 0
 	}
-	expected := time.Duration(float64(a.Expected) * a.Slowness)
+	expected := a.honest()
+	limit := time.Duration(refuseAt * float64(r.Objective))
 	backlog := readMillis(a.Load.Unread) * a.Slowness
-	if expected <= time.Duration(refuseAt*float64(r.Objective)) || ratio(backlog, r.Objective) < refuseBacklog {
+	if expected <= limit || ratio(backlog, r.Objective) < refuseBacklog {
 		return outcome.ReasonNone, 0
 	}
+	if a.Fastest > limit && r.Left > 0 {
+		// All servers are behind, and the request will be late in any case.
+		return outcome.Infeasible, t.spread(time.Duration(longestWait * (1 - returnSpread/2) * float64(r.Left)))
+	}
 	wait := min(max(expected-r.Objective/2, earliestReturn), latestReturn)
 	return outcome.Infeasible, t.spread(wait)
 }
--- a/choice/admit_test.go
+++ b/choice/admit_test.go
@@ -119,3 +119,38 @@
 		t.Errorf("turned away with %v while nothing waits", reason)
 	}
 }
+
+// TestReturnIsLaterIfAllServersAreBehind fills one server of two, and then both.
+func TestReturnIsLaterIfAllServersAreBehind(t *testing.T) {
+	table := newTable()
+	long := Request{
+		Service: engines, Objective: 1500 * time.Millisecond, PromptTokens: 17000, Left: 9 * time.Second,
+		Parts: []Part{{1, 13000}, {2, 4000}},
+	}
+	keeper := send(t, table, long, begin, serverOf("a"))
+	table.FirstEvent(keeper, begin.Add(keeper.Expected))
+	fill := func(id string) {
+		for range 6 {
+			send(t, table, Request{Service: engines, PromptTokens: 17000}, begin, serverOf(id))
+		}
+	}
+	told := func() time.Duration {
+		a, _ := table.Choose(long, serversOf("a", "b"), begin)
+		reason, later := table.Admit(long, a, begin)
+		if a.Server.ID != "a" || reason != outcome.Infeasible {
+			t.Fatalf("%s was chosen, %v", a.Server.ID, reason)
+		}
+		return later
+	}
+	fill("a")
+	if got := told(); got > latestReturn*5/4 || got < earliestReturn/2 {
+		t.Errorf("told to come back after %v while another server is free", got)
+	}
+	fill("b")
+	for range 20 {
+		// Callers wait a third of what they have left at most.
+		if got := told(); got < 1500*time.Millisecond || got > 3*time.Second {
+			t.Errorf("told to come back after %v while all are behind, want half of three seconds at least", got)
+		}
+	}
+}
--- a/choice/place.go
+++ b/choice/place.go
@@ -83,6 +83,7 @@
 	}
 	sample := t.sample(len(candidates), func(i int) bool { return reserved.own(i, r.Position) })
 	best := -1
+	var fastest time.Duration
 	for i := range attempts {
 		a := &attempts[i]
 		keeps := mostKept > 0 && a.Kept == mostKept
@@ -96,11 +97,14 @@
 		}
 		if reserved.barred(i, r.Position) {
 			a.Cost += reservedCost
+		} else if e := a.honest(); fastest == 0 || e < fastest {
+			fastest = e
 		}
 		if best < 0 || a.Cost < attempts[best].Cost {
 			best = i
 		}
 	}
+	attempts[best].Fastest = fastest
 	return attempts[best], true
 }
 
--- a/choice/table.go
+++ b/choice/table.go
@@ -142,9 +142,11 @@
 	// Position is how many ranks of the service's routes are more urgent than the
 	// request's own, and Ranks how many there are.
 	Position, Ranks int
-	PromptTokens    int
-	AnswerTokens    int
-	Parts           []Part
+	// Left is how long the caller still waits, or zero if it did not say.
+	Left         time.Duration
+	PromptTokens int
+	AnswerTokens int
+	Parts        []Part
 }
 
 // Part is one part of a prompt.
@@ -160,6 +162,9 @@
 	Key uint64
 	// Expected is the time to the first event that the choice counted on.
 	Expected time.Duration
+	// Fastest is the shortest time to the first event that any of the servers
+	// promised, with their slowness, or zero.
+	Fastest time.Duration
 	// Kept counts the prompt tokens that the server was held to keep.
 	Kept int
 	// Cost is what the choice weighed, in requests lost, from the server's Load
@@ -176,6 +181,9 @@
 	started bool
 }
 
+// honest is the expected time with the server's slowness.
+func (a *Attempt) honest() time.Duration { return time.Duration(float64(a.Expected) * a.Slowness) }
+
 // Begin counts an attempt that is about to be sent.
 func (t *Table) Begin(a *Attempt, r Request, now time.Time) {
 	s := t.row(a.Key)
--- a/opaque/call.go
+++ b/opaque/call.go
@@ -185,6 +185,7 @@
 	for i, p := range c.prompt.Parts {
 		r.Parts[i] = choice.Part{ID: choice.PartKey(p.ID), Tokens: p.Tokens}
 	}
+	r.Left = time.Until(c.deadline)
 	r.Position, r.Ranks = s.Position(c.service.Name, c.route.Priority)
 	return r
 }
