--- a/bench/baselines.go
+++ b/bench/baselines.go
@@ -1,11 +1,13 @@
 package bench
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
 	"bergamotpin.example/bergamotpin/decision"
 	"bergamotpin.example/bergamotpin/outcome"
+	"bergamotpin.example/bergamotpin/placement"
 )
 
 const (
@@ -17,6 +19,10 @@
 	baselineAttempts = 2
 	// baselineRetryAfter is the time to return that the baselines state.
 	baselineRetryAfter = time.Second
+	// A server is passed over by its prefix if an instance has more requests there
+	// than busyFactor times the mean and busySlack more.
+	busyFactor = 1.5
+	busySlack  = 3
 )
 
 // RoundRobin sends each request to the next server at once and queues nothing.
@@ -43,10 +49,20 @@
 	}}
 }
 
+// PrefixHash has each instance send to the first server in the rendezvous order
+// of the prompt's prefix, passing over those with many more of its own requests
+// than the mean. Without a prefix it takes the server with the fewest. It queues
+// nothing.
+func PrefixHash() Policy {
+	return Policy{Name: "prefix-hash", New: func(seed uint64) Decider {
+		return newBaseline(seed, (*baseline).firstForPrefix, false)
+	}}
+}
+
 // baseline holds the state of all instances of a policy without a scheduler.
 type baseline struct {
 	rng     *rand.Rand
-	choose  func(b *baseline, instance int) int
+	choose  func(b *baseline, instance int, t *decision.Ticket) int
 	bounded bool
 	servers []decision.Server
 	index   map[string]int
@@ -64,7 +80,7 @@
 	server int
 }
 
-func newBaseline(seed uint64, choose func(*baseline, int) int, bounded bool) *baseline {
+func newBaseline(seed uint64, choose func(*baseline, int, *decision.Ticket) int, bounded bool) *baseline {
 	return &baseline{
 		rng:     rand.New(rand.NewPCG(seed, 1)),
 		choose:  choose,
@@ -141,7 +157,7 @@
 func (b *baseline) drain(instance int, out *decision.Output) {
 	queue := b.queues[instance]
 	for len(queue) > 0 {
-		server := b.choose(b, instance)
+		server := b.choose(b, instance, &queue[0])
 		if server < 0 {
 			break
 		}
@@ -197,13 +213,13 @@
 	}
 }
 
-func (b *baseline) nextServer(instance int) int {
+func (b *baseline) nextServer(instance int, _ *decision.Ticket) int {
 	i := b.next[instance] % len(b.servers)
 	b.next[instance]++
 	return i
 }
 
-func (b *baseline) leastReported(int) int {
+func (b *baseline) leastReported(int, *decision.Ticket) int {
 	best := 0
 	ties := 1
 	for i := 1; i < len(b.servers); i++ {
@@ -222,7 +238,7 @@
 	return best
 }
 
-func (b *baseline) betterOfTwo(instance int) int {
+func (b *baseline) betterOfTwo(instance int, _ *decision.Ticket) int {
 	i := b.rng.IntN(len(b.servers))
 	j := b.rng.IntN(len(b.servers))
 	if b.load(instance, j) < b.load(instance, i) {
@@ -234,6 +250,30 @@
 	return i
 }
 
+func (b *baseline) firstForPrefix(instance int, t *decision.Ticket) int {
+	own := b.own[instance]
+	sum := 0
+	for _, n := range own {
+		sum += n
+	}
+	limit := busyFactor*float64(sum)/float64(len(own)) + busySlack
+	best := -1
+	var bestWeight uint64
+	for i, n := range own {
+		if float64(n) > limit {
+			continue
+		}
+		weight := math.MaxUint64 - uint64(n)
+		if t.Prefix != 0 {
+			weight = placement.Weight(t.Prefix, uint64(i))
+		}
+		if best < 0 || weight > bestWeight {
+			best, bestWeight = i, weight
+		}
+	}
+	return best
+}
+
 // load is what the instance believes that a server holds: the report, or its
 // own count if that is higher.
 func (b *baseline) load(instance, server int) int {
--- a/bench/policy.go
+++ b/bench/policy.go
@@ -28,5 +28,5 @@
 
 // Policies returns the core and all baselines, the core first.
 func Policies() []Policy {
-	return []Policy{Core(), RoundRobin(), LeastReported(), PowerOfTwo()}
+	return []Policy{Core(), RoundRobin(), LeastReported(), PowerOfTwo(), PrefixHash()}
 }
--- a/bench/run_test.go
+++ b/bench/run_test.go
@@ -70,7 +70,7 @@
 // TestBaselinesKeepPromises checks that what the driver counts as a broken
 // promise isn't made by the driver itself.
 func TestBaselinesKeepPromises(t *testing.T) {
-	for _, p := range []Policy{RoundRobin(), LeastReported(), PowerOfTwo()} {
+	for _, p := range []Policy{RoundRobin(), LeastReported(), PowerOfTwo(), PrefixHash()} {
 		r := Run(Faults(), p, testSeed)
 		if len(r.Violations) > 0 {
 			t.Errorf("%s: %v", p.Name, r.Violations)
