--- a/directory/follow.go
+++ b/directory/follow.go
@@ -111,27 +111,26 @@
 	return f.watch(ctx, KindConfiguration, watchWait)
 }
 
+// The calls to a source, as logs and metrics name them.
+const (
+	callWatch = "watch"
+	callList  = "list"
+)
+
 // watch asks for the changes of a kind since the last answer.
 func (f *Follower) watch(ctx context.Context, kind Kind, wait time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
+	callCtx, cancel := context.WithTimeout(ctx, wait+answerSlack)
 	defer cancel()
 	after := f.configuration
 	if kind == KindServer {
 		after = f.servers
 	}
-	records, revision, err := f.Source.Watch(ctx, kind, after, wait)
-	f.Count("watch", resultName(err))
+	records, revision, err := f.Source.Watch(callCtx, kind, after, wait)
+	f.Count(callWatch, resultName(err))
 	if err != nil {
 		return err
 	}
-	f.newest = max(f.newest, revision)
-	if kind == KindServer {
-		f.Changed("watch", f.Table.MergeEvents(records, revision, time.Now()))
-		f.servers = revision
-	} else {
-		f.Changed("watch", f.Table.Merge(records, time.Now()))
-		f.configuration = revision
-	}
+	f.take(callWatch, kind, records, revision)
 	if len(records) > 0 {
 		sleep(ctx, gather)
 	}
@@ -143,19 +142,31 @@
 	ctx, cancel := context.WithTimeout(ctx, answerSlack)
 	defer cancel()
 	records, revision, err := f.Source.List(ctx, kind)
-	f.Count("list", resultName(err))
+	f.Count(callList, resultName(err))
 	if err != nil {
 		return err
 	}
+	f.take(callList, kind, records, revision)
+	return nil
+}
+
+// take takes in the answer of a call.
+func (f *Follower) take(call string, kind Kind, records []Record, revision int64) {
 	f.newest = max(f.newest, revision)
-	if kind == KindServer {
-		f.Changed("list", f.Table.MergeServerList(records, revision, time.Now()))
+	now := time.Now()
+	var changes []Change
+	switch {
+	case kind == KindConfiguration:
+		changes = f.Table.Merge(records, now)
+		f.configuration = revision
+	case call == callList:
+		changes = f.Table.MergeServerList(records, revision, now)
+		f.servers = revision
+	default:
+		changes = f.Table.MergeEvents(records, revision, now)
 		f.servers = revision
-		return nil
 	}
-	f.Changed("list", f.Table.Merge(records, time.Now()))
-	f.configuration = revision
-	return nil
+	f.Changed(call, changes)
 }
 
 // resultName names a call's result for metrics.
