Make the readings for metrics in one place

Cause: edge and instance each had their own function for a reading with one tag. Ruled out: keeping edge's beside it, since both build the same type of metrics. Before: two functions and one more for levels in edge. After: metrics.Count and metrics.Level, used by both.

--- a/edge/readings.go
+++ b/edge/readings.go
@@ -44,15 +44,15 @@
 	now := time.Now()
 	out := slices.Concat(i.storeCalls.readings(), i.logReadings(), i.peerReadings(), i.standings.readings())
 	for _, left := range i.chooser.RepeatsLeft(now) {
-		out = append(out, gauge("retries_left", "service", left.Service, int64(left.Sends)))
+		out = append(out, metrics.Level("retries_left", "service", left.Service, int64(left.Sends)))
 	}
 	return append(out,
-		gauge("configuration_version", "", "", int64(i.table.Snapshot().Version)),
-		gauge("configuration_age_ms", "", "", i.beacon.ConfigurationAge(now).Milliseconds()),
-		gauge("requests_open", "", "", int64(i.open.open())),
-		counter("connections_made", "", "", i.client.Counters.Connected.Load()),
-		counter("connections_reused", "", "", i.client.Counters.Reused.Load()),
-		counter("foreign_answers", "", "", i.client.Counters.Foreign.Load()),
+		metrics.Level("configuration_version", "", "", int64(i.table.Snapshot().Version)),
+		metrics.Level("configuration_age_ms", "", "", i.beacon.ConfigurationAge(now).Milliseconds()),
+		metrics.Level("requests_open", "", "", int64(i.open.open())),
+		metrics.Count("connections_made", "", "", i.client.Counters.Connected.Load()),
+		metrics.Count("connections_reused", "", "", i.client.Counters.Reused.Load()),
+		metrics.Count("foreign_answers", "", "", i.client.Counters.Foreign.Load()),
 	)
 }
 
@@ -60,7 +60,7 @@
 	var out []metrics.Reading
 	dropped := i.log.Dropped()
 	for n, class := range [...]string{"successes", "failures", "beliefs"} {
-		out = append(out, counter("log_lines_dropped", "class", class, dropped[n]))
+		out = append(out, metrics.Count("log_lines_dropped", "class", class, dropped[n]))
 	}
 	return out
 }
@@ -68,19 +68,9 @@
 func (i *Instance) peerReadings() []metrics.Reading {
 	counts := i.beacon.Counts()
 	return []metrics.Reading{
-		gauge("peers", "state", "live", int64(counts.Live)),
-		gauge("peers", "state", "leaving", int64(counts.Leaving)),
-		gauge("peers", "state", "silent", int64(counts.Silent)),
-		gauge("peers", "state", "unheard", int64(counts.Unheard)),
+		metrics.Level("peers", "state", "live", int64(counts.Live)),
+		metrics.Level("peers", "state", "leaving", int64(counts.Leaving)),
+		metrics.Level("peers", "state", "silent", int64(counts.Silent)),
+		metrics.Level("peers", "state", "unheard", int64(counts.Unheard)),
 	}
 }
-
-func counter(name, label, value string, count int64) metrics.Reading {
-	return metrics.Reading{Name: name, Tags: [2]metrics.Tag{{Label: label, Value: value}}, Count: count}
-}
-
-func gauge(name, label, value string, level int64) metrics.Reading {
-	r := counter(name, label, value, level)
-	r.Gauge = true
-	return r
-}
--- a/edge/standings.go
+++ b/edge/standings.go
@@ -29,7 +29,7 @@
 	defer s.mu.Unlock()
 	var out []metrics.Reading
 	for is, n := range s.counts {
-		out = append(out, counter("standing_changes", "to", is.String(), n))
+		out = append(out, metrics.Count("standing_changes", "to", is.String(), n))
 	}
 	return out
 }
--- a/instance/counters.go
+++ b/instance/counters.go
@@ -17,53 +17,49 @@
 	out = append(out, i.peerReadings()...)
 	out = append(out, i.poolReadings()...)
 	for event, count := range i.remote.Counters() {
-		out = append(out, reading("scheduler_events", "event", event.String(), int64(count)))
+		out = append(out, metrics.Count("scheduler_events", "event", event.String(), int64(count)))
 	}
 	for event, count := range i.members.Counters() {
-		out = append(out, reading("membership_events", "event", event.String(), int64(count)))
+		out = append(out, metrics.Count("membership_events", "event", event.String(), int64(count)))
 	}
 	return out
 }
 
-func reading(name, label, value string, count int64) metrics.Reading {
-	return metrics.Reading{Name: name, Tags: [2]metrics.Tag{{Label: label, Value: value}}, Count: count}
-}
-
 func (i *Instance) configReadings() []metrics.Reading {
 	c := &i.store.Counters
 	return []metrics.Reading{
-		reading("config_changes", "result", "accepted", c.Accepted.Load()),
-		reading("config_changes", "result", "rejected", c.Rejected.Load()),
-		reading("config_changes", "result", "deleted", c.Deleted.Load()),
-		reading("config_changes", "result", "stale", c.Stale.Load()),
-		reading("config_status_writes", "", "", i.reporter.Writes.Load()),
+		metrics.Count("config_changes", "result", "accepted", c.Accepted.Load()),
+		metrics.Count("config_changes", "result", "rejected", c.Rejected.Load()),
+		metrics.Count("config_changes", "result", "deleted", c.Deleted.Load()),
+		metrics.Count("config_changes", "result", "stale", c.Stale.Load()),
+		metrics.Count("config_status_writes", "", "", i.reporter.Writes.Load()),
 	}
 }
 
 func (i *Instance) platformReadings() []metrics.Reading {
 	c := &i.objects.Counters
 	return []metrics.Reading{
-		reading("platform_calls", "", "", c.Calls.Load()),
-		reading("platform_watches", "", "", c.Watches.Load()),
-		reading("platform_failures", "reason", "conflict", c.Conflicts.Load()),
-		reading("platform_failures", "reason", "rate_limited", c.RateLimited.Load()),
-		reading("platform_failures", "reason", "unavailable", c.Unavailable.Load()),
-		reading("platform_failures", "reason", "uncertain", c.Uncertain.Load()),
+		metrics.Count("platform_calls", "", "", c.Calls.Load()),
+		metrics.Count("platform_watches", "", "", c.Watches.Load()),
+		metrics.Count("platform_failures", "reason", "conflict", c.Conflicts.Load()),
+		metrics.Count("platform_failures", "reason", "rate_limited", c.RateLimited.Load()),
+		metrics.Count("platform_failures", "reason", "unavailable", c.Unavailable.Load()),
+		metrics.Count("platform_failures", "reason", "uncertain", c.Uncertain.Load()),
 	}
 }
 
 func (i *Instance) claimReadings() []metrics.Reading {
 	c := &i.claims.Counters
 	return []metrics.Reading{
-		reading("key_claims", "result", "fresh", c.Fresh.Load()),
-		reading("key_claims", "result", "in_progress", c.InProgress.Load()),
-		reading("key_claims", "result", "completed", c.Completed.Load()),
-		reading("key_claims", "result", "unknown", c.Unknown.Load()),
-		reading("key_claims", "result", "conflict", c.Conflicts.Load()),
-		reading("key_claims", "result", "unavailable", c.Unavailable.Load()),
-		reading("key_outcomes", "result", "kept", c.Finished.Load()),
-		reading("key_outcomes", "result", "not_kept", c.FinishFailed.Load()),
-		reading("key_outcomes", "result", "released", c.Released.Load()),
+		metrics.Count("key_claims", "result", "fresh", c.Fresh.Load()),
+		metrics.Count("key_claims", "result", "in_progress", c.InProgress.Load()),
+		metrics.Count("key_claims", "result", "completed", c.Completed.Load()),
+		metrics.Count("key_claims", "result", "unknown", c.Unknown.Load()),
+		metrics.Count("key_claims", "result", "conflict", c.Conflicts.Load()),
+		metrics.Count("key_claims", "result", "unavailable", c.Unavailable.Load()),
+		metrics.Count("key_outcomes", "result", "kept", c.Finished.Load()),
+		metrics.Count("key_outcomes", "result", "not_kept", c.FinishFailed.Load()),
+		metrics.Count("key_outcomes", "result", "released", c.Released.Load()),
 	}
 }
 
@@ -71,15 +67,15 @@
 	l := &i.lease.Counters
 	o := &i.orders.Counters
 	return []metrics.Reading{
-		reading("lease_events", "event", "taken", l.Taken.Load()),
-		reading("lease_events", "event", "renewed", l.Renewed.Load()),
-		reading("lease_events", "event", "unanswered", l.Unanswered.Load()),
-		reading("lease_events", "event", "lost", l.Lost.Load()),
-		reading("orders", "result", "given", o.Orders.Load()),
-		reading("orders", "result", "failed", o.Failed.Load()),
-		reading("orders", "result", "superseded", o.Superseded.Load()),
-		reading("orders", "result", "late", o.LateOrders.Load()),
-		reading("orders", "result", "settling", o.Settling.Load()),
+		metrics.Count("lease_events", "event", "taken", l.Taken.Load()),
+		metrics.Count("lease_events", "event", "renewed", l.Renewed.Load()),
+		metrics.Count("lease_events", "event", "unanswered", l.Unanswered.Load()),
+		metrics.Count("lease_events", "event", "lost", l.Lost.Load()),
+		metrics.Count("orders", "result", "given", o.Orders.Load()),
+		metrics.Count("orders", "result", "failed", o.Failed.Load()),
+		metrics.Count("orders", "result", "superseded", o.Superseded.Load()),
+		metrics.Count("orders", "result", "late", o.LateOrders.Load()),
+		metrics.Count("orders", "result", "settling", o.Settling.Load()),
 	}
 }
 
@@ -95,16 +91,16 @@
 	var out []metrics.Reading
 	for kind, traffic := range count.Sent {
 		out = append(out,
-			reading("peer_messages_sent", "kind", kind.String(), int64(traffic.Messages)),
-			reading("peer_bytes_sent", "kind", kind.String(), int64(traffic.Bytes)))
+			metrics.Count("peer_messages_sent", "kind", kind.String(), int64(traffic.Messages)),
+			metrics.Count("peer_bytes_sent", "kind", kind.String(), int64(traffic.Bytes)))
 	}
 	for kind, traffic := range count.Received {
 		out = append(out,
-			reading("peer_messages_received", "kind", kind.String(), int64(traffic.Messages)),
-			reading("peer_bytes_received", "kind", kind.String(), int64(traffic.Bytes)))
+			metrics.Count("peer_messages_received", "kind", kind.String(), int64(traffic.Messages)),
+			metrics.Count("peer_bytes_received", "kind", kind.String(), int64(traffic.Bytes)))
 	}
 	for refusal, n := range count.Refused {
-		out = append(out, reading("peer_refusals", "reason", refusal.String(), int64(n)))
+		out = append(out, metrics.Count("peer_refusals", "reason", refusal.String(), int64(n)))
 	}
 	return out
 }
@@ -115,11 +111,11 @@
 	var out []metrics.Reading
 	for model, s := range i.local.Stats() {
 		out = append(out,
-			reading("pool_tickets", "model", model, int64(s.Tickets)),
-			reading("pool_grants", "model", model, int64(s.Grants)),
-			reading("pool_preemptions", "model", model, int64(s.Preemptions)),
-			reading("pool_referrals", "model", model, int64(s.Referrals)),
-			reading("pool_servers_set_aside", "model", model, int64(s.SetAside)))
+			metrics.Count("pool_tickets", "model", model, int64(s.Tickets)),
+			metrics.Count("pool_grants", "model", model, int64(s.Grants)),
+			metrics.Count("pool_preemptions", "model", model, int64(s.Preemptions)),
+			metrics.Count("pool_referrals", "model", model, int64(s.Referrals)),
+			metrics.Count("pool_servers_set_aside", "model", model, int64(s.SetAside)))
 		out = append(out, byReason("pool_refusals", model, s.Refusals)...)
 		out = append(out, byReason("pool_retries", model, s.Retries)...)
 	}
--- a/metrics/mirror.go
+++ b/metrics/mirror.go
@@ -17,6 +17,19 @@
 	Gauge bool
 }
 
+// Count returns the reading of a sum since the start, with one tag. An empty label
+// leaves the tag out.
+func Count(name, label, value string, count int64) Reading {
+	return Reading{Name: name, Tags: [maxTags]Tag{{Label: label, Value: value}}, Count: count}
+}
+
+// Level returns the reading of a present level, with one tag like Count.
+func Level(name, label, value string, level int64) Reading {
+	r := Count(name, label, value, level)
+	r.Gauge = true
+	return r
+}
+
 // maxTags is how many tags a reading may have.
 const maxTags = 2
 
