Say rightly when instances look at a sample of servers

Cause: read as a newcomer, the comment on crowd said from eight instances on, where the code samples above eight; the file's load stood behind its import. Ruled out: changing the code, which is what was measured.

--- a/choice/kept.go
+++ b/choice/kept.go
@@ -96,8 +96,9 @@
 	return sum
 }
 
-// home is the server that is first in order for a part: every instance that
-// knows of no other place sends such prompts there.
+// home is the server that is first in order for a part, among those that are not
+// left to more urgent requests: every instance that knows of no other place sends
+// such prompts there.
 func home(part uint64, servers []uint64, reserved reservation, position int) int {
 	best := -1
 	var most uint64
--- a/choice/sample.go
+++ b/choice/sample.go
@@ -1,17 +1,17 @@
 package choice
 
-import "slices"
-
 // The load this answers: many instances choose within the time in which they
 // hear of each other. All know the same, so all would find the same server
 // idle, and meet there. Each looks only at some of the servers, drawn anew for
 // each request, so that about as many choose a server as it takes.
 
+import "slices"
+
 const (
-	// crowd is from how many instances on each looks at a sample only.
+	// crowd is up to how many instances each looks at all servers.
 	crowd = 8
-	// lookers is how many instances look at a server for each request that all of
-	// them place, and leastSample the least number of servers to look at.
+	// lookers is how many instances look at each server if all choose at once, and
+	// leastSample the least number of servers that one looks at.
 	lookers     = 2
 	leastSample = 2
 )
