Log what a refusal because of load was based on

Callers: urgent requests of the TIER incident got 503 'infeasible', and the line named neither server nor load, so that three hypotheses could not be told apart. The line has the request's urgency, the server with its load and our own part of it, the shortest delay of all servers looked at, and the reports in use with their age. Test: TestRefusalBecauseOfLoadIsExplained (fails without the fields).

--- a/edge/balancer/balancer.go
+++ b/edge/balancer/balancer.go
@@ -200,6 +200,8 @@
 	Cost     float64
 	Load     Load
 	Slowness float64
+	// OwnLoad is the part of Load that comes from this instance's requests.
+	OwnLoad Load
 	// Candidates is the number of servers that were available to the request.
 	// This number includes servers that were not examined.
 	Candidates int
--- a/edge/balancer/choose.go
+++ b/edge/balancer/choose.go
@@ -137,7 +137,7 @@
 	s := b.serverState(a.Key)
 	load := s.totalLoad()
 	slowness := s.slowness(now)
-	a.Load, a.Slowness = load, slowness
+	a.Load, a.OwnLoad, a.Slowness = load, s.localLoad, slowness
 	var firstEventMillis, eventGapMillis float64
 	if r.Service.IsEngine() {
 		firstEventMillis, eventGapMillis = engineTimes(load, max(r.PromptTokens-a.CachedTokens, 0), r.Service)
--- a/edge/balancer/peer_reports.go
+++ b/edge/balancer/peer_reports.go
@@ -101,6 +101,32 @@
 	b.expireSummaries(now)
 }
 
+// ReportsInUse describes the reports that an instance currently counts.
+type ReportsInUse struct {
+	// Peers is the number of peers whose own reports count, and DataCentres the
+	// number of other data centres whose summaries count.
+	Peers, DataCentres int
+	// Oldest is the age of the oldest of these reports.
+	Oldest time.Duration
+}
+
+// ReportsInUse returns the number and the age of the reports that count.
+func (b *Balancer) ReportsInUse(now time.Time) ReportsInUse {
+	used := ReportsInUse{Peers: len(b.peers)}
+	for _, report := range b.peers {
+		used.Oldest = max(used.Oldest, now.Sub(report.receivedAt))
+	}
+	for _, summary := range b.summaries {
+		if len(summary) > 0 {
+			used.DataCentres++
+		}
+		for _, row := range summary {
+			used.Oldest = max(used.Oldest, now.Sub(row.receivedAt))
+		}
+	}
+	return used
+}
+
 // dropReport deletes a peer's reports and subtracts them from the sums over all
 // peers.
 func (b *Balancer) dropReport(peer string, now time.Time) {
--- a/edge/reverseproxy/handler.go
+++ b/edge/reverseproxy/handler.go
@@ -68,17 +68,36 @@
 // writeRefusal counts and logs a refusal and writes it to the caller.
 func (h *Handler) writeRefusal(w http.ResponseWriter, req *request, refused *refusal) {
 	h.Metrics.CountRefusal(refused.reason)
-	h.Failures.Warn("refused",
+	attributes := []any{
 		"request", req.id, "path", req.path, "status", refused.status, "reason", refused.reason.String(),
 		"detail", refused.message, "retry_after_ms", refused.retryAfter.Milliseconds(),
 		"sends", req.sends, "ran", req.possibleRuns, "elapsed_ms", time.Since(req.arrived).Milliseconds(),
-		"configuration", h.Catalog.Snapshot().Version)
+		"configuration", h.Catalog.Snapshot().Version,
+	}
+	h.Failures.Warn("refused", append(attributes, overloadAttributes(req, refused.overload)...)...)
 	if h.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	refused.write(w)
 }
 
+// overloadAttributes returns the log attributes of a refusal because of the
+// servers' load: the request's urgency, the server it would have gone to, and what
+// this instance knew of the load.
+func overloadAttributes(req *request, o *overloadDetails) []any {
+	if o == nil {
+		return nil
+	}
+	a := &o.attempt
+	return []any{
+		"route", req.route.Name, "rank", req.priority(), "route_rank", req.route.Priority, "objective_ms", req.route.LatencyTarget.Milliseconds(),
+		"server", a.Server.ID, "data_centre", a.Server.DataCentre, "prompt", req.prompt.Tokens, "kept", a.CachedTokens,
+		"expected_ms", a.ExpectedDelay.Milliseconds(), "fastest_ms", a.FastestDelay.Milliseconds(), "slowness", a.Slowness,
+		"running", a.Load.Running, "own_running", a.OwnLoad.Running, "unread", a.Load.PrefillTokens, "own_unread", a.OwnLoad.PrefillTokens,
+		"candidates", a.Candidates, "peers", o.reports.Peers, "summaries", o.reports.DataCentres, "oldest_report_ms", o.reports.Oldest.Milliseconds(),
+	}
+}
+
 // beginAttempt chooses a server that this request has not been sent to yet. It
 // refuses the request if the current configuration no longer accepts it, or if
 // no server is available.
--- /dev/null
+++ b/edge/reverseproxy/overload_test.go
@@ -0,0 +1,42 @@
+package reverseproxy
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"bergamotpin.example/bergamotpin/edge/balancer"
+	"bergamotpin.example/bergamotpin/platform"
+)
+
+// overloadServers has a peer report that every server has a long queue of prompts.
+func (f *fixture) overloadServers() {
+	load := balancer.Load{Running: 50, Waiting: 50, PrefillTokens: 1_000_000}
+	var reports []balancer.ServerReport
+	for _, s := range f.catalog.Snapshot().Servers {
+		reports = append(reports, balancer.ServerReport{Key: balancer.ServerKey(s), Load: load})
+	}
+	f.handler.Selector.ReceiveReports("peer", "dc1", reports, time.Now())
+}
+
+// TestRefusalBecauseOfLoadIsExplained checks that the log line of such a refusal
+// names the values that led to it.
+func TestRefusalBecauseOfLoadIsExplained(t *testing.T) {
+	f := newFixture(t, 1)
+	var lines bytes.Buffer
+	f.handler.Failures = slog.New(slog.NewJSONHandler(&lines, nil))
+	f.overloadServers()
+	r := f.request(pathStream)
+	r.Header.Set(platform.HeaderTokenCount, "17000,100")
+	f.expectStatus(f.do(r), 503)
+	for _, want := range []string{
+		`"reason":"infeasible"`, `"route":"stream"`, `"rank":`, `"route_rank":3`, `"objective_ms":300`, `"server":"i-0"`, `"prompt":17000`,
+		`"unread":1000000`, `"own_unread":0`, `"candidates":1`, `"peers":1`, `"oldest_report_ms":`, `"fastest_ms":`,
+	} {
+		if !strings.Contains(lines.String(), want) {
+			t.Errorf("the log lacks %s: %s", want, lines.String())
+		}
+	}
+}
--- a/edge/reverseproxy/refusal.go
+++ b/edge/reverseproxy/refusal.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/outcome"
 	"bergamotpin.example/bergamotpin/platform"
 )
@@ -26,6 +27,17 @@
 	// retryAfter is set only if no server ran the request, so that the caller
 	// can safely send it again.
 	retryAfter time.Duration
+	// overload is set if the request was refused because of the servers' load.
+	overload *overloadDetails
+}
+
+// overloadDetails holds the values that led to the refusal of a request because
+// of the servers' load.
+type overloadDetails struct {
+	// attempt is the attempt that was not made.
+	attempt balancer.Attempt
+	// reports describes what the instance knew of the other instances' requests.
+	reports balancer.ReportsInUse
 }
 
 // refuse returns a refusal without a Retry-After time.
--- a/edge/reverseproxy/server_selector.go
+++ b/edge/reverseproxy/server_selector.go
@@ -62,7 +62,9 @@
 		return a, refuseNotRun(outcome.NoBackendServer, retrySoon)
 	}
 	if reason, retryAfter := s.balancer.Admit(r, a, now); reason != outcome.ReasonNone {
-		return a, refuseNotRun(reason, retryAfter)
+		refused := refuseNotRun(reason, retryAfter)
+		refused.overload = &overloadDetails{attempt: a, reports: s.balancer.ReportsInUse(now)}
+		return a, refused
 	}
 	s.balancer.BeginAttempt(&a, r, now)
 	return a, nil
