--- a/edge/balancer/replay_test.go
+++ b/edge/balancer/replay_test.go
@@ -181,7 +181,25 @@
 	kinds []kindResult
 }
 
-type kindResult struct{ requests, onTime, refused int }
+type kindResult struct {
+	requests, onTime, refused int
+	// seconds counts the requests that arrived in each second.
+	seconds []secondResult
+}
+
+// secondResult counts the requests of one kind that arrived in one second.
+type secondResult struct{ requests, refused int }
+
+// within sums the requests that arrived in the given number of seconds from the
+// second first on.
+func (r kindResult) within(first, seconds int) secondResult {
+	var sum secondResult
+	for _, s := range r.seconds[min(first, len(r.seconds)):min(first+seconds, len(r.seconds))] {
+		sum.requests += s.requests
+		sum.refused += s.refused
+	}
+	return sum
+}
 
 func (r kindResult) onTimeFraction() float64 { return float64(r.onTime) / float64(r.requests) }
 
@@ -223,11 +241,16 @@
 		w.prepareEngines(engines)
 	}
 	result := replayResult{kinds: make([]kindResult, len(w.kinds))}
+	for n := range result.kinds {
+		result.kinds[n].seconds = make([]secondResult, int(w.seconds)+1)
+	}
 	prefilled := make(map[uint64]bool)
 	sendRequest := func(kind int, prefixID uint64, ownID uint64, now time.Time) {
 		k := w.kinds[kind]
 		result.requests++
 		result.kinds[kind].requests++
+		second := &result.kinds[kind].seconds[int(now.Sub(start).Seconds())]
+		second.requests++
 		instance := random.IntN(w.instances)
 		r := Request{
 			Service: catalog.Service{Name: "m", Slots: 64, MemoryTokens: 600_000, EventTokens: 4}, LatencyTarget: k.latencyTarget,
@@ -237,6 +260,7 @@
 		a, reason := policies[instance].choose(r, servers, now)
 		if reason != outcome.ReasonNone {
 			result.kinds[kind].refused++
+			second.refused++
 			return
 		}
 		i := engineIndex[a.Key]
@@ -386,6 +410,39 @@
 	}
 }
 
+// surge returns a workload in which all kinds of requests arrive at 2.5 times
+// their usual rates. The engines can't process all of them.
+func surge(engines, instances int) workload {
+	w := longPromptBurst
+	w.engines, w.instances = engines, instances
+	w.kinds = slices.Clone(w.kinds)
+	for n, usualPerEngine := range []float64{1.69, 0.67, 1.58} {
+		w.kinds[n].perSecond = 2.5 * usualPerEngine * float64(engines)
+	}
+	return w
+}
+
+// TestUrgentPromptsAreNotRefusedWhileLessUrgentBegin guards against refusals of
+// urgent prompts while larger, less urgent ones are sent to the same engines.
+func TestUrgentPromptsAreNotRefusedWhileLessUrgentBegin(t *testing.T) {
+	// The users' rule TIER allows this many refusals in five seconds.
+	const windowSeconds, allowedRefusals, allowedShare = 5, 9, 1.0 / 12
+	for _, w := range []workload{surge(9, 7), surge(18, 7), surge(45, 30)} {
+		for seed := range uint64(3) {
+			got := replayBalancers(w, seed)
+			t.Logf("%d engines, seed %d: %v", w.engines, seed, got)
+			for first := range int(w.seconds) - windowSeconds + 1 {
+				long, urgent := got.kinds[0].within(first, windowSeconds), got.kinds[1].within(first, windowSeconds)
+				share := float64(urgent.refused) / float64(urgent.requests)
+				if urgent.refused > allowedRefusals && share > allowedShare && long.refused < long.requests {
+					t.Errorf("%d engines, seed %d, from second %d: %d of %d urgent prompts were refused while %d less urgent ones began",
+						w.engines, seed, first, urgent.refused, urgent.requests, long.requests-long.refused)
+				}
+			}
+		}
+	}
+}
+
 // comparePolicies replays a workload with several seeds, each time with the
 // balancer and with the baseline, hashPolicy. The test fails if acceptable
 // returns false for the two results of a seed. The failure names the line of the
--- a/edge/reverseproxy/overload_test.go
+++ b/edge/reverseproxy/overload_test.go
@@ -9,6 +9,7 @@
 
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/platform"
+	"bergamotpin.example/bergamotpin/platform/platformtest"
 )
 
 // overloadServers has a peer report that every server has a long queue of prompts.
@@ -40,3 +41,17 @@
 		}
 	}
 }
+
+// TestEngineCanTellUrgentFromLessUrgentOfOneOrganisation guards against engines
+// that preempt urgent requests because all of an organisation's have one priority.
+func TestEngineCanTellUrgentFromLessUrgentOfOneOrganisation(t *testing.T) {
+	f := newFixture(t, 1)
+	f.setBehaviour(platformtest.Behaviour{Events: 1})
+	f.expectStatus(f.do(f.request(pathResumable)), 200)
+	f.expectStatus(f.do(f.request(pathStream)), 200)
+	got := f.servers[0].Received()
+	urgent, lessUrgent := got[0].Header.Get(platform.HeaderPriority), got[1].Header.Get(platform.HeaderPriority)
+	if urgent >= lessUrgent {
+		t.Errorf("the engine got priority %s for a route with priority 0 and %s for one with priority 3, want a lower number for the former", urgent, lessUrgent)
+	}
+}
