Tell engines how urgent a request is within its organisation

Cause: an organisation's priority replaced the route's in the priority that engines get, so all of one organisation's requests were equal there. Where some organisation has priority 0, its requests preempt the newest of priority 1, and that is mostly a short, urgent one. Change: the organisation's priority decides first, the route's between equal ones; engines get the index of that pair among the service's, one of ten.

--- a/edge/catalog/snapshot.go
+++ b/edge/catalog/snapshot.go
@@ -36,6 +36,9 @@
 	// priorities holds the distinct priorities of the routes to each service, in
 	// ascending order.
 	priorities map[string][]int
+	// urgencies holds the urgencies that the requests of each service can have, the
+	// most urgent first.
+	urgencies map[string][]Urgency
 }
 
 func newSnapshot() *Snapshot {
@@ -67,6 +70,7 @@
 		slices.Sort(priorities)
 		s.priorities[service] = slices.Compact(priorities)
 	}
+	s.urgencies = urgencyLevels(c)
 	s.servicesByName = make(map[string]Service, len(c.Services))
 	for _, service := range c.Services {
 		s.servicesByName[service.Name] = service
--- a/edge/reverseproxy/handler.go
+++ b/edge/reverseproxy/handler.go
@@ -90,7 +90,7 @@
 	}
 	a := &o.attempt
 	return []any{
-		"route", req.route.Name, "rank", req.priority(), "route_rank", req.route.Priority, "objective_ms", req.route.LatencyTarget.Milliseconds(),
+		"route", req.route.Name, "rank", req.enginePriority(), "route_rank", req.route.Priority, "objective_ms", req.route.LatencyTarget.Milliseconds(),
 		"server", a.Server.ID, "data_centre", a.Server.DataCentre, "prompt", req.prompt.Tokens, "kept", a.CachedTokens,
 		"expected_ms", a.ExpectedDelay.Milliseconds(), "fastest_ms", a.FastestDelay.Milliseconds(), "slowness", a.Slowness,
 		"running", a.Load.Running, "own_running", a.OwnLoad.Running, "unread", a.Load.PrefillTokens, "own_unread", a.OwnLoad.PrefillTokens,
--- a/edge/reverseproxy/request.go
+++ b/edge/reverseproxy/request.go
@@ -45,6 +45,9 @@
 	org      catalog.Organisation
 	service  catalog.Service
 	deadline time.Time
+	// urgencyIndex is the number of urgencies of the service's requests that are more
+	// urgent than this request, urgencyLevels the number of all urgencies.
+	urgencyIndex, urgencyLevels int
 
 	// tried holds the IDs of the servers that the request was sent to. sends is
 	// the number of attempts. possibleRuns is the number of attempts whose server
@@ -134,6 +137,7 @@
 		return refuseNotRun(outcome.NoBackendServer, retryWhenReady)
 	}
 	req.route, req.org, req.service = route, org, service
+	req.urgencyIndex, req.urgencyLevels = s.UrgencyIndex(name, route, org)
 	return nil
 }
 
@@ -178,8 +182,8 @@
 	return body, err
 }
 
-// priority is the request's priority at an engine: the organisation's if it has
-// one, otherwise the route's.
+// priority is the organisation's priority if it has one, otherwise the route's. Metrics
+// are labelled with it.
 func (req *request) priority() int {
 	if req.org.HasPriority {
 		return req.org.Priority
@@ -187,6 +191,17 @@
 	return req.route.Priority
 }
 
+// enginePriority is the request's priority at an engine, where 0 is the most urgent. An
+// engine under pressure preempts the newest of its least urgent requests. So requests of
+// different urgency have different priorities, unless there are more urgencies than
+// priorities.
+func (req *request) enginePriority() int {
+	if req.urgencyLevels <= platform.PriorityCount {
+		return req.urgencyIndex
+	}
+	return req.urgencyIndex * platform.PriorityCount / req.urgencyLevels
+}
+
 // balancerRequest describes the request to the balancer.
 func (req *request) balancerRequest(s *catalog.Snapshot) balancer.Request {
 	r := balancer.Request{
@@ -252,7 +267,7 @@
 		h.Set(platform.HeaderOrganisation, req.org.Name)
 	}
 	if req.service.IsEngine() {
-		h.Set(platform.HeaderPriority, platform.FormatPriority(req.priority()))
+		h.Set(platform.HeaderPriority, platform.FormatPriority(req.enginePriority()))
 	}
 	if lastEventID != "" {
 		h.Set(platform.HeaderLastEvent, lastEventID)
--- a/edge/reverseproxy/retry.go
+++ b/edge/reverseproxy/retry.go
@@ -176,7 +176,7 @@
 	req := f.request
 	f.handler.Successes.Info("sent",
 		"request", req.id, "route", req.route.Name, "server", a.Server.ID, "data_centre", a.Server.DataCentre, "send", req.sends,
-		"rank", req.priority(), "route_rank", req.route.Priority, "left_ms", time.Until(req.deadline).Milliseconds(), "prompt", req.prompt.Tokens, "kept", a.CachedTokens,
+		"rank", req.enginePriority(), "route_rank", req.route.Priority, "left_ms", time.Until(req.deadline).Milliseconds(), "prompt", req.prompt.Tokens, "kept", a.CachedTokens,
 		"expected_ms", a.ExpectedDelay.Milliseconds(), "cost", a.Cost, "slowness", a.Slowness,
 		"running", a.Load.Running, "unread", a.Load.PrefillTokens, "candidates", a.Candidates)
 }
