Refuse less urgent requests before urgent ones under load

Cause: each request was admitted against its own latency target alone. Queues that the less urgent kind (1,500 ms) was admitted to were above the limit of the urgent kind (600 ms), so the urgent one was refused first. Ruled out: stale or missing reports (all peers, 100 ms old at most), learnt slowness (0.98 to 1.13), reserved engines. Change: a request is not refused at an expected delay at which a less urgent one was admitted in the last second or two; it moves to an examined server with such a delay if its cheapest one is worse. While over a twelfth of the recent urgent requests are late, less urgent ones are held back to queues in which those are on time. Instances report their recent requests by urgency to each other.

--- a/edge/balancer/admission.go
+++ b/edge/balancer/admission.go
@@ -3,7 +3,8 @@
 // If more long prompts arrive than the engines can process and all of them are
 // admitted, they are all late. The short prompts queued behind them are then
 // late too. So if a long prompt would be late anyway, the balancer refuses it
-// at once and names a time after which to retry.
+// at once and names a time after which to retry. The file urgency.go decides which
+// prompts are refused first.
 
 import (
 	"time"
@@ -47,8 +48,10 @@
 
 // Admit decides whether to make the attempt that was chosen for a request. If
 // the attempt should be made, the reason is outcome.ReasonNone. Otherwise Admit
-// returns the reason for the refusal and the Retry-After time.
-func (b *Balancer) Admit(r Request, a Attempt, now time.Time) (outcome.Reason, time.Duration) {
+// returns the reason for the refusal and the Retry-After time. Admit may replace the
+// attempt by one at another server, rather than refuse a request while less urgent ones
+// are admitted.
+func (b *Balancer) Admit(r Request, a *Attempt, now time.Time) (outcome.Reason, time.Duration) {
 	if b.probing(a.Server.DataCentre, now) {
 		// The chosen server is the cheapest, and it is in an unreachable data
 		// centre. So all other servers are in unreachable data centres too. A
@@ -60,23 +63,91 @@
 	if !r.Service.IsEngine() || r.LatencyTarget <= 0 {
 		return outcome.ReasonNone, 0
 	}
-	if prefillMillis(r.PromptTokens-a.CachedTokens) < minRefusalPrefillMillis {
+	limits := b.delayLimitsFor(r, now)
+	a.HeldBackFor, a.AdmittedDelay = limits.heldBackFor, limits.admittedDelay
+	b.recordUrgency(r, limits.own.exceededBy(r, a), now)
+	if !limits.refuse(r, a) || limits.moveToAdmittingServer(r, a) {
+		b.recordAdmittedDelay(r, a.delay(), now)
 		return outcome.ReasonNone, 0
 	}
-	expected := a.delay()
-	limit := time.Duration(refusalDelayFraction * float64(r.LatencyTarget))
-	backlog := prefillMillis(a.Load.PrefillTokens) * a.Slowness
-	if expected <= limit || targetRatio(backlog, r.LatencyTarget) < refusalBacklogFraction {
-		return outcome.ReasonNone, 0
+	if limits.heldBack.exceededBy(r, a) {
+		return outcome.HeldBack, b.overloadRetryAfter(r, a, limits.heldBack)
 	}
-	if a.FastestDelay > limit && r.TimeLeft > 0 {
+	return outcome.Infeasible, b.overloadRetryAfter(r, a, limits.own)
+}
+
+// overloadRetryAfter returns the Retry-After time of a request whose queue exceeds the
+// given limit.
+func (b *Balancer) overloadRetryAfter(r Request, a *Attempt, exceeded queueLimit) time.Duration {
+	if a.FastestDelay > exceeded.delay && r.TimeLeft > 0 {
 		// The request would be late at every server because of their queues.
 		// The Retry-After time is about the longest time that a caller waits:
 		// see maxWaitFraction.
-		return outcome.Infeasible, b.jitter(time.Duration(maxWaitFraction * (1 - retryAfterJitter/2) * float64(r.TimeLeft)))
+		return b.jitter(time.Duration(maxWaitFraction * (1 - retryAfterJitter/2) * float64(r.TimeLeft)))
+	}
+	return b.jitter(min(max(a.delay()-r.LatencyTarget/2, minRetryAfter), maxRetryAfter))
+}
+
+// queueLimit is the longest queue to which a long prompt is admitted. A queue exceeds it
+// if both the request's expected delay and the prefill of the prompts ahead of it are too
+// long. The zero value is no limit.
+type queueLimit struct{ delay, backlog time.Duration }
+
+func (l queueLimit) exceededBy(r Request, a *Attempt) bool {
+	if l.delay <= 0 || prefillMillis(r.PromptTokens-a.CachedTokens) < minRefusalPrefillMillis {
+		return false
+	}
+	return a.delay() > l.delay && a.backlog() >= l.backlog
+}
+
+// delayLimits are the limits that apply to one request.
+type delayLimits struct {
+	// own follows from the request's latency target, heldBack from that of more urgent
+	// requests that are late.
+	own, heldBack queueLimit
+	// No request is refused at a delay up to admittedDelay of the rules.
+	urgencyRules
+}
+
+// delayLimitsFor returns the limits for a request.
+func (b *Balancer) delayLimitsFor(r Request, now time.Time) delayLimits {
+	rules := b.urgencyRulesFor(r, now)
+	return delayLimits{
+		own:          newQueueLimit(r.LatencyTarget, refusalDelayFraction, refusalBacklogFraction),
+		heldBack:     newQueueLimit(rules.heldBackFor, heldBackDelayFraction, heldBackBacklogFraction),
+		urgencyRules: rules,
+	}
+}
+
+// newQueueLimit returns a limit at the given fractions of a latency target.
+func newQueueLimit(target time.Duration, delayFraction, backlogFraction float64) queueLimit {
+	return queueLimit{delay: time.Duration(delayFraction * float64(target)), backlog: time.Duration(backlogFraction * float64(target))}
+}
+
+func (l delayLimits) refuse(r Request, a *Attempt) bool {
+	return (l.own.exceededBy(r, a) || l.heldBack.exceededBy(r, a)) && a.delay() > l.admittedDelay
+}
+
+// moveToAdmittingServer replaces the attempt by the cheapest one at an examined server
+// that admits the request. It returns false if there is none, or if no less urgent
+// requests are being admitted: then a prompt is not prefilled again at another server.
+func (l delayLimits) moveToAdmittingServer(r Request, a *Attempt) bool {
+	if l.admittedDelay == 0 {
+		return false
+	}
+	best := -1
+	for i := range a.examined {
+		if other := &a.examined[i]; !l.refuse(r, other) && (best < 0 || other.Cost < a.examined[best].Cost) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return false
 	}
-	wait := min(max(expected-r.LatencyTarget/2, minRetryAfter), maxRetryAfter)
-	return outcome.Infeasible, b.jitter(wait)
+	fastest := a.FastestDelay
+	*a = a.examined[best]
+	a.FastestDelay = fastest
+	return true
 }
 
 // jitter returns wait multiplied by a random factor that differs from 1 by at
--- a/edge/balancer/admission_test.go
+++ b/edge/balancer/admission_test.go
@@ -18,7 +18,7 @@
 	admitted := 0
 	for range 20 {
 		a, _ := balancer.Choose(long, newServers("a"), startTime)
-		reason, retryAfter := balancer.Admit(long, a, startTime)
+		reason, retryAfter := balancer.Admit(long, &a, startTime)
 		if reason != outcome.ReasonNone {
 			if retryAfter < minRetryAfter/2 || retryAfter > 2*maxRetryAfter {
 				t.Errorf("got a Retry-After time of %v, want between half of minRetryAfter and twice maxRetryAfter", retryAfter)
@@ -34,11 +34,11 @@
 		t.Errorf("%d long prompts were admitted before the first refusal, want 3 to 5", admitted)
 	}
 	a, _ := balancer.Choose(short, newServers("a"), startTime)
-	if reason, _ := balancer.Admit(short, a, startTime); reason != outcome.ReasonNone {
+	if reason, _ := balancer.Admit(short, &a, startTime); reason != outcome.ReasonNone {
 		t.Error("a short prompt was refused, want it admitted since it needs almost no prefill time")
 	}
 	a, _ = balancer.Choose(long, newServers("a", "b"), startTime)
-	if reason, _ := balancer.Admit(long, a, startTime); reason != outcome.ReasonNone || a.Server.ID != "b" {
+	if reason, _ := balancer.Admit(long, &a, startTime); reason != outcome.ReasonNone || a.Server.ID != "b" {
 		t.Error("a long prompt was refused or sent to busy server a, want it admitted at idle server b")
 	}
 }
@@ -54,7 +54,7 @@
 	shortest, longest := time.Hour, time.Duration(0)
 	for range 100 {
 		a, _ := balancer.Choose(long, newServers("a"), startTime)
-		reason, retryAfter := balancer.Admit(long, a, startTime)
+		reason, retryAfter := balancer.Admit(long, &a, startTime)
 		if reason != outcome.Infeasible {
 			// An admitted request has no Retry-After time to check. The
 			// failure text means that the request was admitted.
@@ -98,7 +98,7 @@
 	later := startTime.Add(time.Second)
 	admitted := func() bool {
 		a, _ := balancer.Choose(call, []catalog.BackendServer{remote}, later)
-		reason, _ := balancer.Admit(call, a, later)
+		reason, _ := balancer.Admit(call, &a, later)
 		return reason == outcome.ReasonNone
 	}
 	if !admitted() {
@@ -125,7 +125,7 @@
 	balancer := newBalancer()
 	huge := Request{Service: engineService, LatencyTarget: 600 * time.Millisecond, PromptTokens: 60000}
 	a, _ := balancer.Choose(huge, newServers("a"), startTime)
-	if reason, _ := balancer.Admit(huge, a, startTime); reason != outcome.ReasonNone {
+	if reason, _ := balancer.Admit(huge, &a, startTime); reason != outcome.ReasonNone {
 		t.Errorf("a huge prompt was refused with reason %v at an idle engine, want it admitted", reason)
 	}
 }
@@ -148,7 +148,7 @@
 	}
 	refusedRetryAfter := func() time.Duration {
 		a, _ := balancer.Choose(long, newServers("a", "b"), startTime)
-		reason, retryAfter := balancer.Admit(long, a, startTime)
+		reason, retryAfter := balancer.Admit(long, &a, startTime)
 		if a.Server.ID != "a" || reason != outcome.Infeasible {
 			t.Fatalf("got server %s with reason %v, want server a with reason infeasible", a.Server.ID, reason)
 		}
--- a/edge/balancer/balancer.go
+++ b/edge/balancer/balancer.go
@@ -30,6 +30,7 @@
 	peers       map[string]*peerReport
 	dataCentres map[string]*dataCentreState
 	summaries   map[string]dataCentreSummary
+	urgencies   map[urgencyKey]*urgencyStats
 	// instances is the number of instances that choose servers, including
 	// this one.
 	instances int
@@ -44,6 +45,7 @@
 		peers:       make(map[string]*peerReport),
 		dataCentres: make(map[string]*dataCentreState),
 		summaries:   make(map[string]dataCentreSummary),
+		urgencies:   make(map[urgencyKey]*urgencyStats),
 	}
 }
 
@@ -162,6 +164,8 @@
 	// number of these priorities. PriorityIndex is the number of those that are
 	// more urgent than the priority of the request.
 	PriorityIndex, PriorityLevels int
+	// Urgency depends on the organisation's priority too.
+	Urgency catalog.Urgency
 	// TimeLeft is how long the caller will still wait. It is zero if the caller
 	// set no time limit.
 	TimeLeft     time.Duration
@@ -202,10 +206,19 @@
 	Slowness float64
 	// OwnLoad is the part of Load that comes from this instance's requests.
 	OwnLoad Load
+	// HeldBackFor and AdmittedDelay are the rules between requests of different
+	// urgency that Admit applied: the latency target of more urgent requests that
+	// are late, and the longest expected delay to which less urgent requests were
+	// admitted a short time ago. Both are zero if there are no such requests.
+	HeldBackFor, AdmittedDelay time.Duration
 	// Candidates is the number of servers that were available to the request.
 	// This number includes servers that were not examined.
 	Candidates int
 
+	// examined holds the attempts at the servers that Choose examined, without those
+	// that are reserved for more urgent requests and those in suspected data centres.
+	// It is nil in these attempts.
+	examined []Attempt
 	// prefillTokens is the number that the attempt added to PrefillTokens of
 	// the server's load. memoryTokens is the number that the attempt added to
 	// MemoryTokens of this load.
@@ -221,10 +234,15 @@
 // delay returns the expected delay multiplied by the server's slowness.
 func (a *Attempt) delay() time.Duration { return time.Duration(float64(a.ExpectedDelay) * a.Slowness) }
 
+// backlog returns the expected time to prefill the prompts that are queued at the server.
+func (a *Attempt) backlog() time.Duration {
+	return time.Duration(prefillMillis(a.Load.PrefillTokens) * a.Slowness * float64(time.Millisecond))
+}
+
 // BeginAttempt records that the attempt is about to be sent.
 func (b *Balancer) BeginAttempt(a *Attempt, r Request, now time.Time) {
 	s := b.serverState(a.Key)
-	a.sentAt = now
+	a.sentAt, a.examined = now, nil
 	a.prefillTokens = max(r.PromptTokens-a.CachedTokens, 0)
 	b.stateOf(a.Server.DataCentre).running++
 	s.localLoad.Running++
--- a/edge/balancer/choose.go
+++ b/edge/balancer/choose.go
@@ -107,6 +107,7 @@
 	sample := b.sample(len(candidates), func(i int) bool { return reserved.reservedFor(i, r.PriorityIndex) })
 	best := -1
 	var fastest time.Duration
+	var examined []Attempt
 	for i := range attempts {
 		a := &attempts[i]
 		hasLongestPrefix := maxCached > 0 && a.CachedTokens == maxCached
@@ -120,14 +121,19 @@
 		}
 		if reserved.excludes(i, r.PriorityIndex) {
 			a.Cost += reservedCost
-		} else if delay := a.delay(); fastest == 0 || delay < fastest {
-			fastest = delay
+		} else {
+			if !b.suspected(a.Server.DataCentre, now) {
+				examined = append(examined, *a)
+			}
+			if delay := a.delay(); fastest == 0 || delay < fastest {
+				fastest = delay
+			}
 		}
 		if best < 0 || a.Cost < attempts[best].Cost {
 			best = i
 		}
 	}
-	attempts[best].FastestDelay = fastest
+	attempts[best].FastestDelay, attempts[best].examined = fastest, examined
 	return attempts[best], true
 }
 
--- a/edge/balancer/peer_reports.go
+++ b/edge/balancer/peer_reports.go
@@ -40,6 +40,7 @@
 	receivedAt time.Time
 	dataCentre string
 	servers    map[uint64]ServerReport
+	urgencies  []UrgencyReport
 }
 
 // minReportedSends is a decayed number of attempts. A server without running
--- a/edge/balancer/replay_test.go
+++ b/edge/balancer/replay_test.go
@@ -34,7 +34,7 @@
 
 func (p balancerPolicy) choose(r Request, servers []catalog.BackendServer, now time.Time) (Attempt, outcome.Reason) {
 	a, _ := p.b.Choose(r, servers, now)
-	reason, _ := p.b.Admit(r, a, now)
+	reason, _ := p.b.Admit(r, &a, now)
 	return a, reason
 }
 func (p balancerPolicy) begin(a *Attempt, r Request, now time.Time) { p.b.BeginAttempt(a, r, now) }
@@ -254,7 +254,7 @@
 		instance := random.IntN(w.instances)
 		r := Request{
 			Service: catalog.Service{Name: "m", Slots: 64, MemoryTokens: 600_000, EventTokens: 4}, LatencyTarget: k.latencyTarget,
-			PriorityIndex: k.priorityIndex, PriorityLevels: 3, PromptTokens: k.sharedTokens + k.ownTokens,
+			PriorityIndex: k.priorityIndex, PriorityLevels: 3, Urgency: catalog.Urgency{RoutePriority: k.priorityIndex}, PromptTokens: k.sharedTokens + k.ownTokens,
 			PrefixBlocks: []PrefixBlock{{ID: prefixID, Tokens: k.sharedTokens}, {ID: ownID, Tokens: k.ownTokens}},
 		}
 		a, reason := policies[instance].choose(r, servers, now)
@@ -335,12 +335,13 @@
 	}
 	return replay(w, seed, policies, func(now time.Time) {
 		for i, sender := range balancers {
-			reports := sender.Reports(now)
+			reports, urgencyReports := sender.Reports(now), sender.UrgencyReports(now)
 			for j, receiver := range balancers {
 				if i == j || w.isUnreachable != nil && w.isUnreachable(i, j%4, now) {
 					continue
 				}
 				receiver.ReceiveReports(fmt.Sprint(i), fmt.Sprintf("dc%d", i%4), reports, now)
+				receiver.ReceiveUrgencyReports(fmt.Sprint(i), urgencyReports)
 				receiver.ExpireReports(now)
 			}
 		}
--- a/edge/catalog/urgency.go
+++ b/edge/catalog/urgency.go
@@ -14,13 +14,13 @@
 	RoutePriority        int
 }
 
-// compare returns a negative number if u is more urgent than o.
-func (u Urgency) compare(o Urgency) int {
+// Compare returns a negative number if u is more urgent than o.
+func (u Urgency) Compare(o Urgency) int {
 	return cmp.Or(cmp.Compare(u.OrganisationPriority, o.OrganisationPriority), cmp.Compare(u.RoutePriority, o.RoutePriority))
 }
 
-// urgencyOf returns the urgency of an organisation's requests on a route.
-func urgencyOf(r *Route, org Organisation) Urgency {
+// UrgencyOf returns the urgency of an organisation's requests on a route.
+func UrgencyOf(r *Route, org Organisation) Urgency {
 	u := Urgency{OrganisationPriority: r.Priority, RoutePriority: r.Priority}
 	if org.HasPriority {
 		u.OrganisationPriority = org.Priority
@@ -50,12 +50,12 @@
 		}
 		for _, target := range r.Targets {
 			for _, org := range callers {
-				levels[target.Service] = append(levels[target.Service], urgencyOf(r, org))
+				levels[target.Service] = append(levels[target.Service], UrgencyOf(r, org))
 			}
 		}
 	}
 	for service, list := range levels {
-		slices.SortFunc(list, Urgency.compare)
+		slices.SortFunc(list, Urgency.Compare)
 		levels[service] = slices.Compact(list)
 	}
 	return levels
@@ -66,6 +66,6 @@
 // distinct urgencies there are.
 func (s *Snapshot) UrgencyIndex(service string, r *Route, org Organisation) (index, levels int) {
 	ordered := s.urgencies[service]
-	index, _ = slices.BinarySearchFunc(ordered, urgencyOf(r, org), Urgency.compare)
+	index, _ = slices.BinarySearchFunc(ordered, UrgencyOf(r, org), Urgency.Compare)
 	return index, len(ordered)
 }
--- a/edge/gossip/message.go
+++ b/edge/gossip/message.go
@@ -42,6 +42,8 @@
 	// Summary is set if Reports holds sums over all instances of the sender's data
 	// centre. A summary may be split over several datagrams.
 	Summary bool `cbor:"13,keyasint,omitempty"`
+	// Urgencies are reports on the sender's recent requests. A summary has none.
+	Urgencies []balancer.UrgencyReport `cbor:"14,keyasint,omitempty"`
 }
 
 // errMalformed reports data from a peer that could not be decoded.
--- a/edge/gossip/node.go
+++ b/edge/gossip/node.go
@@ -36,10 +36,10 @@
 	Address netip.AddrPort
 	Seeds   []netip.AddrPort
 	Catalog *catalog.Catalog
-	// Reports returns this instance's reports on the servers. ReceiveReports is called
-	// with the reports of a peer.
-	Reports        func(now time.Time) []balancer.ServerReport
-	ReceiveReports func(peer, dataCentre string, reports []balancer.ServerReport, now time.Time)
+	// Reports returns this instance's reports. ReceiveReports is called with the reports
+	// of a peer.
+	Reports        func(now time.Time) balancer.InstanceReports
+	ReceiveReports func(peer, dataCentre string, reports balancer.InstanceReports, now time.Time)
 	// Summary returns the sums of reports over this data centre's instances.
 	// ReceiveSummary is called with the sums of another data centre.
 	Summary        func(now time.Time) []balancer.ServerReport
@@ -190,11 +190,11 @@
 	complete := message{
 		Cluster: n.opts.Cluster, Name: n.opts.Name, Started: n.started, Sequence: n.sequence,
 		Address: n.opts.Address, Leaving: n.leaving, Revision: revision, ServersDigest: serversDigest,
-		Known: n.members.knownAddresses(n.sequence, maxKnown), Reports: reports, DataCentre: n.opts.DataCentre,
-		StoreAgeMs: storeAge.Milliseconds(),
+		Known: n.members.knownAddresses(n.sequence, maxKnown), Reports: reports.Servers, DataCentre: n.opts.DataCentre,
+		StoreAgeMs: storeAge.Milliseconds(), Urgencies: reports.Urgencies,
 	}
 	withoutReports := complete
-	withoutReports.Reports, withoutReports.Known = nil, n.members.knownAddresses(n.sequence, maxKnownRemote)
+	withoutReports.Reports, withoutReports.Urgencies, withoutReports.Known = nil, nil, n.members.knownAddresses(n.sequence, maxKnownRemote)
 	n.mu.Unlock()
 	n.sendAll(complete, recipients.complete)
 	n.sendAll(withoutReports, recipients.withoutReports)
@@ -276,6 +276,6 @@
 	if becameLive {
 		n.opts.Log.Info("peer became live", "peer", m.Name, "address", m.Address)
 	}
-	n.opts.ReceiveReports(m.Name, m.DataCentre, m.Reports, now)
+	n.opts.ReceiveReports(m.Name, m.DataCentre, balancer.InstanceReports{Servers: m.Reports, Urgencies: m.Urgencies}, now)
 	n.fetchIfBehind(*peer, m)
 }
--- a/edge/gossip/node_test.go
+++ b/edge/gossip/node_test.go
@@ -36,6 +36,7 @@
 	mu        sync.Mutex
 	reports   map[string][]balancer.ServerReport
 	summaries map[string][]balancer.ServerReport
+	urgencies map[string][]balancer.UrgencyReport
 	stop      context.CancelFunc
 	done      chan struct{}
 }
@@ -60,17 +61,22 @@
 	n := &testNode{
 		catalog: catalog.New(plainDecoder{}), storeAge: storeAge,
 		reports: make(map[string][]balancer.ServerReport), summaries: make(map[string][]balancer.ServerReport),
-		done: make(chan struct{}),
+		urgencies: make(map[string][]balancer.UrgencyReport),
+		done:      make(chan struct{}),
 	}
 	node, err := Listen(Options{
 		Name: name, DataCentre: dataCentre, Cluster: "test", Address: freeAddress(t), Seeds: seeds, Catalog: n.catalog,
-		Reports: func(time.Time) []balancer.ServerReport {
-			return []balancer.ServerReport{{Key: uint64(len(name)), Load: balancer.Load{Running: 3}, PrefixBlocks: []uint64{7}}}
+		Reports: func(time.Time) balancer.InstanceReports {
+			return balancer.InstanceReports{
+				Servers:   []balancer.ServerReport{{Key: uint64(len(name)), Load: balancer.Load{Running: 3}, PrefixBlocks: []uint64{7}}},
+				Urgencies: []balancer.UrgencyReport{{Service: 5, RoutePriority: 2, Requests: 100, Late: 50, Target: 600, LongestDelay: 400}},
+			}
 		},
-		ReceiveReports: func(peer, _ string, reports []balancer.ServerReport, _ time.Time) {
+		ReceiveReports: func(peer, _ string, reports balancer.InstanceReports, _ time.Time) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
-			n.reports[peer] = reports
+			n.reports[peer] = reports.Servers
+			n.urgencies[peer] = reports.Urgencies
 		},
 		Summary: func(time.Time) []balancer.ServerReport {
 			return []balancer.ServerReport{{Key: 99, Load: balancer.Load{Running: 12}}}
@@ -137,8 +143,8 @@
 	await(t, "reports of b at c", func() bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		r := c.reports["bb"]
-		return len(r) == 1 && r[0].Load.Running == 3 && len(r[0].PrefixBlocks) == 1 && r[0].PrefixBlocks[0] == 7
+		r, u := c.reports["bb"], c.urgencies["bb"]
+		return len(u) == 1 && u[0] == (balancer.UrgencyReport{Service: 5, RoutePriority: 2, Requests: 100, Late: 50, Target: 600, LongestDelay: 400}) && len(r) == 1 && r[0].Load.Running == 3 && len(r[0].PrefixBlocks) == 1 && r[0].PrefixBlocks[0] == 7
 	})
 }
 
--- a/edge/reverseproxy/handler.go
+++ b/edge/reverseproxy/handler.go
@@ -94,6 +94,7 @@
 		"server", a.Server.ID, "data_centre", a.Server.DataCentre, "prompt", req.prompt.Tokens, "kept", a.CachedTokens,
 		"expected_ms", a.ExpectedDelay.Milliseconds(), "fastest_ms", a.FastestDelay.Milliseconds(), "slowness", a.Slowness,
 		"running", a.Load.Running, "own_running", a.OwnLoad.Running, "unread", a.Load.PrefillTokens, "own_unread", a.OwnLoad.PrefillTokens,
+		"held_back_for_ms", a.HeldBackFor.Milliseconds(), "less_urgent_admitted_ms", a.AdmittedDelay.Milliseconds(),
 		"candidates", a.Candidates, "peers", o.reports.Peers, "summaries", o.reports.DataCentres, "oldest_report_ms", o.reports.Oldest.Milliseconds(),
 	}
 }
--- a/edge/reverseproxy/overload_test.go
+++ b/edge/reverseproxy/overload_test.go
@@ -19,7 +19,7 @@
 	for _, s := range f.catalog.Snapshot().Servers {
 		reports = append(reports, balancer.ServerReport{Key: balancer.ServerKey(s), Load: load})
 	}
-	f.handler.Selector.ReceiveReports("peer", "dc1", reports, time.Now())
+	f.handler.Selector.ReceiveReports("peer", "dc1", balancer.InstanceReports{Servers: reports}, time.Now())
 }
 
 // TestRefusalBecauseOfLoadIsExplained checks that the log line of such a refusal
@@ -34,7 +34,7 @@
 	f.expectStatus(f.do(r), 503)
 	for _, want := range []string{
 		`"reason":"infeasible"`, `"route":"stream"`, `"rank":`, `"route_rank":3`, `"objective_ms":300`, `"server":"i-0"`, `"prompt":17000`,
-		`"unread":1000000`, `"own_unread":0`, `"candidates":1`, `"peers":1`, `"oldest_report_ms":`, `"fastest_ms":`,
+		`"unread":1000000`, `"own_unread":0`, `"candidates":1`, `"peers":1`, `"oldest_report_ms":`, `"fastest_ms":`, `"held_back_for_ms":0`, `"less_urgent_admitted_ms":0`,
 	} {
 		if !strings.Contains(lines.String(), want) {
 			t.Errorf("the log lacks %s: %s", want, lines.String())
--- a/edge/reverseproxy/request.go
+++ b/edge/reverseproxy/request.go
@@ -212,6 +212,7 @@
 	for i, block := range req.prompt.PrefixBlocks {
 		r.PrefixBlocks[i] = balancer.PrefixBlock{ID: balancer.PrefixBlockKey(block.ID), Tokens: block.Tokens}
 	}
+	r.Urgency = catalog.UrgencyOf(req.route, req.org)
 	r.TimeLeft = time.Until(req.deadline)
 	r.PriorityIndex, r.PriorityLevels = s.PriorityIndex(req.service.Name, req.route.Priority)
 	return r
--- a/edge/reverseproxy/server_selector.go
+++ b/edge/reverseproxy/server_selector.go
@@ -61,7 +61,7 @@
 	if !ok {
 		return a, refuseNotRun(outcome.NoBackendServer, retrySoon)
 	}
-	if reason, retryAfter := s.balancer.Admit(r, a, now); reason != outcome.ReasonNone {
+	if reason, retryAfter := s.balancer.Admit(r, &a, now); reason != outcome.ReasonNone {
 		refused := refuseNotRun(reason, retryAfter)
 		refused.overload = &overloadDetails{attempt: a, reports: s.balancer.ReportsInUse(now)}
 		return a, refused
@@ -118,13 +118,12 @@
 	return b
 }
 
-// Reports returns this instance's reports about servers. The reports are sent to
-// the other instances.
-func (s *ServerSelector) Reports(now time.Time) []balancer.ServerReport {
+// Reports returns this instance's reports, which are sent to the other instances.
+func (s *ServerSelector) Reports(now time.Time) balancer.InstanceReports {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.balancer.ExpireReports(now)
-	return s.balancer.Reports(now)
+	return balancer.InstanceReports{Servers: s.balancer.Reports(now), Urgencies: s.balancer.UrgencyReports(now)}
 }
 
 // Summary returns reports about servers. Each report is a sum over this data
@@ -143,10 +142,11 @@
 }
 
 // ReceiveReports takes in the reports of another instance.
-func (s *ServerSelector) ReceiveReports(peer, dataCentre string, reports []balancer.ServerReport, now time.Time) {
+func (s *ServerSelector) ReceiveReports(peer, dataCentre string, reports balancer.InstanceReports, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.balancer.ReceiveReports(peer, dataCentre, reports, now)
+	s.balancer.ReceiveReports(peer, dataCentre, reports.Servers, now)
+	s.balancer.ReceiveUrgencyReports(peer, reports.Urgencies)
 }
 
 // HealthChanges returns the servers and data centres whose health changed since
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -101,6 +101,9 @@
 	ResponseMismatch
 	// ServerMoved means that the address now belongs to another server.
 	ServerMoved
+	// HeldBack means that the request was refused because more urgent requests are
+	// late.
+	HeldBack
 	reasonCount
 )
 
@@ -116,7 +119,7 @@
 	"server_refused", "server_unreachable", "stream_cut", "server_timeout",
 	"server_error", "preempted", "caller_left", "pool_pressure", "continued", "resumed",
 	"body_timeout", "key_completed", "key_unknown",
-	"unknown_route", "garbled", "server_moved",
+	"unknown_route", "garbled", "server_moved", "held_back",
 }
 
 // String returns the reason's name in metrics, logs and responses.
