Bound the header of a server's response

Callers: one server that sends bytes without end where a header is due made the instance read until the request's deadline; 1.4 GB in 7 s on loopback, far above the memory of an instance (184 MB and more), so that it would be killed with all its requests. Cause: http.ReadResponse has no limit of its own, and the connection gave it none. Change: the connection reads at most 64 KB while a header is due; then the attempt fails as one that may have run. Test: TestEndlessHeaderEndsTheAttempt (before: 270 MB to 1.5 GB read in 5 to 7 s; now it ends at 64 KB).

--- a/edge/backendclient/connection.go
+++ b/edge/backendclient/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -27,6 +28,8 @@
 type connection struct {
 	net    net.Conn
 	reader *bufio.Reader
+	// limit bounds how much reader reads while the header of a response is due.
+	limit *readLimit
 	// idleSince is when the last response ended. After that, the connection may be
 	// reused for the duration idleTimeout.
 	idleSince   time.Time
@@ -35,7 +38,31 @@
 }
 
 func newConnection(c net.Conn) *connection {
-	return &connection{net: c, reader: bufio.NewReaderSize(c, readBufferBytes)}
+	limit := &readLimit{reader: c, remaining: unlimited}
+	return &connection{net: c, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit}
+}
+
+// unlimited is the value of readLimit.remaining at which reads are not limited.
+const unlimited = -1
+
+// readLimit reads from a connection. It fails once remaining bytes were read, unless
+// remaining is unlimited.
+type readLimit struct {
+	reader    io.Reader
+	remaining int
+}
+
+// Read implements io.Reader.
+func (l *readLimit) Read(p []byte) (int, error) {
+	if l.remaining == unlimited {
+		return l.reader.Read(p)
+	}
+	if l.remaining == 0 {
+		return 0, errHeaderTooLarge
+	}
+	n, err := l.reader.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
 }
 
 // isOpenAndEmpty reports whether the connection is open and has no unread bytes.
--- a/edge/backendclient/send.go
+++ b/edge/backendclient/send.go
@@ -23,6 +23,9 @@
 	// maxMismatchedResponses is how many responses are read to find the one that
 	// belongs to the request.
 	maxMismatchedResponses = 3
+	// maxHeaderBytes bounds the header of a response, together with the part of the body
+	// that is read with it.
+	maxHeaderBytes = 64 << 10
 	// maxMismatchedBytes bounds the body of a skipped response.
 	maxMismatchedBytes = 1 << 20
 )
@@ -30,6 +33,9 @@
 // errMismatched reports a response that does not belong to the request.
 var errMismatched = errors.New("the server responded to another request")
 
+// errHeaderTooLarge reports a response whose header does not end within maxHeaderBytes.
+var errHeaderTooLarge = errors.New("the header of the response exceeds the size limit")
+
 // Counters counts the connections that a Client opened and reused, and the
 // responses that did not belong to their request.
 type Counters struct {
@@ -160,7 +166,9 @@
 func (r *Response) readHeader(req Request) error {
 	httpRequest := &http.Request{Method: req.Method}
 	for range maxMismatchedResponses {
+		r.conn.limit.remaining = maxHeaderBytes
 		resp, err := http.ReadResponse(r.conn.reader, httpRequest)
+		r.conn.limit.remaining = unlimited
 		if err != nil {
 			return err
 		}
--- a/edge/backendclient/send_test.go
+++ b/edge/backendclient/send_test.go
@@ -386,3 +386,40 @@
 		}
 	}
 }
+
+// TestEndlessHeaderEndsTheAttempt guards against a server that sends bytes without end
+// where the header is due, which would fill the instance's memory.
+func TestEndlessHeaderEndsTheAttempt(t *testing.T) {
+	for name, parts := range map[string][2]string{
+		"one line":    {"HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Long: ", "aaaaaaaaaaaaaaaa"},
+		"many lines":  {"HTTP/1.1 200 OK\r\nX-Id: 1\r\n", "X-More: aaaaaaaa\r\n"},
+		"no response": {"", "aaaaaaaaaaaaaaaa"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var sent atomic.Int64
+			s := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				readRequest(r)
+				chunk := []byte(parts[0])
+				for {
+					n, err := c.Write(chunk)
+					sent.Add(int64(n))
+					if err != nil {
+						return
+					}
+					chunk = []byte(strings.Repeat(parts[1], 4096))
+				}
+			})
+			startTime := time.Now()
+			_, err := NewClient(nil).Send(context.Background(), s.server(), newRequest("1"))
+			var sendError *engineclient.SendError
+			if !errors.As(err, &sendError) || sendError.NotStarted {
+				t.Errorf("got error %v, want a send error that does not say that the request was not started", err)
+			}
+			// The sockets' buffers hold several megabytes.
+			const maxDuration, maxSent = 2 * time.Second, 32 << 20
+			if elapsed := time.Since(startTime); elapsed > maxDuration || sent.Load() > maxSent {
+				t.Errorf("the attempt took %v and %d bytes, want at most %v and %d bytes", elapsed, sent.Load(), maxDuration, maxSent)
+			}
+		})
+	}
+}
