Bound the memory and the time that endless responses take

Callers: servers whose bodies never end made an instance hold 16 MB for each request that met one: 40 such requests took 730 to 767 MB of heap, where an instance has 184 MB and is killed with all its requests above that. A server that stated 'not run' with a body without end kept its caller until the deadline instead of going to another server. Cause: a limit for each response but none for all together; the refusal's body was read to its end or 16 MB, with the request's own deadline. Change: responses and events above 64 KB share an eighth of the instance's memory; one that finds none fails as one that may have run. The rest of a refusal is read for 50 ms and 64 KB at most, else its connection is closed.

--- a/edge/instance.go
+++ b/edge/instance.go
@@ -29,6 +29,9 @@
 	// memoryFraction is the fraction of the allowed memory that is set as the memory
 	// limit of the Go runtime.
 	memoryFraction = 0.7
+	// bufferFraction is the fraction of the allowed memory in which larger responses are
+	// held. Reading a response uses up to twice its size for a moment.
+	bufferFraction = 0.125
 	// heapGrowth is the garbage collector's GOGC value in percent. It is low because
 	// memory costs the operators more than processor time.
 	heapGrowth = 50
@@ -107,6 +110,7 @@
 	i.handler = reverseproxy.New(reverseproxy.Options{
 		Catalog: i.catalog, Selector: i.selector, Client: i.client, Metrics: i.metrics,
 		Successes: i.log.Successes, Failures: i.log.Failures, Stopping: i.stopping.Load,
+		BufferBytes: int64(bufferFraction * float64(s.MemoryBytes)),
 	})
 	if i.callerListener, err = net.Listen("tcp4", s.CallersAddress.String()); err != nil {
 		return errors.Wrap(err, "callers")
--- a/edge/reverseproxy/handler.go
+++ b/edge/reverseproxy/handler.go
@@ -37,13 +37,19 @@
 	// Stopping reports whether the instance is stopping. If it is, callers'
 	// connections are closed after the response.
 	Stopping func() bool
+	// BufferBytes bounds the memory in which the larger responses are held before they
+	// are passed on.
+	BufferBytes int64
 }
 
 // Handler serves callers' requests. It is safe for concurrent use.
-type Handler struct{ Options }
+type Handler struct {
+	Options
+	buffers *bufferBudget
+}
 
 // New returns a Handler with the given options.
-func New(o Options) *Handler { return &Handler{o} }
+func New(o Options) *Handler { return &Handler{Options: o, buffers: newBufferBudget(o.BufferBytes)} }
 
 // ServeHTTP forwards one caller's request to a backend server, or refuses it.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/edge/reverseproxy/retry.go
+++ b/edge/reverseproxy/retry.go
@@ -24,6 +24,13 @@
 // is forwarded.
 const maxResponseBytes = 16 << 20
 
+// refusalReadTimeout and maxRefusalBytes bound how long and how much of the body of a
+// server's refusal is read before the request goes on to another server.
+const (
+	refusalReadTimeout = 50 * time.Millisecond
+	maxRefusalBytes    = 64 << 10
+)
+
 // forwarder sends one request to servers until one of them responds or no
 // further attempt is allowed.
 type forwarder struct {
@@ -40,6 +47,8 @@
 	// serverError is the last 5xx response of a server. It is passed on to the
 	// caller if no further server gives a response.
 	serverError *wholeResponse
+	// wholeBody is the memory reserved for responses that are read whole.
+	wholeBody   reservation
 	lastFailure failure
 }
 
@@ -63,6 +72,8 @@
 func (f *forwarder) run(ctx context.Context) {
 	req := f.request
 	req.tried = make(map[string]bool)
+	f.wholeBody.budget = f.handler.buffers
+	defer f.wholeBody.release()
 	for {
 		a, refused := f.handler.beginAttempt(req)
 		if refused != nil {
@@ -247,9 +258,7 @@
 // relayResponse reads a server's response and passes it on to the caller.
 func (f *forwarder) relayResponse(response *backendclient.Response, a *balancer.Attempt) (bool, failure) {
 	if platform.StatesNotExecuted(response.Response) {
-		// Reading the rest of the refusal lets its connection be reused. If
-		// this read fails, only the connection is lost.
-		_, _ = io.Copy(io.Discard, io.LimitReader(response, maxResponseBytes))
+		discardRefusal(response)
 		if platform.StatesServerMoved(response.Response) {
 			return false, failure{reason: outcome.ServerMoved}
 		}
@@ -268,6 +277,16 @@
 	return f.relayWhole(response, a)
 }
 
+// discardRefusal reads the rest of a refusal, so that its connection can be reused. It
+// does not wait for long: if the rest does not come at once, the connection is closed.
+func discardRefusal(response *backendclient.Response) {
+	if err := response.SetReadDeadline(time.Now().Add(refusalReadTimeout)); err != nil {
+		return
+	}
+	// If this read fails, only the connection is lost.
+	_, _ = io.Copy(io.Discard, io.LimitReader(response, maxRefusalBytes))
+}
+
 // isFromBackendServer reports whether the header of a successful response has a server
 // stamp and no content encoding. Any other successful response does not count as a
 // backend server's response, and its attempt fails as outcome.ResponseMismatch.
@@ -277,13 +296,10 @@
 
 // relayWhole reads a response to its end before any of it is passed on.
 func (f *forwarder) relayWhole(response *backendclient.Response, a *balancer.Attempt) (bool, failure) {
-	body, err := io.ReadAll(io.LimitReader(response, maxResponseBytes+1))
+	body, err := f.wholeBody.readWhole(response, response.ContentLength, maxResponseBytes)
 	if err != nil {
 		return false, failure{reason: readErrorReason(err), mayHaveRun: true, err: err}
 	}
-	if len(body) > maxResponseBytes {
-		return false, failure{reason: outcome.ServerError, mayHaveRun: true, err: errors.New("the response body exceeds the size limit")}
-	}
 	f.handler.Selector.RecordFirstEvent(a)
 	whole := &wholeResponse{status: response.StatusCode, header: platform.ForwardedResponseHeader(response.Header), body: body, server: a.Server.ID}
 	if whole.status >= http.StatusInternalServerError {
--- a/edge/reverseproxy/stream_relay.go
+++ b/edge/reverseproxy/stream_relay.go
@@ -55,11 +55,14 @@
 // whole event has arrived.
 func (f *forwarder) relayStream(response *backendclient.Response, a *balancer.Attempt) (bool, failure) {
 	reader := bufio.NewReaderSize(response, eventBufferBytes)
+	buffered := reservation{budget: f.handler.buffers}
+	defer buffered.release()
 	for {
 		if err := response.SetReadDeadline(f.request.nextEventDeadline(time.Now())); err != nil {
 			return false, failure{reason: readErrorReason(err), mayHaveRun: true, err: err}
 		}
-		event, err := readEvent(reader)
+		buffered.release()
+		event, err := readEvent(reader, &buffered)
 		if err == io.EOF && len(event) == 0 {
 			return f.endStream(a)
 		}
@@ -123,9 +126,9 @@
 	return true, failure{}
 }
 
-// readEvent reads one event and the empty line that ends it. If the connection
-// ends within an event, the error is io.ErrUnexpectedEOF.
-func readEvent(r *bufio.Reader) ([]byte, error) {
+// readEvent reads one event and the empty line that ends it, and reserves memory for it.
+// If the connection ends within an event, the error is io.ErrUnexpectedEOF.
+func readEvent(r *bufio.Reader, buffered *reservation) ([]byte, error) {
 	var event []byte
 	for {
 		line, err := r.ReadSlice('\n')
@@ -142,6 +145,9 @@
 		if len(event) > maxEventBytes {
 			return nil, errors.New("an event exceeds the size limit")
 		}
+		if err := buffered.grow(cap(event)); err != nil {
+			return nil, err
+		}
 	}
 }
 
