Test that nothing is lost when all instances lose power at once

TestAllInstancesLosePowerAtOnce passed at once: instances that start while the store is down wait, then serve the last change acknowledged.

--- a/edge/instance_test.go
+++ b/edge/instance_test.go
@@ -185,6 +185,51 @@
 	await(t, "the second instance is ready", second.isReady)
 }
 
+// TestAllInstancesLosePowerAtOnce guards against state that only running instances hold: all
+// stop right after a change was acknowledged, and new ones start while the store is down.
+func TestAllInstancesLosePowerAtOnce(t *testing.T) {
+	store, server := newPlatform(t)
+	server.SetBehaviour(platformtest.Behaviour{Events: 2})
+	store.Put("config", "main", configurationText(1))
+	port := freePort(t, "127.0.0.2")
+	addresses := []string{"127.0.0.2", "127.0.0.3"}
+	var before []*testInstance
+	for _, ip := range addresses {
+		before = append(before, startInstance(t, ip, port, store.URL, 1))
+	}
+	for _, i := range before {
+		await(t, "ready before", i.isReady)
+		i.stop()
+	}
+	for _, i := range before {
+		<-i.done
+	}
+	store.Put("config", "main", configurationText(2))
+	store.FailWith(http.StatusServiceUnavailable)
+	var after []*testInstance
+	for _, ip := range addresses {
+		after = append(after, startInstance(t, ip, port, store.URL, 3))
+	}
+	time.Sleep(300 * time.Millisecond)
+	for _, i := range after {
+		if i.isReady() {
+			t.Error("an instance is ready although nobody could tell it the configuration")
+		}
+	}
+	store.FailWith(0)
+	for _, i := range after {
+		await(t, "ready after", i.isReady)
+		if got := i.catalog.Snapshot().Version; got != 2 {
+			t.Errorf("got version %d in force, want 2, the last one acknowledged", got)
+		}
+		resp, err := i.send(t, "after")
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("request after the loss: got %+v, error %v, want status 200", resp, err)
+		}
+		_ = resp.Body.Close()
+	}
+}
+
 // TestShutdownFinishesOpenRequests stops an instance while it serves a stream. The
 // stream must not be cut, and a request that arrives shortly after the stop must be
 // served.
