Hold less urgent requests back for late short prompts too

Cause: only long prompts counted as late for holding back, since only those can be refused. Test: TestLateShortPromptsHoldBackLessUrgent (before: admitted).

--- a/edge/balancer/admission.go
+++ b/edge/balancer/admission.go
@@ -65,7 +65,7 @@
 	}
 	limits := b.delayLimitsFor(r, now)
 	a.HeldBackFor, a.AdmittedDelay = limits.heldBackFor, limits.admittedDelay
-	b.recordUrgency(r, limits.own.exceededBy(r, a), now)
+	b.recordUrgency(r, limits.own.makesLate(a), now)
 	if !limits.refuse(r, a) || limits.moveToAdmittingServer(r, a) {
 		b.recordAdmittedDelay(r, a.delay(), now)
 		return outcome.ReasonNone, 0
@@ -93,11 +93,15 @@
 // long. The zero value is no limit.
 type queueLimit struct{ delay, backlog time.Duration }
 
+// makesLate reports whether the queue at the attempt's server exceeds the limit, whatever
+// the size of the prompt.
+func (l queueLimit) makesLate(a *Attempt) bool {
+	return l.delay > 0 && a.delay() > l.delay && a.backlog() >= l.backlog
+}
+
+// exceededBy reports whether the prompt is long and the queue exceeds the limit.
 func (l queueLimit) exceededBy(r Request, a *Attempt) bool {
-	if l.delay <= 0 || prefillMillis(r.PromptTokens-a.CachedTokens) < minRefusalPrefillMillis {
-		return false
-	}
-	return a.delay() > l.delay && a.backlog() >= l.backlog
+	return prefillMillis(r.PromptTokens-a.CachedTokens) >= minRefusalPrefillMillis && l.makesLate(a)
 }
 
 // delayLimits are the limits that apply to one request.
--- a/edge/balancer/urgency.go
+++ b/edge/balancer/urgency.go
@@ -67,8 +67,8 @@
 	return urgencyKey{service: xxhash.Sum64String(r.Service.Name) >> 32, urgency: r.Urgency}
 }
 
-// urgencyStats describes this instance's recent requests of one urgency. Only requests
-// that may be refused because of load count.
+// urgencyStats describes this instance's recent requests of one urgency. Short prompts
+// count too: they are never refused because of load, but may be late because of it.
 type urgencyStats struct {
 	// decayedAt is when decay was last called.
 	decayedAt time.Time
--- a/edge/balancer/urgency_test.go
+++ b/edge/balancer/urgency_test.go
@@ -111,3 +111,21 @@
 		t.Errorf("got server %s and reason %v, want the request admitted at server b", a.Server.ID, reason)
 	}
 }
+
+// TestLateShortPromptsHoldBackLessUrgent guards against short urgent prompts that are
+// admitted but late, behind less urgent ones that go on being admitted.
+func TestLateShortPromptsHoldBackLessUrgent(t *testing.T) {
+	balancer := newBalancer()
+	queue(balancer, map[string]int{"a": 20_000}, startTime)
+	short := Request{
+		Service: engineService, LatencyTarget: 300 * time.Millisecond, PromptTokens: 1400, Urgency: catalog.Urgency{OrganisationPriority: 1},
+	}
+	for range 10 {
+		if _, reason := chooseAndAdmit(balancer, short, startTime, "a"); reason != outcome.ReasonNone {
+			t.Fatalf("a short prompt: got reason %v, want it admitted", reason)
+		}
+	}
+	if _, reason := chooseAndAdmit(balancer, lessUrgentPrompt, startTime, "a"); reason != outcome.HeldBack {
+		t.Errorf("while short urgent prompts are late: got reason %v for a less urgent one, want held_back", reason)
+	}
+}
