Mix the revision into the digest of server records

Multiplying mixes nothing across records: the differences are small multiples that cancel, so that two servers leaving at once can leave the digest as it was, and peers learn of both only with the next change. Change: each record's share is mixed after the revision comes in. The mixing function of config and that of rendezvous were copies; now there is one, rendezvous.Mix. Tests, both failed before: TestSimultaneousChangesChangeDigest, TestTwoServersLeavingAtOnceReachPeer (never heard of). Instances of both versions beside each other disagree about the digest: each fetches the other's records once per change and finds nothing new, as after a lost datagram.

--- a/config/records.go
+++ b/config/records.go
@@ -4,6 +4,7 @@
 	"strings"
 
 	"bergamotpin.example/bergamotpin/api"
+	"bergamotpin.example/bergamotpin/rendezvous"
 )
 
 // ResourceKey identifies a resource by its kind and name.
@@ -115,14 +116,7 @@
 			h = (h ^ uint64(text[i])) * fnvPrime
 		}
 	}
-	return mixBits(h)
-}
-
-// mixBits returns a hash of h in which each input bit affects all output bits.
-func mixBits(h uint64) uint64 {
-	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
-	h = (h ^ h>>27) * 0x94d049bb133111eb
-	return h ^ h>>31
+	return rendezvous.Mix(h)
 }
 
 func bucketOf(k ResourceKey) int { return int(hashKey(k) % Buckets) }
@@ -135,6 +129,6 @@
 		return 0
 	}
 	h := hashKey(r.Key)
-	h = mixBits(h ^ uint64(r.Accepted))
-	return mixBits(h ^ uint64(r.Rejected))
+	h = rendezvous.Mix(h ^ uint64(r.Accepted))
+	return rendezvous.Mix(h ^ uint64(r.Rejected))
 }
--- a/edge/catalog/catalog.go
+++ b/edge/catalog/catalog.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"bergamotpin.example/bergamotpin/rendezvous"
 )
 
 // tombstoneRetention is how long the record of a deleted server is kept, so that
@@ -246,8 +248,7 @@
 	if r.Deleted || r.Revision == 0 {
 		return 0
 	}
-	h := xxhash.New()
-	// Writing to a hash never fails.
-	_, _ = h.WriteString(r.Name)
-	return (h.Sum64() ^ uint64(r.Revision)) * 0x9e3779b97f4a7c15
+	// The hash must be mixed after the revision comes in: the differences between plain
+	// sums are small numbers, which cancel when several records change at once.
+	return rendezvous.Mix(xxhash.Sum64String(r.Name) ^ rendezvous.Mix(uint64(r.Revision)))
 }
--- a/edge/catalog/catalog_test.go
+++ b/edge/catalog/catalog_test.go
@@ -220,6 +220,36 @@
 	}
 }
 
+// TestSimultaneousChangesChangeDigest guards against changes that cancel out in the digest:
+// peers compare only digests, and would miss them until the next change.
+func TestSimultaneousChangesChangeDigest(t *testing.T) {
+	// With a digest of 64 bits, a collision in so many draws is out of question.
+	const draws = 1_000_000
+	random := rand.New(rand.NewPCG(16, 1))
+	for _, changes := range []int{2, 3, 10} {
+		collisions := 0
+		for range draws / changes {
+			var difference uint64
+			// The store's revision counter rises by one with each change.
+			revision := int64(8 + random.IntN(24))
+			for range changes {
+				name := fmt.Sprintf("i-%010x", random.Uint64N(1<<40))
+				before := Record{Kind: KindServer, Name: name, Revision: 1 + int64(random.IntN(8))}
+				after := before
+				revision++
+				after.Revision = revision
+				difference += recordHash(after) - recordHash(before)
+			}
+			if difference == 0 {
+				collisions++
+			}
+		}
+		if collisions > 0 {
+			t.Errorf("%d simultaneous changes: %d of %d left the digest as it was, want none", changes, collisions, draws/changes)
+		}
+	}
+}
+
 func TestLongestPathPrefixWins(t *testing.T) {
 	s := newSnapshot()
 	s.setConfiguration(Configuration{Routes: []Route{
--- a/edge/gossip/node_test.go
+++ b/edge/gossip/node_test.go
@@ -23,8 +23,8 @@
 	return c, json.Unmarshal(spec, &c.Version)
 }
 
-func (plainDecoder) Server(id string, _ []byte) (catalog.BackendServer, error) {
-	return catalog.BackendServer{ID: id, Service: "m"}, nil
+func (plainDecoder) Server(id string, spec []byte) (catalog.BackendServer, error) {
+	return catalog.BackendServer{ID: id, Service: "m", Leaving: string(spec) == "leaving"}, nil
 }
 
 // testNode is a running Node that records what it receives.
@@ -148,6 +148,31 @@
 	})
 }
 
+// TestTwoServersLeavingAtOnceReachPeer guards against changes that cancel out in the digest
+// that peers compare: these two did.
+func TestTwoServersLeavingAtOnceReachPeer(t *testing.T) {
+	a := startNode(t, "a", 0)
+	b := startNode(t, "b", time.Hour, a.opts.Address)
+	await(t, "two live instances", func() bool { return a.live() == 2 && b.live() == 2 })
+	a.catalog.Merge([]catalog.Record{
+		configurationRecord(1),
+		{Kind: catalog.KindServer, Name: "i-9046ff59e0", Revision: 6},
+		{Kind: catalog.KindServer, Name: "i-9e16b79e8c", Revision: 3},
+	}, time.Now())
+	available := func() int { return len(b.catalog.Snapshot().AvailableServers("m", time.Now())) }
+	await(t, "both servers at the peer", func() bool { return available() == 2 })
+	a.catalog.Merge([]catalog.Record{
+		{Kind: catalog.KindServer, Name: "i-9046ff59e0", Revision: 16, Spec: []byte("leaving")},
+		{Kind: catalog.KindServer, Name: "i-9e16b79e8c", Revision: 17, Spec: []byte("leaving")},
+	}, time.Now())
+	startTime := time.Now()
+	await(t, "the peer knows that both leave", func() bool { return available() == 0 })
+	// A leaving server must get no requests 2 s later; half of that is for the store.
+	if elapsed := time.Since(startTime); elapsed > time.Second {
+		t.Errorf("the peer knew after %v, want at most 1 s", elapsed)
+	}
+}
+
 // TestRecordsReachInstanceWithoutStore merges records into the catalog of one
 // instance only. The other instance, which gets no response from the store, has to
 // fetch them.
--- a/rendezvous/compare_test.go
+++ b/rendezvous/compare_test.go
@@ -79,7 +79,7 @@
 	}
 	out := make([]int, len(pools))
 	for i, p := range pools {
-		key := mix(p.hash())
+		key := Mix(p.hash())
 		for n := range ids {
 			if ids[n]^key < ids[out[i]]^key {
 				out[i] = n
--- a/rendezvous/rendezvous.go
+++ b/rendezvous/rendezvous.go
@@ -15,7 +15,7 @@
 }
 
 func (p Pool) hash() uint64 {
-	return mix(xxhash.Sum64String(p.Model)) ^ xxhash.Sum64String(p.DataCentre)
+	return Mix(xxhash.Sum64String(p.Model)) ^ xxhash.Sum64String(p.DataCentre)
 }
 
 // Order returns the indexes of names in the pool's rendezvous order. The first
@@ -55,8 +55,8 @@
 	return Weight(key, xxhash.Sum64String(name))
 }
 
-// mix is a finaliser for 64-bit hashes: each input bit affects all output bits.
-func mix(x uint64) uint64 {
+// Mix is a finaliser for 64-bit hashes: each input bit affects all output bits.
+func Mix(x uint64) uint64 {
 	x ^= x >> 30
 	x *= 0xbf58476d1ce4e5b9
 	x ^= x >> 27
@@ -66,4 +66,4 @@
 
 // Weight returns the rendezvous weight of a name for a key. Both parameters are
 // hashes. The name with the highest weight comes first in the key's order.
-func Weight(key, name uint64) uint64 { return mix(key ^ mix(name)) }
+func Weight(key, name uint64) uint64 { return Mix(key ^ Mix(name)) }
