--- a/edge/balancer/admission.go
+++ b/edge/balancer/admission.go
@@ -64,12 +64,12 @@
 		return outcome.ReasonNone, 0
 	}
 	limits := b.delayLimitsFor(r, now)
-	a.HeldBackFor, a.AdmittedDelay = limits.heldBackFor, limits.admittedDelay
 	b.recordUrgency(r, limits.own.makesLate(a), now)
 	if !limits.refuse(r, a) || limits.moveToAdmittingServer(r, a) {
 		b.recordAdmittedDelay(r, a.delay(), now)
 		return outcome.ReasonNone, 0
 	}
+	a.HeldBackFor, a.AdmittedDelay = limits.heldBackFor, limits.admittedDelay
 	if limits.heldBack.exceededBy(r, a) {
 		return outcome.HeldBack, b.overloadRetryAfter(r, a, limits.heldBack)
 	}
@@ -128,6 +128,7 @@
 	return queueLimit{delay: time.Duration(delayFraction * float64(target)), backlog: time.Duration(backlogFraction * float64(target))}
 }
 
+// refuse reports whether the request is refused at the attempt's server.
 func (l delayLimits) refuse(r Request, a *Attempt) bool {
 	return (l.own.exceededBy(r, a) || l.heldBack.exceededBy(r, a)) && a.delay() > l.admittedDelay
 }
@@ -139,17 +140,17 @@
 	if l.admittedDelay == 0 {
 		return false
 	}
-	best := -1
-	for i := range a.examined {
-		if other := &a.examined[i]; !l.refuse(r, other) && (best < 0 || other.Cost < a.examined[best].Cost) {
-			best = i
+	var best *Attempt
+	for _, other := range a.examined {
+		if !l.refuse(r, other) && (best == nil || other.Cost < best.Cost) {
+			best = other
 		}
 	}
-	if best < 0 {
+	if best == nil {
 		return false
 	}
 	fastest := a.FastestDelay
-	*a = a.examined[best]
+	*a = *best
 	a.FastestDelay = fastest
 	return true
 }
--- a/edge/balancer/balancer.go
+++ b/edge/balancer/balancer.go
@@ -207,9 +207,10 @@
 	// OwnLoad is the part of Load that comes from this instance's requests.
 	OwnLoad Load
 	// HeldBackFor and AdmittedDelay are the rules between requests of different
-	// urgency that Admit applied: the latency target of more urgent requests that
-	// are late, and the longest expected delay to which less urgent requests were
-	// admitted a short time ago. Both are zero if there are no such requests.
+	// urgency by which Admit refused the request: the latency target of more urgent
+	// requests that are late, and the longest expected delay to which less urgent
+	// requests were admitted a short time ago. Both are zero if there are no such
+	// requests, or if the request was not refused.
 	HeldBackFor, AdmittedDelay time.Duration
 	// Candidates is the number of servers that were available to the request.
 	// This number includes servers that were not examined.
@@ -218,7 +219,7 @@
 	// examined holds the attempts at the servers that Choose examined, without those
 	// that are reserved for more urgent requests and those in suspected data centres.
 	// It is nil in these attempts.
-	examined []Attempt
+	examined []*Attempt
 	// prefillTokens is the number that the attempt added to PrefillTokens of
 	// the server's load. memoryTokens is the number that the attempt added to
 	// MemoryTokens of this load.
--- a/edge/balancer/choose.go
+++ b/edge/balancer/choose.go
@@ -107,7 +107,7 @@
 	sample := b.sample(len(candidates), func(i int) bool { return reserved.reservedFor(i, r.PriorityIndex) })
 	best := -1
 	var fastest time.Duration
-	var examined []Attempt
+	var examined []*Attempt
 	for i := range attempts {
 		a := &attempts[i]
 		hasLongestPrefix := maxCached > 0 && a.CachedTokens == maxCached
@@ -123,7 +123,7 @@
 			a.Cost += reservedCost
 		} else {
 			if !b.suspected(a.Server.DataCentre, now) {
-				examined = append(examined, *a)
+				examined = append(examined, a)
 			}
 			if delay := a.delay(); fastest == 0 || delay < fastest {
 				fastest = delay
@@ -133,8 +133,9 @@
 			best = i
 		}
 	}
-	attempts[best].FastestDelay, attempts[best].examined = fastest, examined
-	return attempts[best], true
+	chosen := attempts[best]
+	chosen.FastestDelay, chosen.examined = fastest, examined
+	return chosen, true
 }
 
 // estimateCost sets the attempt's expected delay and cost. It leaves out the
