--- a/edge/gossip/node_test.go
+++ b/edge/gossip/node_test.go
@@ -283,9 +283,9 @@
 }
 
 // TestMessageSize logs the size of a datagram, for docs/CAPACITY.md, and checks that
-// reports on 22 servers fit into one datagram.
+// reports on 22 servers and six urgencies fit into one datagram.
 func TestMessageSize(t *testing.T) {
-	bytesFor := func(servers int) int {
+	bytesFor := func(servers, urgencies int) int {
 		m := message{
 			Cluster: "10.200.1.7:8223", Name: "edge-ro-central-a-1", DataCentre: "ro-central-a", Started: time.Now().UnixNano(),
 			Sequence: 1000, Address: netip.MustParseAddrPort("10.1.0.40:7340"), Revision: 50, ServersDigest: 1 << 60, StoreAgeMs: 300,
@@ -296,16 +296,21 @@
 				Sends: 250, Failures: 3, ExpectedDelay: 40, ObservedDelay: 45, PrefixBlocks: []uint64{1 << 30},
 			})
 		}
+		for range urgencies {
+			m.Urgencies = append(m.Urgencies, balancer.UrgencyReport{
+				Service: 1 << 31, OrganisationPriority: 1, RoutePriority: 2, Requests: 2000, Late: 300, Target: 1500, LongestDelay: 1200,
+			})
+		}
 		raw, err := encode(m)
 		if err != nil {
 			t.Fatal(err)
 		}
 		return len(raw)
 	}
-	none, ten := bytesFor(0), bytesFor(10)
-	t.Logf("%d bytes without reports, %.1f more per server", none, float64(ten-none)/10)
-	if perServer := (ten - none) / 10; none+22*perServer > maxDatagramBytes {
-		t.Errorf("a datagram has %d bytes without reports and %d more per server, want at most 1400 bytes with reports on 22 servers", none, perServer)
+	none, ten, urgencies := bytesFor(0, 0), bytesFor(10, 0), bytesFor(0, 6)
+	t.Logf("%d bytes without reports, %.1f more per server, %.1f more per urgency", none, float64(ten-none)/10, float64(urgencies-none)/6)
+	if perServer := (ten - none) / 10; urgencies+22*perServer > maxDatagramBytes {
+		t.Errorf("a datagram has %d bytes without servers and %d more per server, want at most 1400 bytes with reports on 22 servers", urgencies, perServer)
 	}
 }
 
