Bound the header of an engine's response in serve too

Callers of serve: a header without end was read up to net/http's default of 10 MB for each request that met it.

--- a/engineclient/client.go
+++ b/engineclient/client.go
@@ -23,6 +23,8 @@
 	maxIdlePerServer = 256
 	// cancelTimeout is the time limit of a cancel request.
 	cancelTimeout = 2 * time.Second
+	// maxHeaderBytes bounds the header of a response.
+	maxHeaderBytes = 64 << 10
 	// maxErrorBodyBytes is the number of bytes read from the body of an error
 	// response. Further bytes are ignored.
 	maxErrorBodyBytes = 64 << 10
@@ -85,10 +87,11 @@
 		dial = dialTCP
 	}
 	return &Client{transport: &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: maxIdlePerServer,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
+		DialContext:            dial,
+		MaxIdleConnsPerHost:    maxIdlePerServer,
+		IdleConnTimeout:        idleConnTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
 
