--- a/edge/reverseproxy/endless_test.go
+++ b/edge/reverseproxy/endless_test.go
@@ -61,6 +61,7 @@
 				}
 				wait.Wait()
 			})
+			t.Logf("the heap grew to %d MB", peak>>20)
 			if peak > smallestInstanceBytes {
 				t.Errorf("the heap grew to %d MB, want at most %d MB", peak>>20, smallestInstanceBytes>>20)
 			}
