--- /dev/null
+++ b/edge/caller_connection_test.go
@@ -0,0 +1,205 @@
+package edge
+
+import (
+	"bufio"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotpin.example/bergamotpin/platform"
+	"bergamotpin.example/bergamotpin/platform/platformtest"
+)
+
+// rawCaller is a caller that writes the bytes of its requests itself.
+type rawCaller struct {
+	t      *testing.T
+	conn   net.Conn
+	reader *bufio.Reader
+	sent   int
+}
+
+func newRawCaller(t *testing.T, address string) *rawCaller {
+	t.Helper()
+	conn, err := net.Dial("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return &rawCaller{t: t, conn: conn, reader: bufio.NewReader(conn)}
+}
+
+// nextRequest returns the bytes of a valid request without a body.
+func (c *rawCaller) nextRequest() string {
+	c.sent++
+	return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\n%s: raw-%d\r\n\r\n", platformtest.PathSafe, platformtest.Host, platform.HeaderRequestID, c.sent)
+}
+
+func (c *rawCaller) write(text string) {
+	c.t.Helper()
+	if _, err := c.conn.Write([]byte(text)); err != nil {
+		c.t.Errorf("write to the instance: %v", err)
+	}
+}
+
+// expectAnswer reads one response and expects the given status.
+func (c *rawCaller) expectAnswer(label string, status int) {
+	c.t.Helper()
+	if err := c.conn.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		c.t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		c.t.Fatalf("%s: got no response: %v", label, err)
+	}
+	defer resp.Body.Close()
+	body := make([]byte, 256)
+	n, _ := resp.Body.Read(body)
+	if resp.StatusCode != status {
+		c.t.Errorf("%s: got status %d with %q, want %d", label, resp.StatusCode, body[:n], status)
+	}
+}
+
+// expectEnd expects that the instance closes the connection without another byte.
+func (c *rawCaller) expectEnd(label string, within time.Duration) {
+	c.t.Helper()
+	if err := c.conn.SetReadDeadline(time.Now().Add(within)); err != nil {
+		c.t.Fatal(err)
+	}
+	_, err := c.reader.ReadByte()
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		c.t.Errorf("%s: got error %v, want the end of the connection", label, err)
+	}
+}
+
+// startServing starts an instance with a configuration and a backend server.
+func startServing(t *testing.T, graceSeconds int) *testInstance {
+	t.Helper()
+	store, _ := newPlatform(t)
+	store.Put("config", "main", configurationText(1))
+	i := startInstance(t, "127.0.0.2", freePort(t, "127.0.0.2"), store.URL, graceSeconds)
+	await(t, "ready", i.isReady)
+	return i
+}
+
+func (r *testInstance) callersAddress() string { return r.settings.Load().CallersAddress.String() }
+
+// awaitFirstBytes gives the instance time to read the bytes that were just written.
+func awaitFirstBytes() { time.Sleep(100 * time.Millisecond) }
+
+// TestIdleTimeoutDoesNotCloseConnectionWhoseRequestIsBeingRead guards against a request that ends without an answer because
+// its kept connection counted as idle until the whole header was read.
+func TestIdleTimeoutDoesNotCloseConnectionWhoseRequestIsBeingRead(t *testing.T) {
+	i := startServing(t, 3)
+	caller := newRawCaller(t, i.callersAddress())
+	caller.write(caller.nextRequest())
+	caller.expectAnswer("first request", http.StatusOK)
+	next := caller.nextRequest()
+	caller.write(next[:20])
+	awaitFirstBytes()
+	// A change of the configuration that shortens the idle timeout has this effect.
+	i.connections.closeIdle(time.Millisecond, time.Now().Add(time.Minute))
+	caller.write(next[20:])
+	caller.expectAnswer("request that was being read", http.StatusOK)
+}
+
+// TestIdleTimeoutClosesIdleConnection guards against connections that stay open for ever.
+func TestIdleTimeoutClosesIdleConnection(t *testing.T) {
+	i := startServing(t, 3)
+	caller := newRawCaller(t, i.callersAddress())
+	caller.write(caller.nextRequest())
+	caller.expectAnswer("first request", http.StatusOK)
+	awaitFirstBytes()
+	i.connections.closeIdle(time.Millisecond, time.Now().Add(time.Minute))
+	caller.expectEnd("idle connection", 2*time.Second)
+}
+
+// TestStopDoesNotCloseConnectionWhoseRequestIsBeingRead guards against a request that ends without an answer because a stop
+// closed its kept connection as idle.
+func TestStopDoesNotCloseConnectionWhoseRequestIsBeingRead(t *testing.T) {
+	i := startServing(t, 3)
+	caller := newRawCaller(t, i.callersAddress())
+	caller.write(caller.nextRequest())
+	caller.expectAnswer("first request", http.StatusOK)
+	next := caller.nextRequest()
+	caller.write(next[:20])
+	awaitFirstBytes()
+	i.stop()
+	await(t, "no longer ready", func() bool { return !i.isReady() })
+	caller.write(next[20:])
+	caller.expectAnswer("request that was being read", http.StatusOK)
+}
+
+// TestEndOfStopWaitsForRequestThatIsBeingRead guards against a stop that counts requests only from the end of their header on.
+func TestEndOfStopWaitsForRequestThatIsBeingRead(t *testing.T) {
+	i := startServing(t, 3)
+	caller := newRawCaller(t, i.callersAddress())
+	request := caller.nextRequest()
+	caller.write(request[:20])
+	awaitFirstBytes()
+	i.stop()
+	// The instance stops accepting connections a third of its grace period after the stop.
+	time.Sleep(1200 * time.Millisecond)
+	caller.write(request[20:])
+	caller.expectAnswer("request that was being read", http.StatusOK)
+}
+
+// TestStopEndsUnusedConnections guards against a stop that waits for callers that send nothing.
+func TestStopEndsUnusedConnections(t *testing.T) {
+	i := startServing(t, 6)
+	caller := newRawCaller(t, i.callersAddress())
+	awaitFirstBytes()
+	i.stop()
+	select {
+	case <-i.done:
+	case <-time.After(4 * time.Second):
+		t.Error("the instance did not stop within 4 s, want it not to wait for an unused connection")
+	}
+	caller.expectEnd("unused connection", time.Second)
+}
+
+// TestRequestThatWasPassedOnIsAnsweredBesideClosing guards against the same at random moments, down to single
+// microseconds: the closing of idle connections starts while a request arrives.
+func TestRequestThatWasPassedOnIsAnsweredBesideClosing(t *testing.T) {
+	const rounds = 2000
+	random := rand.New(rand.NewPCG(22, 1))
+	var handled atomic.Int64
+	i := &Instance{connections: newConnections()}
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = i.newCallerServer()
+	server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		handled.Add(1)
+		w.WriteHeader(http.StatusNoContent)
+	})
+	server.Start()
+	defer server.Close()
+	cut := 0
+	for range rounds {
+		caller := newRawCaller(t, server.Listener.Addr().String())
+		caller.write(caller.nextRequest())
+		caller.expectAnswer("first request", http.StatusNoContent)
+		before := handled.Load()
+		delay := time.Duration(random.IntN(60)) * time.Microsecond
+		go func() {
+			time.Sleep(delay)
+			i.connections.closeIdle(time.Nanosecond, time.Now().Add(time.Minute))
+		}()
+		// A failed write means that the connection was closed before: nothing was passed on.
+		_, _ = caller.conn.Write([]byte(caller.nextRequest()))
+		_, err := http.ReadResponse(caller.reader, nil)
+		_ = caller.conn.Close()
+		if err != nil && handled.Load() > before {
+			cut++
+		}
+	}
+	if cut > 0 {
+		t.Errorf("%d of %d requests were handled and got no answer, want none", cut, rounds)
+	}
+}
