Let the goroutine that reads a caller's connection decide whether it ends as idle

What callers saw: LOST. A request on a kept connection was passed on to a backend server, and the connection was closed with no answer: beside a stop, or beside a change of the configuration that shortens the idle timeout. Cause: the class is a decision on a stale belief, made by another goroutine than the one that knows. net/http counts a kept connection as idle until it has read the next request's whole header. SetKeepAlivesEnabled(false) and connections.closeIdle closed what counted as idle, the second after it had even let go of its lock; the end of a stop closed everything once no request counted as open. A change of the idle timeout makes many connections expire in one tick. Change: a caller's connection is wrapped. A byte that is read begins a request. Closing an idle connection only sets its read deadline 20 ms ahead; a byte that is read before cancels that, so the request is served. A stop no longer disables kept connections in net/http, it expires idle ones and says Connection: close in each response that begins from then on; it waits for connections from their first byte on, and for unused ones 250 ms. Ruled out: closing under the lock (the byte may already have been read); disabling keep-alives later (moves the gap only); a stale write deadline (net/http resets it). TestResponseThatBeginsAfterStopAnnouncesEndOfConnection holds what net/http did by itself before.

--- /dev/null
+++ b/edge/caller_connection.go
@@ -0,0 +1,115 @@
+package edge
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// callerConnection is a connection of a caller. A kept connection may be ended while it is
+// idle, but not while a request on it is being read. Only the goroutine that reads from the
+// connection knows whether a request has begun. So the connection is never closed from
+// outside: expire makes the pending read of an idle connection fail, and a read that
+// returned a byte before cancels this. The http.Server closes the connection when the read
+// has failed.
+type callerConnection struct {
+	net.Conn
+
+	mu    sync.Mutex
+	phase connectionPhase
+	// idleSince is when the connection became idle. It is zero in a connection that has
+	// not carried a request yet.
+	idleSince time.Time
+	// expiring is set while the read deadline is the one that expire has set, and not
+	// readDeadline, the last one that the http.Server has set.
+	expiring     bool
+	readDeadline time.Time
+}
+
+// connectionPhase is what a connection is used for.
+type connectionPhase uint8
+
+const (
+	// awaitingRequest means that no byte of the next request was read.
+	awaitingRequest connectionPhase = iota
+	// inRequest lasts from the first byte of a request to the end of its response.
+	inRequest
+)
+
+// Read implements net.Conn. A byte that arrives on an idle connection begins a request.
+func (c *callerConnection) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.beginRequest()
+	}
+	return n, err
+}
+
+func (c *callerConnection) beginRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase = inRequest
+	if !c.expiring {
+		return
+	}
+	c.expiring = false
+	// The error is ignored: if the connection is broken, the next read fails too.
+	_ = c.Conn.SetReadDeadline(c.readDeadline)
+}
+
+// endRequest records that the response has ended.
+func (c *callerConnection) endRequest(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.idleSince = awaitingRequest, now
+}
+
+// SetReadDeadline implements net.Conn. While the connection expires, the deadline takes
+// effect only if a request begins after all.
+func (c *callerConnection) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	if c.expiring {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// CloseWrite is used by the http.Server when it ends a connection with unread bytes.
+func (c *callerConnection) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// expire ends the connection at the given time, unless a byte of a request is read before.
+func (c *callerConnection) expire(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != awaitingRequest || c.expiring {
+		return
+	}
+	c.expiring = true
+	// The error is ignored: a broken connection ends by itself.
+	_ = c.Conn.SetReadDeadline(at)
+}
+
+// idleFor returns how long the connection has been idle. It returns false if a request is
+// being served, or if the connection has not carried a request yet.
+func (c *callerConnection) idleFor(now time.Time) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != awaitingRequest || c.idleSince.IsZero() {
+		return 0, false
+	}
+	return now.Sub(c.idleSince), true
+}
+
+// inRequest reports whether a request is being read or served.
+func (c *callerConnection) inRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase == inRequest
+}
--- a/edge/caller_connection_test.go
+++ b/edge/caller_connection_test.go
@@ -49,8 +49,9 @@
 	}
 }
 
-// expectAnswer reads one response and expects the given status.
-func (c *rawCaller) expectAnswer(label string, status int) {
+// expectAnswer reads one response, expects the given status and reports whether the
+// response announces the end of the connection.
+func (c *rawCaller) expectAnswer(label string, status int) (lastOne bool) {
 	c.t.Helper()
 	if err := c.conn.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
 		c.t.Fatal(err)
@@ -65,6 +66,7 @@
 	if resp.StatusCode != status {
 		c.t.Errorf("%s: got status %d with %q, want %d", label, resp.StatusCode, body[:n], status)
 	}
+	return resp.Close
 }
 
 // expectEnd expects that the instance closes the connection without another byte.
@@ -80,13 +82,13 @@
 }
 
 // startServing starts an instance with a configuration and a backend server.
-func startServing(t *testing.T, graceSeconds int) *testInstance {
+func startServing(t *testing.T, graceSeconds int) (*testInstance, *platformtest.BackendServer) {
 	t.Helper()
-	store, _ := newPlatform(t)
+	store, server := newPlatform(t)
 	store.Put("config", "main", configurationText(1))
 	i := startInstance(t, "127.0.0.2", freePort(t, "127.0.0.2"), store.URL, graceSeconds)
 	await(t, "ready", i.isReady)
-	return i
+	return i, server
 }
 
 func (r *testInstance) callersAddress() string { return r.settings.Load().CallersAddress.String() }
@@ -97,7 +99,7 @@
 // TestIdleTimeoutDoesNotCloseConnectionWhoseRequestIsBeingRead guards against a request that ends without an answer because
 // its kept connection counted as idle until the whole header was read.
 func TestIdleTimeoutDoesNotCloseConnectionWhoseRequestIsBeingRead(t *testing.T) {
-	i := startServing(t, 3)
+	i, _ := startServing(t, 3)
 	caller := newRawCaller(t, i.callersAddress())
 	caller.write(caller.nextRequest())
 	caller.expectAnswer("first request", http.StatusOK)
@@ -112,7 +114,7 @@
 
 // TestIdleTimeoutClosesIdleConnection guards against connections that stay open for ever.
 func TestIdleTimeoutClosesIdleConnection(t *testing.T) {
-	i := startServing(t, 3)
+	i, _ := startServing(t, 3)
 	caller := newRawCaller(t, i.callersAddress())
 	caller.write(caller.nextRequest())
 	caller.expectAnswer("first request", http.StatusOK)
@@ -124,7 +126,7 @@
 // TestStopDoesNotCloseConnectionWhoseRequestIsBeingRead guards against a request that ends without an answer because a stop
 // closed its kept connection as idle.
 func TestStopDoesNotCloseConnectionWhoseRequestIsBeingRead(t *testing.T) {
-	i := startServing(t, 3)
+	i, _ := startServing(t, 3)
 	caller := newRawCaller(t, i.callersAddress())
 	caller.write(caller.nextRequest())
 	caller.expectAnswer("first request", http.StatusOK)
@@ -137,9 +139,23 @@
 	caller.expectAnswer("request that was being read", http.StatusOK)
 }
 
+// TestResponseThatBeginsAfterStopAnnouncesEndOfConnection guards against callers that send their next request on a
+// connection that the stopping instance is about to close.
+func TestResponseThatBeginsAfterStopAnnouncesEndOfConnection(t *testing.T) {
+	i, server := startServing(t, 3)
+	server.SetBehaviour(platformtest.Behaviour{Delay: 200 * time.Millisecond})
+	caller := newRawCaller(t, i.callersAddress())
+	caller.write(caller.nextRequest())
+	await(t, "the request is at the server", func() bool { return len(server.Received()) > 0 })
+	i.stop()
+	if lastOne := caller.expectAnswer("request before the stop", http.StatusOK); !lastOne {
+		t.Error("the response does not announce the end of the connection, want it to")
+	}
+}
+
 // TestEndOfStopWaitsForRequestThatIsBeingRead guards against a stop that counts requests only from the end of their header on.
 func TestEndOfStopWaitsForRequestThatIsBeingRead(t *testing.T) {
-	i := startServing(t, 3)
+	i, _ := startServing(t, 3)
 	caller := newRawCaller(t, i.callersAddress())
 	request := caller.nextRequest()
 	caller.write(request[:20])
@@ -153,7 +169,7 @@
 
 // TestStopEndsUnusedConnections guards against a stop that waits for callers that send nothing.
 func TestStopEndsUnusedConnections(t *testing.T) {
-	i := startServing(t, 6)
+	i, _ := startServing(t, 6)
 	caller := newRawCaller(t, i.callersAddress())
 	awaitFirstBytes()
 	i.stop()
@@ -178,6 +194,7 @@
 		handled.Add(1)
 		w.WriteHeader(http.StatusNoContent)
 	})
+	server.Listener = i.connections.listen(server.Listener)
 	server.Start()
 	defer server.Close()
 	cut := 0
--- a/edge/connections.go
+++ b/edge/connections.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"log"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,8 +40,14 @@
 	// stops opening connections after two failed readiness checks, which are one second
 	// apart. The remaining time is a margin.
 	unreadyDelay = 2500 * time.Millisecond
-	// openPollInterval is how often the shutdown checks for open requests.
+	// openPollInterval is how often the shutdown checks for open connections.
 	openPollInterval = 20 * time.Millisecond
+	// idleGrace is how long an idle connection is still read from before it is closed, so
+	// that a request that has arrived by then is read. unusedGrace is the same for a
+	// connection that has carried no request when a stopping instance no longer accepts
+	// connections: its caller has just opened it in order to send a request.
+	idleGrace   = 20 * time.Millisecond
+	unusedGrace = 250 * time.Millisecond
 )
 
 var keepaliveConfig = net.KeepAliveConfig{Enable: true, Idle: keepaliveIdle, Interval: keepaliveInterval, Count: keepaliveCount}
@@ -70,52 +78,91 @@
 	return len(line), nil
 }
 
-// connections tracks the state of the callers' connections.
+// connections holds the callers' open connections.
 type connections struct {
-	mu sync.Mutex
-	// idle holds the time at which each idle connection became idle.
-	idle map[net.Conn]time.Time
-	// unused holds the connections that have not carried a request yet.
-	unused map[net.Conn]bool
-	// active counts the connections on which a request is being served.
-	active int
+	mu   sync.Mutex
+	open map[*callerConnection]struct{}
+	// stopping is set once connections are to be closed as soon as they are idle.
+	stopping bool
 }
 
 func newConnections() *connections {
-	return &connections{idle: make(map[net.Conn]time.Time), unused: make(map[net.Conn]bool)}
+	return &connections{open: make(map[*callerConnection]struct{})}
+}
+
+// callerListener accepts the connections of callers.
+type callerListener struct {
+	net.Listener
+	connections *connections
+}
+
+// listen returns a listener whose connections are held in c until they are closed. The
+// http.Server that uses it must have trackState as its ConnState hook.
+func (c *connections) listen(l net.Listener) net.Listener { return callerListener{l, c} }
+
+// Accept implements net.Listener.
+func (l callerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	caller := &callerConnection{Conn: conn}
+	l.connections.mu.Lock()
+	defer l.connections.mu.Unlock()
+	l.connections.open[caller] = struct{}{}
+	return caller, nil
 }
 
 // trackState is the ConnState hook of the http.Server.
 func (c *connections) trackState(conn net.Conn, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	_, wasIdle := c.idle[conn]
-	wasUnused := c.unused[conn]
-	switch state {
-	case http.StateNew:
-		c.unused[conn] = true
+	caller, ok := conn.(*callerConnection)
+	if !ok {
 		return
-	case http.StateActive:
-		c.active++
+	}
+	switch state {
 	case http.StateIdle:
-		c.active--
-		c.idle[conn] = time.Now()
-		return
-	case http.StateClosed, http.StateHijacked:
-		if !wasIdle && !wasUnused {
-			c.active--
+		now := time.Now()
+		caller.endRequest(now)
+		if c.isStopping() {
+			caller.expire(now.Add(idleGrace))
 		}
+	case http.StateClosed, http.StateHijacked:
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.open, caller)
 	}
-	delete(c.idle, conn)
-	delete(c.unused, conn)
 }
 
-// openRequests returns the number of requests whose response has not ended. A
-// connection has at most one open request.
-func (c *connections) openRequests() int {
+func (c *connections) isStopping() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stopping
+}
+
+// all returns the open connections.
+func (c *connections) all() []*callerConnection {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Keys(c.open))
+}
+
+// count returns the number of open connections.
+func (c *connections) count() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.active
+	return len(c.open)
+}
+
+// openRequests returns the number of requests that are being read or served. A connection
+// has at most one.
+func (c *connections) openRequests() int {
+	n := 0
+	for _, caller := range c.all() {
+		if caller.inRequest() {
+			n++
+		}
+	}
+	return n
 }
 
 // closeIdle closes the connections that have been idle for longer than idleTimeout
@@ -124,35 +171,47 @@
 	if idleTimeout <= 0 {
 		return
 	}
-	c.mu.Lock()
-	var expired []net.Conn
-	for conn, idleSince := range c.idle {
-		if now.Sub(idleSince) > idleTimeout+idleMargin {
-			expired = append(expired, conn)
+	for _, caller := range c.all() {
+		if idle, ok := caller.idleFor(now); ok && idle > idleTimeout+idleMargin {
+			caller.expire(time.Now().Add(idleGrace))
 		}
 	}
+}
+
+// closeWhenIdle closes each connection that has carried a request as soon as it is idle.
+func (c *connections) closeWhenIdle() {
+	c.mu.Lock()
+	c.stopping = true
 	c.mu.Unlock()
-	for _, conn := range expired {
-		// The http.Server's pending read on the connection then fails, and the server
-		// drops the connection.
-		_ = conn.Close()
+	for _, caller := range c.all() {
+		if _, idle := caller.idleFor(time.Now()); idle {
+			caller.expire(time.Now().Add(idleGrace))
+		}
+	}
+}
+
+// closeUnused closes the connections on which no request has begun.
+func (c *connections) closeUnused() {
+	for _, caller := range c.all() {
+		caller.expire(time.Now().Add(unusedGrace))
 	}
 }
 
 // shutDown announces to the other instances that this one leaves. It goes on accepting
-// connections for up to unreadyDelay. Then it waits until no request is open or the
+// connections for up to unreadyDelay. Then it waits until all connections have ended or the
 // grace period is nearly over.
-func (i *Instance) shutDown(callerServer *http.Server) {
+func (i *Instance) shutDown() {
 	i.stopping.Store(true)
 	i.gossip.Leave()
 	i.log.StateChanges.Info("leaving", "open", i.connections.openRequests())
 	startTime := time.Now()
 	grace := i.settings.Load().StopGrace
 	deadline := startTime.Add(grace - cutMargin)
-	callerServer.SetKeepAlivesEnabled(false)
+	i.connections.closeWhenIdle()
 	time.Sleep(min(unreadyDelay, grace/3))
 	_ = i.callerListener.Close()
-	for i.connections.openRequests() > 0 && time.Now().Before(deadline) {
+	i.connections.closeUnused()
+	for i.connections.count() > 0 && time.Now().Before(deadline) {
 		time.Sleep(openPollInterval)
 	}
 	i.log.StateChanges.Info("left", "cut", i.connections.openRequests(), "after_ms", time.Since(startTime).Milliseconds())
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -164,7 +164,7 @@
 	readyServer := &http.Server{Handler: http.HandlerFunc(i.serveReady), ReadHeaderTimeout: time.Second}
 	metricsServer := &http.Server{Handler: i.metrics.Handler(), ReadHeaderTimeout: time.Second}
 	serveErrors := make(chan error, 3)
-	tasks.Go(func() { serveErrors <- callerServer.Serve(i.callerListener) })
+	tasks.Go(func() { serveErrors <- callerServer.Serve(i.connections.listen(i.callerListener)) })
 	tasks.Go(func() { serveErrors <- readyServer.Serve(i.readyListener) })
 	if i.metricsListener != nil {
 		tasks.Go(func() { serveErrors <- metricsServer.Serve(i.metricsListener) })
@@ -172,7 +172,7 @@
 	var err error
 	select {
 	case <-ctx.Done():
-		i.shutDown(callerServer)
+		i.shutDown()
 	case err = <-serveErrors:
 	}
 	stop()
--- a/edge/reverseproxy/handler.go
+++ b/edge/reverseproxy/handler.go
@@ -53,9 +53,6 @@
 
 // ServeHTTP forwards one caller's request to a backend server, or refuses it.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if h.Stopping() {
-		w.Header().Set("Connection", "close")
-	}
 	req, refused := h.readRequest(w, r)
 	if refused != nil {
 		h.Metrics.CountBadInput(refused.reason)
@@ -81,10 +78,17 @@
 		"configuration", h.Catalog.Snapshot().Version,
 	}
 	h.Failures.Warn("refused", append(attributes, overloadAttributes(req, refused.overload)...)...)
+	h.announceStop(w)
+	refused.write(w)
+}
+
+// announceStop tells the caller that its connection ends with this response if the instance
+// is stopping. It is called directly before the response's header is written, so that it also
+// holds for requests that arrived before the stop.
+func (h *Handler) announceStop(w http.ResponseWriter) {
 	if h.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
-	refused.write(w)
 }
 
 // overloadAttributes returns the log attributes of a refusal because of the
--- a/edge/reverseproxy/retry.go
+++ b/edge/reverseproxy/retry.go
@@ -328,6 +328,7 @@
 	if !hasNoBody(f.request.method, whole.status) {
 		f.w.Header().Set("Content-Length", strconv.Itoa(len(whole.body)))
 	}
+	f.handler.announceStop(f.w)
 	f.w.WriteHeader(whole.status)
 	// The error is ignored: a failed write means that the caller left.
 	_, _ = f.w.Write(whole.body)
