Close kept connections in serve without cutting a request that is being read

Cause: the same as in edge, elsewhere. leave used http.Server.Shutdown, which closes what net/http counts as idle, also while the next request's header is being read. Evidence: TestLeavingInstanceAnswersRequestThatIsBeingRead in demo failed before this change with "request that was being read: got no response: unexpected EOF". Change: the wrapped connections move from edge into the package callerconn, and serve uses them too. A leaving instance stops accepting, ends idle and unused connections by their own readers, waits for the others up to the drain timeout, and says Connection: close. Ruled out: a second copy of the code in serve; keeping Shutdown and counting requests from their first byte, since Shutdown closes the connections itself. Before, after: the test in demo failed, and passes now; go test -race ./callerconn ./demo ./edge passes. Left as it is: the command that serves stand-ins still uses Shutdown; it is no product. Conclusion: no http.Server of the product closes callers' connections from outside any more, but for the cut at the end of the grace period.

--- a/edge/caller_connection.go
+++ b/callerconn/connection.go
@@ -1,4 +1,4 @@
-package edge
+package callerconn
 
 import (
 	"net"
@@ -6,17 +6,17 @@
 	"time"
 )
 
-// callerConnection is a connection of a caller. A kept connection may be ended while it is
+// connection is a connection of a caller. A kept connection may be ended while it is
 // idle, but not while a request on it is being read. Only the goroutine that reads from the
 // connection knows whether a request has begun. So the connection is never closed from
 // outside: expire makes the pending read of an idle connection fail, and a read that
 // returned a byte before cancels this. The http.Server closes the connection when the read
 // has failed.
-type callerConnection struct {
+type connection struct {
 	net.Conn
 
 	mu    sync.Mutex
-	phase connectionPhase
+	phase phase
 	// idleSince is when the connection became idle. It is zero in a connection that has
 	// not carried a request yet.
 	idleSince time.Time
@@ -26,18 +26,18 @@
 	readDeadline time.Time
 }
 
-// connectionPhase is what a connection is used for.
-type connectionPhase uint8
+// phase is what a connection is used for.
+type phase uint8
 
 const (
 	// awaitingRequest means that no byte of the next request was read.
-	awaitingRequest connectionPhase = iota
+	awaitingRequest phase = iota
 	// inRequest lasts from the first byte of a request to the end of its response.
 	inRequest
 )
 
 // Read implements net.Conn. A byte that arrives on an idle connection begins a request.
-func (c *callerConnection) Read(p []byte) (int, error) {
+func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.beginRequest()
@@ -45,7 +45,7 @@
 	return n, err
 }
 
-func (c *callerConnection) beginRequest() {
+func (c *connection) beginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = inRequest
@@ -58,7 +58,7 @@
 }
 
 // endRequest records that the response has ended.
-func (c *callerConnection) endRequest(now time.Time) {
+func (c *connection) endRequest(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase, c.idleSince = awaitingRequest, now
@@ -66,7 +66,7 @@
 
 // SetReadDeadline implements net.Conn. While the connection expires, the deadline takes
 // effect only if a request begins after all.
-func (c *callerConnection) SetReadDeadline(t time.Time) error {
+func (c *connection) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = t
@@ -77,7 +77,7 @@
 }
 
 // CloseWrite is used by the http.Server when it ends a connection with unread bytes.
-func (c *callerConnection) CloseWrite() error {
+func (c *connection) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
@@ -85,7 +85,7 @@
 }
 
 // expire ends the connection at the given time, unless a byte of a request is read before.
-func (c *callerConnection) expire(at time.Time) {
+func (c *connection) expire(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase != awaitingRequest || c.expiring {
@@ -98,7 +98,7 @@
 
 // idleFor returns how long the connection has been idle. It returns false if a request is
 // being served, or if the connection has not carried a request yet.
-func (c *callerConnection) idleFor(now time.Time) (time.Duration, bool) {
+func (c *connection) idleFor(now time.Time) (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase != awaitingRequest || c.idleSince.IsZero() {
@@ -108,7 +108,7 @@
 }
 
 // inRequest reports whether a request is being read or served.
-func (c *callerConnection) inRequest() bool {
+func (c *connection) inRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.phase == inRequest
--- /dev/null
+++ b/callerconn/doc.go
@@ -0,0 +1,14 @@
+// Package callerconn holds the kept connections of an http.Server and closes them
+// without cutting a request.
+//
+// net/http counts a connection as idle until it has read the next request's whole header.
+// http.Server.Shutdown and http.Server.SetKeepAlivesEnabled close such connections, and so
+// the connection of a request that is being read. Neither is to be used with a Tracker.
+//
+// Guarantees:
+//
+//   - A connection is closed for being idle or unused only if no byte of a request was read
+//     from it. Only the goroutine that reads from the connection decides this.
+//   - Once CloseWhenIdle was called, each connection is closed after the response to the
+//     request that it carries, or at once if it is idle.
+package callerconn
--- /dev/null
+++ b/callerconn/tracker.go
@@ -0,0 +1,136 @@
+package callerconn
+
+import (
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// idleGrace is how long an idle connection is still read from before it is closed, so
+	// that a request that has arrived by then is read. unusedGrace is the same for a
+	// connection that has carried no request yet: its caller has just opened it in order
+	// to send one.
+	idleGrace   = 20 * time.Millisecond
+	unusedGrace = 250 * time.Millisecond
+)
+
+// Tracker holds the open connections of an http.Server. It is safe for concurrent use.
+type Tracker struct {
+	mu   sync.Mutex
+	open map[*connection]struct{}
+	// stopping is set once connections are to be closed as soon as they are idle.
+	stopping bool
+}
+
+// New returns a Tracker without connections.
+func New() *Tracker {
+	return &Tracker{open: make(map[*connection]struct{})}
+}
+
+// listener accepts the connections that a Tracker holds.
+type listener struct {
+	net.Listener
+	tracker *Tracker
+}
+
+// Listen returns a listener whose connections are held until they are closed. The
+// http.Server that uses it must have TrackState as its ConnState hook.
+func (t *Tracker) Listen(l net.Listener) net.Listener { return listener{l, t} }
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	caller := &connection{Conn: conn}
+	l.tracker.mu.Lock()
+	defer l.tracker.mu.Unlock()
+	l.tracker.open[caller] = struct{}{}
+	return caller, nil
+}
+
+// TrackState is the ConnState hook of the http.Server.
+func (t *Tracker) TrackState(conn net.Conn, state http.ConnState) {
+	caller, ok := conn.(*connection)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		now := time.Now()
+		caller.endRequest(now)
+		if t.isStopping() {
+			caller.expire(now.Add(idleGrace))
+		}
+	case http.StateClosed, http.StateHijacked:
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.open, caller)
+	}
+}
+
+func (t *Tracker) isStopping() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stopping
+}
+
+// all returns the open connections.
+func (t *Tracker) all() []*connection {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Collect(maps.Keys(t.open))
+}
+
+// Count returns the number of open connections.
+func (t *Tracker) Count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.open)
+}
+
+// OpenRequests returns the number of requests that are being read or served. A connection
+// has at most one.
+func (t *Tracker) OpenRequests() int {
+	n := 0
+	for _, caller := range t.all() {
+		if caller.inRequest() {
+			n++
+		}
+	}
+	return n
+}
+
+// CloseIdle closes the connections that have been idle for longer than maxIdle.
+func (t *Tracker) CloseIdle(maxIdle time.Duration, now time.Time) {
+	for _, caller := range t.all() {
+		if idle, ok := caller.idleFor(now); ok && idle > maxIdle {
+			caller.expire(time.Now().Add(idleGrace))
+		}
+	}
+}
+
+// CloseWhenIdle closes each connection that has carried a request as soon as it is idle.
+func (t *Tracker) CloseWhenIdle() {
+	t.mu.Lock()
+	t.stopping = true
+	t.mu.Unlock()
+	for _, caller := range t.all() {
+		if _, idle := caller.idleFor(time.Now()); idle {
+			caller.expire(time.Now().Add(idleGrace))
+		}
+	}
+}
+
+// CloseUnused closes the connections on which no request has begun. It is called when no
+// further connections are accepted.
+func (t *Tracker) CloseUnused() {
+	for _, caller := range t.all() {
+		caller.expire(time.Now().Add(unusedGrace))
+	}
+}
--- a/demo/leave_test.go
+++ b/demo/leave_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -170,3 +172,45 @@
 	}
 	return false
 }
+
+// TestLeavingInstanceAnswersRequestThatIsBeingRead guards against a request that ends without an answer because a
+// leaving instance closed its kept connection as idle.
+func TestLeavingInstanceAnswersRequestThatIsBeingRead(t *testing.T) {
+	d := startSmallDemo(t)
+	defer d.Close()
+	conn, err := net.Dial("tcp", d.CallerAddresses()[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	responses := bufio.NewReader(conn)
+	const request = "GET /v1/models HTTP/1.1\r\nHost: x\r\n\r\n"
+	expectResponse := func(label string) {
+		t.Helper()
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		resp, err := http.ReadResponse(responses, nil)
+		if err != nil {
+			t.Fatalf("%s: got no response: %v", label, err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+	}
+	if _, err := conn.Write([]byte(request)); err != nil {
+		t.Fatal(err)
+	}
+	expectResponse("first request")
+	if _, err := conn.Write([]byte(request[:10])); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		d.Instances()[0].Leave()
+	}()
+	time.Sleep(200 * time.Millisecond)
+	if _, err := conn.Write([]byte(request[10:])); err != nil {
+		t.Fatalf("rest of the request: %v", err)
+	}
+	expectResponse("request that was being read")
+	<-left
+}
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 
+	"bergamotpin.example/bergamotpin/callerconn"
 	"bergamotpin.example/bergamotpin/edge/backendclient"
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
@@ -55,7 +56,7 @@
 	readyListener  net.Listener
 	// metricsListener is nil if metrics are not served.
 	metricsListener net.Listener
-	connections     *connections
+	connections     *callerconn.Tracker
 	stopping        atomic.Bool
 	storeCalls      storeCalls
 	healthChanges   healthChangeCounts
@@ -79,7 +80,7 @@
 	}
 	debug.SetGCPercent(heapGrowth)
 	debug.SetMemoryLimit(int64(memoryFraction * float64(s.MemoryBytes)))
-	i := &Instance{options: o, log: eventlog.New(o.LogOutput), connections: newConnections()}
+	i := &Instance{options: o, log: eventlog.New(o.LogOutput), connections: callerconn.New()}
 	i.settings.Store(&s)
 	if err := i.assemble(s); err != nil {
 		i.log.Close()
@@ -164,7 +165,7 @@
 	readyServer := &http.Server{Handler: http.HandlerFunc(i.serveReady), ReadHeaderTimeout: time.Second}
 	metricsServer := &http.Server{Handler: i.metrics.Handler(), ReadHeaderTimeout: time.Second}
 	serveErrors := make(chan error, 3)
-	tasks.Go(func() { serveErrors <- callerServer.Serve(i.connections.listen(i.callerListener)) })
+	tasks.Go(func() { serveErrors <- callerServer.Serve(i.connections.Listen(i.callerListener)) })
 	tasks.Go(func() { serveErrors <- readyServer.Serve(i.readyListener) })
 	if i.metricsListener != nil {
 		tasks.Go(func() { serveErrors <- metricsServer.Serve(i.metricsListener) })
@@ -238,7 +239,7 @@
 			}
 		}
 		i.client.CloseIdle(func(key string) bool { return currentServers[key] })
-		i.connections.closeIdle(snapshot.Limits.IdleTimeout, time.Now())
+		i.closeIdleCallers(snapshot.Limits.IdleTimeout, time.Now())
 	}
 }
 
--- a/serve/instance.go
+++ b/serve/instance.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 
+	"bergamotpin.example/bergamotpin/callerconn"
 	"bergamotpin.example/bergamotpin/config"
 	"bergamotpin.example/bergamotpin/drain"
 	"bergamotpin.example/bergamotpin/engineclient"
@@ -40,6 +41,8 @@
 	headerLimitMargin = 64 << 10
 	// headerTimeout is how long a request's header may take to arrive.
 	headerTimeout = 10 * time.Second
+	// leavePollInterval is how often a leaving instance checks for open connections.
+	leavePollInterval = 10 * time.Millisecond
 )
 
 // Options configures an instance.
@@ -91,6 +94,8 @@
 	routingIndex atomic.Pointer[routing.Index]
 	leaving      atomic.Bool
 	openRequests *openRequests
+	// callerConnections holds the connections of callers.
+	callerConnections *callerconn.Tracker
 
 	killOnce sync.Once
 	killed   chan struct{}
@@ -109,7 +114,7 @@
 	if opts.Log == nil {
 		opts.Log = slog.New(slog.DiscardHandler)
 	}
-	i := &Instance{opts: opts, log: opts.Log, openRequests: newOpenRequests(), killed: make(chan struct{})}
+	i := &Instance{opts: opts, log: opts.Log, openRequests: newOpenRequests(), callerConnections: callerconn.New(), killed: make(chan struct{})}
 	if err := i.listen(); err != nil {
 		i.closeListeners()
 		return nil, err
@@ -155,7 +160,7 @@
 	callerServer := i.newCallerServer()
 	operatorServer := &http.Server{Handler: i.operatorHandler(), ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 2)
-	tasks.Go(func() { failed <- callerServer.Serve(i.callerListener) })
+	tasks.Go(func() { failed <- callerServer.Serve(i.callerConnections.Listen(i.callerListener)) })
 	tasks.Go(func() { failed <- operatorServer.Serve(i.operatorListener) })
 	i.log.Info("serving", "callers", i.CallerAddress(), "operators", i.OperatorAddress())
 
@@ -211,16 +216,28 @@
 	i.leaving.Store(true)
 	i.log.Info("leaving")
 	i.announceLeave()
-	ctx, cancel := context.WithTimeout(context.Background(), i.opts.Settings.Limits.DrainTimeout.Std())
-	defer cancel()
-	if err := callerServer.Shutdown(ctx); err != nil {
-		i.log.Warn("drain timeout passed; open requests were aborted", "error", err)
-		_ = callerServer.Close()
-	}
+	i.endCallerConnections()
+	_ = callerServer.Close()
 	i.openRequests.closeAndWait()
 	i.proxy.WaitBackground()
 }
 
+// endCallerConnections accepts no further connection and waits until the open ones have
+// ended, at most for the drain timeout.
+func (i *Instance) endCallerConnections() {
+	deadline := time.Now().Add(i.opts.Settings.Limits.DrainTimeout.Std())
+	_ = i.callerListener.Close()
+	i.callerConnections.CloseWhenIdle()
+	i.callerConnections.CloseUnused()
+	for i.callerConnections.Count() > 0 {
+		if time.Now().After(deadline) {
+			i.log.Warn("drain timeout passed; open requests were aborted", "requests", i.callerConnections.OpenRequests())
+			return
+		}
+		time.Sleep(leavePollInterval)
+	}
+}
+
 // close releases what the components hold after all tasks have ended.
 func (i *Instance) close() {
 	i.claims.Close()
@@ -233,12 +250,24 @@
 
 func (i *Instance) newCallerServer() *http.Server {
 	return &http.Server{
-		Handler:           i.openRequests.countRequests(i.proxy.Handler()),
+		Handler:           i.openRequests.countRequests(i.announceLeaveToCaller(i.proxy.Handler())),
+		ConnState:         i.callerConnections.TrackState,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    i.opts.Settings.Limits.HeaderBytes + headerLimitMargin,
 	}
 }
 
+// announceLeaveToCaller tells callers that their connection ends with the response if the
+// instance is leaving.
+func (i *Instance) announceLeaveToCaller(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if i.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (i *Instance) operatorHandler() http.Handler {
 	return operatorapi.NewHandler(operatorapi.Options{
 		Objects:   i.objects,
