Say in logs and metrics who ended a caller's connection

What operators saw: a request whose connection this process had closed itself was logged as "caller left", and a response whose write failed as "answered".

Cause: net/http cancels a request's context after any error of its connection, also after a Close by this process. It flushes a small response after the handler has returned and drops the error; the error of Write was ignored too.

What is new: - "caller left" has the field connection: closed_by_caller, closed_by_instance, not_read_by_caller or other. Setting the write deadline once more to the value that it has fails with net.ErrClosed if this process closed the connection. - "response not delivered" beside "answered" or "refused", if the write or the flush of a whole response fails. Both flush in the handler. A refusal states its length, as net/http did for it before. - The counter responses_undelivered, by connection.

Lines go to the bounded log. Nothing else changes: status, header, body and the outcome counters stay. Not covered: a connection that is closed while the header of its request is still being read reaches no handler; that needs a line where edge/connections.go closes it.

--- a/edge/reverseproxy/handler.go
+++ b/edge/reverseproxy/handler.go
@@ -63,7 +63,7 @@
 		return
 	}
 	// The error is ignored: only response writers in tests don't support deadlines.
-	_ = http.NewResponseController(w).SetWriteDeadline(req.deadline.Add(writeGrace))
+	_ = http.NewResponseController(w).SetWriteDeadline(req.writeDeadline())
 	h.Selector.CountRequest(req.service.Name)
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
@@ -84,7 +84,7 @@
 	if h.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
-	refused.write(w)
+	h.recordUndelivered(req, refused.status, refused.write(w))
 }
 
 // overloadAttributes returns the log attributes of a refusal because of the
--- a/edge/reverseproxy/refusal.go
+++ b/edge/reverseproxy/refusal.go
@@ -1,7 +1,9 @@
 package reverseproxy
 
 import (
+	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"bergamotpin.example/bergamotpin/edge/balancer"
@@ -62,7 +64,7 @@
 
 // write sends the refusal to the caller. It removes all header fields that were
 // set before, except Connection.
-func (r *refusal) write(w http.ResponseWriter) {
+func (r *refusal) write(w http.ResponseWriter) error {
 	h := w.Header()
 	connection := h.Get("Connection")
 	clear(h)
@@ -73,7 +75,11 @@
 	if r.retryAfter > 0 {
 		h.Set(platform.HeaderRetryAfter, platform.FormatRetryAfter(r.retryAfter))
 	}
+	body := r.reason.String() + ": " + r.message + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(r.status)
-	// The error is ignored: a failed write means that the caller left.
-	_, _ = w.Write([]byte(r.reason.String() + ": " + r.message + "\n"))
+	if _, err := io.WriteString(w, body); err != nil {
+		return err
+	}
+	return flushResponse(w)
 }
--- a/edge/reverseproxy/request.go
+++ b/edge/reverseproxy/request.go
@@ -232,6 +232,9 @@
 	eventTimeout = 1200 * time.Millisecond
 )
 
+// writeDeadline is the time by which the caller must have read the response.
+func (req *request) writeDeadline() time.Time { return req.deadline.Add(writeGrace) }
+
 // headerDeadline is the time by which the attempt's response header must have
 // arrived.
 func (req *request) headerDeadline(a *balancer.Attempt, now time.Time) time.Time {
--- a/edge/reverseproxy/retry.go
+++ b/edge/reverseproxy/retry.go
@@ -50,6 +50,8 @@
 	// wholeBody is the memory reserved for responses that are read whole.
 	wholeBody   reservation
 	lastFailure failure
+	// writeErr is the error of a failed write to the caller.
+	writeErr error
 }
 
 // failure describes why an attempt failed.
@@ -174,7 +176,10 @@
 func (f *forwarder) callerLeft() {
 	req := f.request
 	f.class.CountFinal(outcome.Abandoned)
-	f.handler.Failures.Info("caller left", "request", req.id, "sends", req.sends, "elapsed_ms", time.Since(req.arrived).Milliseconds())
+	end := connectionEnd(f.w, f.writeErr, req.writeDeadline())
+	f.handler.Metrics.CountUndelivered(end)
+	f.handler.Failures.Log(context.Background(), undeliveredLevel(end), "caller left", "request", req.id, "connection", end.String(), "sends", req.sends,
+		"events", f.stream.eventCount, "elapsed_ms", time.Since(req.arrived).Milliseconds())
 	if f.stream.started {
 		panic(http.ErrAbortHandler)
 	}
@@ -329,8 +334,11 @@
 		f.w.Header().Set("Content-Length", strconv.Itoa(len(whole.body)))
 	}
 	f.w.WriteHeader(whole.status)
-	// The error is ignored: a failed write means that the caller left.
-	_, _ = f.w.Write(whole.body)
+	_, err := f.w.Write(whole.body)
+	if err == nil {
+		err = flushResponse(f.w)
+	}
+	f.handler.recordUndelivered(f.request, whole.status, err)
 	f.recordCompleted(whole.server, whole.status)
 }
 
--- a/edge/reverseproxy/stream_relay.go
+++ b/edge/reverseproxy/stream_relay.go
@@ -109,9 +109,11 @@
 	}
 	s.eventCount++
 	if _, err := f.w.Write(event); err != nil {
+		f.writeErr = err
 		return failure{reason: outcome.CallerLeft, mayHaveRun: true, err: err}, false
 	}
 	if err := http.NewResponseController(f.w).Flush(); err != nil {
+		f.writeErr = err
 		return failure{reason: outcome.CallerLeft, mayHaveRun: true, err: err}, false
 	}
 	return failure{}, true
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -32,6 +32,8 @@
 	refusals []tally.Counter
 	retries  []tally.Counter
 	badInput []tally.Counter
+	// undelivered is indexed by outcome.ConnectionEnd.
+	undelivered []tally.Counter
 
 	mu      sync.RWMutex
 	classes map[string]*ClassMetrics
@@ -49,16 +51,28 @@
 		Separator:      prometheus.DefaultSeparator,
 	}, reportInterval)
 	return &Metrics{
-		scope:    scope,
-		closer:   closer,
-		reporter: reporter,
-		refusals: newReasonCounters(scope, "refusals"),
-		retries:  newReasonCounters(scope, "retries"),
-		badInput: newReasonCounters(scope, "bad_input"),
-		classes:  make(map[string]*ClassMetrics),
+		scope:       scope,
+		closer:      closer,
+		reporter:    reporter,
+		refusals:    newReasonCounters(scope, "refusals"),
+		retries:     newReasonCounters(scope, "retries"),
+		badInput:    newReasonCounters(scope, "bad_input"),
+		undelivered: newConnectionEndCounters(scope, "responses_undelivered"),
+		classes:     make(map[string]*ClassMetrics),
 	}
 }
 
+// newConnectionEndCounters returns a counter for each way in which a caller's connection
+// ends, indexed by outcome.ConnectionEnd.
+func newConnectionEndCounters(scope tally.Scope, name string) []tally.Counter {
+	ends := outcome.ConnectionEnds()
+	counters := make([]tally.Counter, len(ends))
+	for i, e := range ends {
+		counters[i] = scope.Tagged(map[string]string{"connection": e.String()}).Counter(name)
+	}
+	return counters
+}
+
 // newReasonCounters returns a counter for each reason, indexed by outcome.Reason.
 func newReasonCounters(scope tally.Scope, name string) []tally.Counter {
 	reasons := outcome.Reasons()
@@ -89,6 +103,10 @@
 // a backend server was chosen. The reason may also be that the instance is not ready.
 func (m *Metrics) CountBadInput(r outcome.Reason) { m.badInput[r].Inc(1) }
 
+// CountUndelivered counts a request whose caller did not get its whole response, because
+// its connection ended in the given way.
+func (m *Metrics) CountUndelivered(e outcome.ConnectionEnd) { m.undelivered[e].Inc(1) }
+
 // ClassMetrics holds the counters and histograms of one service class.
 type ClassMetrics struct {
 	// requestsByOutcome is indexed by outcome.Final, whose values start at 1.
