Show that serve drops a request that is being read when it leaves

What a caller would see: a request on a kept connection, whose first part the instance has read before it leaves, ends with a closed connection, with neither an answer nor a refusal.

Besides, net/http drops a request that it has just read once the server is shutting down.

Evidence: the new test sends a whole request, then the first part of a second one, has the instance leave 100 ms later, and sends the rest after 50 ms. No logic changes here.

--- a/demo/leave_test.go
+++ b/demo/leave_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -88,6 +90,56 @@
 	http.DefaultClient.CloseIdleConnections()
 }
 
+// TestRequestBeingReadAtLeaveIsAnswered stops an instance when the first part of a kept
+// connection's second request has been read. The caller must get an answer or a refusal.
+func TestRequestBeingReadAtLeaveIsAnswered(t *testing.T) {
+	d := startSmallDemo(t)
+	defer d.Close()
+	conn, err := net.Dial("tcp", d.CallerAddresses()[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	reader := bufio.NewReader(conn)
+	const firstPart, rest = "GET /v1/models HTTP/1.1\r\nHost: h", ".example\r\n\r\n"
+	writePart(t, conn, firstPart+rest)
+	readAnswer(t, reader)
+	writePart(t, conn, firstPart)
+	time.Sleep(100 * time.Millisecond)
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		d.Instances()[0].Leave()
+	}()
+	time.Sleep(50 * time.Millisecond)
+	writePart(t, conn, rest)
+	readAnswer(t, reader)
+	<-left
+}
+
+func writePart(t *testing.T, conn net.Conn, part string) {
+	t.Helper()
+	if _, err := io.WriteString(conn, part); err != nil {
+		t.Errorf("writing %q failed: %v", part, err)
+	}
+}
+
+func readAnswer(t *testing.T, reader *bufio.Reader) {
+	t.Helper()
+	resp, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Errorf("got the error %v, want an answer or a refusal", err)
+		return
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Errorf("reading the answer: %v", err)
+	}
+	_ = resp.Body.Close()
+}
+
 // TestDrainedServerFinishesItsStreams checks that a draining engine does not
 // cut an open stream. The engine's status must report the engine as drained
 // only after the stream has ended.
