--- a/edge/reverseproxy/handler.go
+++ b/edge/reverseproxy/handler.go
@@ -60,7 +60,7 @@
 		return
 	}
 	// The error is ignored: only response writers in tests don't support deadlines.
-	_ = http.NewResponseController(w).SetWriteDeadline(req.deadline.Add(writeGrace))
+	_ = http.NewResponseController(w).SetWriteDeadline(req.writeDeadline())
 	h.Selector.CountRequest(req.service.Name)
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
@@ -79,7 +79,7 @@
 	}
 	h.Failures.Warn("refused", append(attributes, overloadAttributes(req, refused.overload)...)...)
 	h.announceStop(w)
-	refused.write(w)
+	h.recordUndelivered(req, refused.status, refused.write(w))
 }
 
 // announceStop tells the caller that its connection ends with this response if the instance
