Ask a further server beside a silent one before leaving it

With one server, a spent retry budget, or others that refuse, fail or hang, nobody else could go on. Cause: silence ended an attempt before anyone knew whether another server would go on: the deadlines of header and next event looked at the route and the runs so far only. Change: after the same patience as before, the first attempt stays open, and a further attempt is begun if route, runs, retry budget and balancer allow it. It takes the first one's place when its usable response (2xx with the stamp; before the first event also a 4xx) has arrived; the first one's connection is closed at that moment and counts as a timeout, as before. If the first one speaks before that, the others are closed at once. If it fails by itself, they are waited for. Each further patience may begin one more attempt. A retry is drawn only if an attempt begins, so that a silent request that is refused again and again doesn't spend the budget of others. Why it works: one goroutine owns the request at a time. The serving one only waits for the first server while the timer's goroutine has the request, and joins that one before it goes on. So two attempts are never relayed, and none outlives the handler. An ordinary request has one timer, reset for each event, where it set a read deadline for each event before. Weighed: asking the balancer alone before leaving; it would still lose the stream to a server that hangs or refuses. Leaving the first at the send: as before. Not shown: that this is what the users met.

--- a/edge/reverseproxy/doc.go
+++ b/edge/reverseproxy/doc.go
@@ -6,6 +6,8 @@
 // and the response is relayed. After a failure the request goes to another
 // server if the route and the service's retry budget allow it. If a stream may
 // be resumed, another server continues it within the same response to the caller.
+// A server's silence is no failure: a further server is asked beside the silent one,
+// and takes its place only once the further server responds.
 //
 // Guarantees:
 //
--- a/edge/reverseproxy/handler.go
+++ b/edge/reverseproxy/handler.go
@@ -107,14 +107,14 @@
 
 // beginAttempt chooses a server that this request has not been sent to yet. It
 // refuses the request if the current configuration no longer accepts it, or if
-// no server is available.
-func (h *Handler) beginAttempt(req *request) (balancer.Attempt, *refusal) {
+// begin does.
+func (h *Handler) beginAttempt(req *request, begin beginFunc) (balancer.Attempt, *refusal) {
 	snapshot := h.Catalog.Snapshot()
 	if refused := req.resolveRoute(snapshot); refused != nil {
 		return balancer.Attempt{}, refused
 	}
 	candidates := serversNotTried(snapshot.AvailableServers(req.service.Name, time.Now()), req.tried)
-	return h.Selector.BeginAttempt(req.balancerRequest(snapshot), candidates)
+	return begin(req.balancerRequest(snapshot), candidates)
 }
 
 func serversNotTried(servers []catalog.BackendServer, tried map[string]bool) []catalog.BackendServer {
--- a/edge/reverseproxy/request.go
+++ b/edge/reverseproxy/request.go
@@ -219,43 +219,27 @@
 }
 
 const (
-	// If another server may still be tried, the wait for a response header is the
-	// largest of these durations: the route's latency target multiplied by
-	// headerWaitTargetFactor, the expected delay multiplied by headerWaitDelayFactor, and
-	// minHeaderWait.
+	// The wait for a response header before another server is asked is the largest of
+	// these durations: the route's latency target multiplied by headerWaitTargetFactor,
+	// the expected delay multiplied by headerWaitDelayFactor, and minHeaderWait.
 	headerWaitTargetFactor = 2.5
 	minHeaderWait          = 300 * time.Millisecond
 	headerWaitDelayFactor  = 4
-	// eventTimeout is how long to wait for the next event of a stream that may
-	// resume at another server. It is below 2 s, because callers leave a stream
-	// that pauses for 2 s.
-	eventTimeout = 1200 * time.Millisecond
+	// eventPatience is how long a stream may pause before another server is asked. It
+	// is below 2 s, because callers leave a stream that pauses for 2 s.
+	eventPatience = 1200 * time.Millisecond
 )
 
-// headerDeadline is the time by which the attempt's response header must have
-// arrived.
-func (req *request) headerDeadline(a *balancer.Attempt, now time.Time) time.Time {
-	if !req.route.MayRetry() || req.possibleRuns+1 >= req.route.MaxServers {
-		return req.deadline
-	}
-	wait := max(time.Duration(headerWaitTargetFactor*float64(req.route.LatencyTarget)), headerWaitDelayFactor*a.ExpectedDelay, minHeaderWait)
-	return earlier(now.Add(wait), req.deadline)
+// headerPatience is how long to wait for the attempt's response header before another
+// server is asked.
+func (req *request) headerPatience(a *balancer.Attempt) time.Duration {
+	return max(time.Duration(headerWaitTargetFactor*float64(req.route.LatencyTarget)), headerWaitDelayFactor*a.ExpectedDelay, minHeaderWait)
 }
 
-// nextEventDeadline is the time by which the next event of a stream must have
-// arrived.
-func (req *request) nextEventDeadline(now time.Time) time.Time {
-	if !req.route.MayRetry() || req.possibleRuns+1 >= req.route.MaxServers {
-		return req.deadline
-	}
-	return earlier(now.Add(eventTimeout), req.deadline)
-}
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
+// mayRunAtAnother reports whether the route allows the request to run at another server,
+// if open attempts may run it besides those that have ended.
+func (req *request) mayRunAtAnother(open int) bool {
+	return req.route.MayRetry() && req.possibleRuns+open < req.route.MaxServers
 }
 
 // backendRequest builds the request as it is sent to the attempt's server. If
@@ -276,6 +260,6 @@
 	return backendclient.Request{
 		Method: req.method, Path: req.target, Host: req.host, Header: h, Body: req.body,
 		IDHeader: platform.HeaderRequestID, ID: req.id,
-		AtMostOnce: !req.route.MayRetry(), Deadline: req.deadline, HeaderDeadline: req.headerDeadline(a, time.Now()),
+		AtMostOnce: !req.route.MayRetry(), Deadline: req.deadline, HeaderDeadline: req.deadline,
 	}
 }
--- a/edge/reverseproxy/retry.go
+++ b/edge/reverseproxy/retry.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -20,10 +18,6 @@
 	"bergamotpin.example/bergamotpin/platform"
 )
 
-// maxResponseBytes limits the body of a response that is read whole before it
-// is forwarded.
-const maxResponseBytes = 16 << 20
-
 // refusalReadTimeout and maxRefusalBytes bound how long and how much of the body of a
 // server's refusal is read before the request goes on to another server.
 const (
@@ -50,6 +44,10 @@
 	// wholeBody is the memory reserved for responses that are read whole.
 	wholeBody   reservation
 	lastFailure failure
+	// others makes further attempts while a server is silent. goesOn is one of them
+	// that takes the place of the current attempt, or nil.
+	others furtherAttempts
+	goesOn *sending
 }
 
 // failure describes why an attempt failed.
@@ -60,30 +58,21 @@
 	err        error
 }
 
-// wholeResponse is a server's response after its whole body was read.
-type wholeResponse struct {
-	status int
-	header http.Header
-	body   []byte
-	server string
-}
-
-// run tries servers one after another until the caller has its response.
+// run tries servers one after another until the caller has its response. While a server
+// is silent, further ones are tried beside it.
 func (f *forwarder) run(ctx context.Context) {
-	req := f.request
-	req.tried = make(map[string]bool)
+	f.request.tried = make(map[string]bool)
 	f.wholeBody.budget = f.handler.buffers
 	defer f.wholeBody.release()
+	f.others = furtherAttempts{f: f, ctx: ctx}
+	defer f.dropUnused()
 	for {
-		a, refused := f.handler.beginAttempt(req)
+		s, refused := f.next(ctx)
 		if refused != nil {
 			f.giveUp(refused)
 			return
 		}
-		req.tried[a.Server.ID] = true
-		req.sends++
-		f.logSent(&a)
-		done, failed := f.attempt(ctx, &a)
+		done, failed := f.attempt(s)
 		if done {
 			return
 		}
@@ -92,15 +81,14 @@
 			// attempt's error then says nothing about the server.
 			failed.reason = outcome.CallerLeft
 		}
-		f.lastFailure = failed
-		if failed.mayHaveRun {
-			req.possibleRuns++
-		}
-		f.logFailed(&a, failed)
+		f.recordFailure(s, failed)
 		if failed.reason == outcome.CallerLeft {
 			f.callerLeft()
 			return
 		}
+		if f.goesOn != nil {
+			continue
+		}
 		if !f.mayRetry(ctx) {
 			f.giveUp(nil)
 			return
@@ -109,6 +97,31 @@
 	}
 }
 
+// next returns the attempt that goes on in place of the last one, or else a new one.
+func (f *forwarder) next(ctx context.Context) (*sending, *refusal) {
+	if s := f.goesOn; s != nil {
+		f.goesOn = nil
+		return s, nil
+	}
+	return f.newSending(ctx, f.handler.Selector.BeginAttempt)
+}
+
+// dropUnused ends the attempt that would have gone on, if the caller left before that.
+func (f *forwarder) dropUnused() {
+	if f.goesOn != nil {
+		f.endUnneeded(f.goesOn)
+	}
+}
+
+// recordFailure counts and logs a failed attempt.
+func (f *forwarder) recordFailure(s *sending, failed failure) {
+	f.lastFailure = failed
+	if failed.mayHaveRun {
+		f.request.possibleRuns++
+	}
+	f.logFailed(&s.attempt, failed)
+}
+
 // mayRetry reports whether the request may be sent to another server. If so, it
 // takes one retry from the service's budget.
 func (f *forwarder) mayRetry(ctx context.Context) bool {
@@ -210,25 +223,52 @@
 		"elapsed_ms", time.Since(f.request.arrived).Milliseconds(), "expected_ms", a.ExpectedDelay.Milliseconds())
 }
 
-// attempt sends the request to a server and relays the response. It reports
-// whether the caller has its final response.
-func (f *forwarder) attempt(ctx context.Context, a *balancer.Attempt) (done bool, failed failure) {
-	result := balancer.Cancelled
-	defer func() { f.handler.Selector.EndAttempt(a, result) }()
-	response, err := f.handler.Client.Send(ctx, f.handler.connectionTarget(f.request, a), f.request.backendRequest(a, f.stream.lastEventID(f.request)))
-	if err != nil {
-		failed = sendFailure(err)
-		result = f.attemptResult(failed)
-		return false, failed
+// attempt sends the request to a server, unless that was done before, and relays the
+// response. It reports whether the caller has its final response.
+func (f *forwarder) attempt(s *sending) (done bool, failed failure) {
+	if !s.sent {
+		f.others.watch(s, f.request.headerPatience(&s.attempt))
+		s.send(f.handler.Client)
+	}
+	switch {
+	case s.err != nil:
+		failed = sendFailure(s.err)
+	case f.isUsable(s):
+		done, failed = f.relayUsable(s)
+	default:
+		if f.goesOn = f.others.failed(); f.goesOn != nil {
+			// The attempt that goes on must not wait for this one's body. After an
+			// error, reading that body fails too.
+			_ = s.response.SetReadDeadline(time.Now().Add(refusalReadTimeout))
+		}
+		failed = f.unusable(s)
 	}
-	defer response.Close()
-	done, failed = f.relayResponse(response, a)
 	if done {
-		result = balancer.Succeeded
-	} else {
-		result = f.attemptResult(failed)
+		f.end(s, balancer.Succeeded)
+		return true, failed
+	}
+	failed = s.failure(failed)
+	f.end(s, f.attemptResult(failed))
+	if f.goesOn == nil {
+		f.goesOn = f.others.failed()
+	}
+	return false, failed
+}
+
+// relayUsable relays a usable response, unless another attempt already goes on in its
+// place.
+func (f *forwarder) relayUsable(s *sending) (bool, failure) {
+	if f.goesOn = f.others.spoke(); f.goesOn != nil {
+		return false, failure{mayHaveRun: true}
+	}
+	if s.response.StatusCode/100 == 2 && f.request.route.Kind == catalog.Stream {
+		return f.relayStream(s)
+	}
+	if f.stream.started {
+		// The configuration has made another kind of the route.
+		return false, failure{reason: outcome.ResponseMismatch, mayHaveRun: true}
 	}
-	return done, failed
+	return f.relayWhole(s.response, &s.attempt)
 }
 
 // sendFailure converts an error of the send, before any response, into a failure.
@@ -255,26 +295,27 @@
 	return balancer.Failed
 }
 
-// relayResponse reads a server's response and passes it on to the caller.
-func (f *forwarder) relayResponse(response *backendclient.Response, a *balancer.Attempt) (bool, failure) {
-	if platform.StatesNotExecuted(response.Response) {
-		discardRefusal(response)
-		if platform.StatesServerMoved(response.Response) {
-			return false, failure{reason: outcome.ServerMoved}
-		}
-		return false, failure{reason: outcome.ServerRefused}
+// unusable returns why a response that is not usable is a failure. It keeps a server
+// error for the caller, in case no other server responds.
+func (f *forwarder) unusable(s *sending) failure {
+	if s.err != nil {
+		return sendFailure(s.err)
 	}
-	succeeded := response.StatusCode/100 == 2
-	if succeeded && !isFromBackendServer(response.Header) {
-		return false, failure{reason: outcome.ResponseMismatch, mayHaveRun: true}
+	if platform.StatesNotExecuted(s.response.Response) {
+		discardRefusal(s.response)
+		if platform.StatesServerMoved(s.response.Response) {
+			return failure{reason: outcome.ServerMoved}
+		}
+		return failure{reason: outcome.ServerRefused}
 	}
-	if succeeded && f.request.route.Kind == catalog.Stream {
-		return f.relayStream(response, a)
+	if s.response.StatusCode/100 == 2 && !isFromBackendServer(s.response.Header) {
+		return failure{reason: outcome.ResponseMismatch, mayHaveRun: true}
 	}
 	if f.stream.started {
-		return false, failure{reason: outcome.ServerError, mayHaveRun: true, err: errors.Errorf("status %d", response.StatusCode)}
+		return failure{reason: outcome.ServerError, mayHaveRun: true, err: errors.Errorf("status %d", s.response.StatusCode)}
 	}
-	return f.relayWhole(response, a)
+	_, failed := f.relayWhole(s.response, &s.attempt)
+	return failed
 }
 
 // discardRefusal reads the rest of a refusal, so that its connection can be reused. It
@@ -293,83 +334,3 @@
 func isFromBackendServer(h http.Header) bool {
 	return h.Get(platform.HeaderServerStamp) != "" && h.Get("Content-Encoding") == ""
 }
-
-// relayWhole reads a response to its end before any of it is passed on.
-func (f *forwarder) relayWhole(response *backendclient.Response, a *balancer.Attempt) (bool, failure) {
-	body, err := f.wholeBody.readWhole(response, response.ContentLength, maxResponseBytes)
-	if err != nil {
-		return false, failure{reason: readErrorReason(err), mayHaveRun: true, err: err}
-	}
-	f.handler.Selector.RecordFirstEvent(a)
-	whole := &wholeResponse{status: response.StatusCode, header: platform.ForwardedResponseHeader(response.Header), body: body, server: a.Server.ID}
-	if whole.status >= http.StatusInternalServerError {
-		f.serverError = whole
-		return false, failure{reason: outcome.ServerError, mayHaveRun: true, err: errors.Errorf("status %d", whole.status)}
-	}
-	f.writeWhole(whole)
-	return true, failure{}
-}
-
-// readErrorReason converts an error from reading a response into the reason of
-// the failure. The instance itself closes a connection if the request's deadline
-// passed or its caller left. Both give ServerTimeout here; if the caller left,
-// run replaces ServerTimeout with CallerLeft.
-func readErrorReason(err error) outcome.Reason {
-	var timeout interface{ Timeout() bool }
-	if errors.Is(err, net.ErrClosed) || errors.As(err, &timeout) && timeout.Timeout() {
-		return outcome.ServerTimeout
-	}
-	return outcome.StreamCut
-}
-
-// writeWhole writes a server's response to the caller.
-func (f *forwarder) writeWhole(whole *wholeResponse) {
-	copyHeader(f.w, whole.header)
-	if !hasNoBody(f.request.method, whole.status) {
-		f.w.Header().Set("Content-Length", strconv.Itoa(len(whole.body)))
-	}
-	f.w.WriteHeader(whole.status)
-	// The error is ignored: a failed write means that the caller left.
-	_, _ = f.w.Write(whole.body)
-	f.recordCompleted(whole.server, whole.status)
-}
-
-func hasNoBody(method string, status int) bool {
-	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
-}
-
-// copyHeader copies a server's header to the response. An absent Content-Type
-// is set to nil, which keeps net/http from guessing one.
-func copyHeader(w http.ResponseWriter, from http.Header) {
-	h := w.Header()
-	for name, values := range from {
-		h[name] = values
-	}
-	if _, ok := from["Content-Type"]; !ok {
-		h["Content-Type"] = nil
-	}
-}
-
-// metTargets reports whether a response met the route's targets. In a stream, the
-// first event must arrive within the latency target, and no gap between two events
-// may exceed the route's MaxEventGap. Any other response must be complete within the latency target.
-func (f *forwarder) metTargets(untilComplete time.Duration) bool {
-	route := f.request.route
-	if !f.stream.started {
-		return untilComplete <= route.LatencyTarget
-	}
-	return f.stream.firstAfter <= route.LatencyTarget && (route.MaxEventGap <= 0 || f.stream.longestGap <= route.MaxEventGap)
-}
-
-// recordCompleted counts and logs a request whose caller got a server's response.
-func (f *forwarder) recordCompleted(server string, status int) {
-	req := f.request
-	untilComplete := time.Since(req.arrived)
-	f.class.CountFinal(outcome.Completed)
-	f.class.CountTarget(f.metTargets(untilComplete))
-	f.class.ObserveWholeAnswer(untilComplete)
-	f.handler.Successes.Info("answered",
-		"request", req.id, "route", req.route.Name, "server", server, "status", status, "sends", req.sends,
-		"events", f.stream.eventCount, "first_ms", f.stream.firstAfter.Milliseconds(), "pause_ms", f.stream.longestGap.Milliseconds(),
-		"elapsed_ms", untilComplete.Milliseconds(), "objective_ms", req.route.LatencyTarget.Milliseconds())
-}
--- /dev/null
+++ b/edge/reverseproxy/sending.go
@@ -0,0 +1,114 @@
+package reverseproxy
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/go-faster/errors"
+
+	"bergamotpin.example/bergamotpin/edge/backendclient"
+	"bergamotpin.example/bergamotpin/edge/balancer"
+	"bergamotpin.example/bergamotpin/outcome"
+	"bergamotpin.example/bergamotpin/platform"
+)
+
+// errLeftForSilence reports that an attempt was ended because another server responded
+// while the attempt's server was silent.
+var errLeftForSilence = errors.New("another server responded while this one was silent")
+
+// sending is one attempt with its connection.
+type sending struct {
+	attempt balancer.Attempt
+	target  backendclient.Server
+	request backendclient.Request
+	// ctx ends with the request's context. cancel closes the connection to the server
+	// earlier; it does nothing if the request may run at this server only.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// Once sent is set, either response or err is set.
+	sent     bool
+	response *backendclient.Response
+	err      error
+	// left is set if another server responded while this one was silent.
+	left atomic.Bool
+}
+
+// newSending chooses a server for the next attempt and counts the attempt. It refuses the
+// request like beginAttempt.
+func (f *forwarder) newSending(ctx context.Context, begin beginFunc) (*sending, *refusal) {
+	req := f.request
+	a, refused := f.handler.beginAttempt(req, begin)
+	if refused != nil {
+		return nil, refused
+	}
+	req.tried[a.Server.ID] = true
+	req.sends++
+	f.logSent(&a)
+	s := &sending{
+		attempt: a, target: f.handler.connectionTarget(req, &a),
+		request: req.backendRequest(&a, f.stream.lastEventID(req)), ctx: ctx, cancel: func() {},
+	}
+	if req.mayRunAtAnother(1) {
+		s.ctx, s.cancel = context.WithCancel(ctx)
+	}
+	return s, nil
+}
+
+// send sends the request and waits for the header of the response.
+func (s *sending) send(c *backendclient.Client) {
+	s.response, s.err = c.Send(s.ctx, s.target, s.request)
+	s.sent = true
+}
+
+// leave ends the attempt because another server has responded.
+func (s *sending) leave() {
+	s.left.Store(true)
+	s.cancel()
+}
+
+// failure returns why the attempt failed. seen is what its connection showed.
+func (s *sending) failure(seen failure) failure {
+	if s.left.Load() {
+		seen.reason, seen.err = outcome.ServerTimeout, errLeftForSilence
+	}
+	return seen
+}
+
+// end ends the use of the connection and records the attempt's result.
+func (f *forwarder) end(s *sending, result balancer.AttemptResult) {
+	if s.response != nil {
+		s.response.Close()
+	}
+	s.cancel()
+	f.handler.Selector.EndAttempt(&s.attempt, result)
+}
+
+// endUnneeded ends an attempt that has no use, for a reason that says nothing about its
+// server.
+func (f *forwarder) endUnneeded(s *sending) {
+	f.end(s, balancer.Cancelled)
+	if s.mayHaveRun() {
+		f.request.possibleRuns++
+	}
+	f.handler.Failures.Info("not needed", "request", f.request.id, "server", s.attempt.Server.ID, "may_have_run", s.mayHaveRun())
+}
+
+func (s *sending) mayHaveRun() bool {
+	if s.err != nil {
+		return sendFailure(s.err).mayHaveRun
+	}
+	return !platform.StatesNotExecuted(s.response.Response)
+}
+
+// isUsable reports whether the attempt's response goes to the caller unless its body
+// fails. Refusals, server errors and responses that are not a backend server's do not.
+func (f *forwarder) isUsable(s *sending) bool {
+	if s.err != nil || platform.StatesNotExecuted(s.response.Response) {
+		return false
+	}
+	if s.response.StatusCode/100 == 2 {
+		return isFromBackendServer(s.response.Header)
+	}
+	return !f.stream.started && s.response.StatusCode < http.StatusInternalServerError
+}
--- a/edge/reverseproxy/server_selector.go
+++ b/edge/reverseproxy/server_selector.go
@@ -49,13 +49,39 @@
 	return known
 }
 
+// beginFunc is BeginAttempt or BeginFurtherAttempt.
+type beginFunc func(r balancer.Request, candidates []catalog.BackendServer) (balancer.Attempt, *refusal)
+
 // BeginAttempt chooses a server and counts the attempt there. It refuses the
 // request if there is no candidate, or if the balancer does not admit it now.
 func (s *ServerSelector) BeginAttempt(r balancer.Request, candidates []catalog.BackendServer) (balancer.Attempt, *refusal) {
+	instances := s.Instances()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.begin(r, candidates, instances)
+}
+
+// BeginFurtherAttempt is like BeginAttempt, but also refuses the request if the service's
+// retry budget is spent. It takes one retry from the budget only if it counts an attempt.
+func (s *ServerSelector) BeginFurtherAttempt(r balancer.Request, candidates []catalog.BackendServer) (balancer.Attempt, *refusal) {
 	now := time.Now()
 	instances := s.Instances()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	budget := s.budget(r.Service.Name)
+	if budget.Remaining(s.retries.Ratio, s.retries.Allowance, instances, now) < 1 {
+		return balancer.Attempt{}, refuseNotRun(outcome.NoBackendServer, retrySoon)
+	}
+	a, refused := s.begin(r, candidates, instances)
+	if refused == nil {
+		budget.AllowRetry(s.retries.Ratio, s.retries.Allowance, instances, now)
+	}
+	return a, refused
+}
+
+// begin is BeginAttempt for a caller that holds the lock.
+func (s *ServerSelector) begin(r balancer.Request, candidates []catalog.BackendServer, instances int) (balancer.Attempt, *refusal) {
+	now := time.Now()
 	s.balancer.SetInstances(instances)
 	a, ok := s.balancer.Choose(r, candidates, now)
 	if !ok {
--- a/edge/reverseproxy/silence_test.go
+++ b/edge/reverseproxy/silence_test.go
@@ -99,10 +99,12 @@
 	situations := map[string]struct {
 		servers     int
 		budgetSpent bool
+		keyRevoked  bool
 		others      platformtest.Behaviour
 	}{
 		"one server":      {servers: 1},
 		"budget spent":    {servers: 2, budgetSpent: true},
+		"key revoked":     {servers: 2, keyRevoked: true},
 		"others refuse":   {servers: 3, others: platformtest.Behaviour{Refuse: true}},
 		"other fails":     {servers: 2, others: platformtest.Behaviour{Status: 500}},
 		"other hangs":     {servers: 2, others: platformtest.Behaviour{Hang: true}},
@@ -119,6 +121,9 @@
 					if c.budgetSpent {
 						f.spendRetryBudget()
 					}
+					if c.keyRevoked {
+						f.configure(2, "another")
+					}
 					f.setOthers(first, c.others)
 				})
 				f.expectStatus(got, 200)
--- a/edge/reverseproxy/stream_relay.go
+++ b/edge/reverseproxy/stream_relay.go
@@ -53,23 +53,29 @@
 
 // relayStream passes a stream on event by event. An event is written after the
 // whole event has arrived.
-func (f *forwarder) relayStream(response *backendclient.Response, a *balancer.Attempt) (bool, failure) {
-	reader := bufio.NewReaderSize(response, eventBufferBytes)
+func (f *forwarder) relayStream(s *sending) (bool, failure) {
+	reader := bufio.NewReaderSize(s.response, eventBufferBytes)
 	buffered := reservation{budget: f.handler.buffers}
 	defer buffered.release()
 	for {
-		if err := response.SetReadDeadline(f.request.nextEventDeadline(time.Now())); err != nil {
-			return false, failure{reason: readErrorReason(err), mayHaveRun: true, err: err}
-		}
 		buffered.release()
+		f.others.watch(s, eventPatience)
 		event, err := readEvent(reader, &buffered)
-		if err == io.EOF && len(event) == 0 {
-			return f.endStream(a)
-		}
-		if err != nil {
+		ended := err == io.EOF && len(event) == 0
+		switch {
+		case ended && !f.stream.started:
+			return false, failure{reason: outcome.StreamCut, mayHaveRun: true, err: errors.New("the stream ended without an event")}
+		case err != nil && !ended:
 			return false, failure{reason: readErrorReason(err), mayHaveRun: true, err: err}
 		}
-		if failed, ok := f.writeEvent(response, a, event); !ok {
+		if f.goesOn = f.others.spoke(); f.goesOn != nil {
+			return false, failure{mayHaveRun: true}
+		}
+		if ended {
+			f.recordCompleted(s.attempt.Server.ID, http.StatusOK)
+			return true, failure{}
+		}
+		if failed, ok := f.writeEvent(s.response, &s.attempt, event); !ok {
 			return false, failed
 		}
 	}
@@ -117,15 +123,6 @@
 	return failure{}, true
 }
 
-// endStream completes the response after the server ended the stream.
-func (f *forwarder) endStream(a *balancer.Attempt) (bool, failure) {
-	if !f.stream.started {
-		return false, failure{reason: outcome.StreamCut, mayHaveRun: true, err: errors.New("the stream ended without an event")}
-	}
-	f.recordCompleted(a.Server.ID, http.StatusOK)
-	return true, failure{}
-}
-
 // readEvent reads one event and the empty line that ends it, and reserves memory for it.
 // If the connection ends within an event, the error is io.ErrUnexpectedEOF.
 func readEvent(r *bufio.Reader, buffered *reservation) ([]byte, error) {
