Test the order of events when a silent server and another speak at once

Evidence: 40 streams at once, whose server pauses for exactly the patience, so that its next event and the other server's header race. `go test -race -count=4 -run TestEventsStay ./edge/reverseproxy` passed.

--- a/edge/reverseproxy/silence_test.go
+++ b/edge/reverseproxy/silence_test.go
@@ -284,3 +284,29 @@
 		t.Errorf("the stream broke off: %v", err)
 	}
 }
+
+// TestEventsStayInOrderWhenBothServersSpeak guards against a missing or repeated event if a
+// silent server speaks at the moment at which another one takes its place.
+func TestEventsStayInOrderWhenBothServersSpeak(t *testing.T) {
+	f := newFixture(t, 2)
+	f.setBehaviour(platformtest.Behaviour{Events: 3, EventPause: eventPatience, PauseAfterEvent: 1})
+	requests := make([]*http.Request, 40)
+	for n := range requests {
+		requests[n] = f.request(pathResumable)
+	}
+	responses := make(chan response, len(requests))
+	for _, r := range requests {
+		go func() { responses <- f.do(r) }()
+	}
+	allowed := []string{
+		streamBody("i-0", "i-0", "i-0"), streamBody("i-0", "i-1", "i-1"),
+		streamBody("i-1", "i-1", "i-1"), streamBody("i-1", "i-0", "i-0"),
+	}
+	for range requests {
+		got := <-responses
+		f.expectStatus(got, 200)
+		if !slices.Contains(allowed, got.body) {
+			t.Errorf("got the body %q, want three events in order, the first from one server and the others from one server", got.body)
+		}
+	}
+}
