Count a pipelined request as begun when net/http begins to serve it

What callers saw: nothing yet; found by the review. A request that was read together with the one before counted as idle while it was served, so a stop or the idle timeout cancelled it. The phase began with a read, and net/http takes such a request from its buffer without one. Change: http.StateActive begins the request too, and cancels an expiry that is under way. Before: TestClosingIdleDoesNotCancelRequestThatArrivedWithTheOneBefore and TestStopDoesNotCancelRequestThatArrivedWithTheOneBefore failed; after: both pass. Left: between two requests, a header that is only in part in net/http's buffer still counts as idle; its connection may be closed then, before the request is whole. Nothing of it is passed on.

--- a/callerconn/tracker.go
+++ b/callerconn/tracker.go
@@ -61,6 +61,9 @@
 		return
 	}
 	switch state {
+	case http.StateActive:
+		// The request may have arrived together with the one before, and then takes no read.
+		caller.beginRequest()
 	case http.StateIdle:
 		now := time.Now()
 		caller.endRequest(now)
