Let a stop see connections that are being accepted

What callers saw: nothing yet; found by the review. A connection that Accept returned while a stop closed the unused ones was missed: the stop waited for it, or closed it after the wait. The connection enters the list only after Accept has returned. Change: a connection that is added later is closed by the same rule, and the wait at a stop (Drained) also waits until Accept has said that the listener is closed. Before: TestConnectionAcceptedBesideStopIsClosedIfUnused failed, open 2 s after CloseUnused; after: go test -race ./callerconn passes, go test ./edge -run 'Stop|Leav|Shutdown|Idle|Response' too.

--- a/callerconn/tracker.go
+++ b/callerconn/tracker.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 const (
@@ -22,8 +24,12 @@
 type Tracker struct {
 	mu   sync.Mutex
 	open map[*connection]struct{}
-	// stopping is set once connections are to be closed as soon as they are idle.
-	stopping bool
+	// stopping is set once connections are to be closed as soon as they are idle, and
+	// closingUnused once also those that have not carried a request are.
+	stopping, closingUnused bool
+	// accepting is set from the first call of Accept until the listener is closed. A
+	// connection may be on its way into open until then.
+	accepting bool
 }
 
 // New returns a Tracker without connections.
@@ -43,15 +49,32 @@
 
 // Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
+	l.tracker.setAccepting(true)
 	conn, err := l.Listener.Accept()
+	if errors.Is(err, net.ErrClosed) {
+		l.tracker.setAccepting(false)
+	}
 	if err != nil {
 		return nil, err
 	}
+	return l.tracker.add(conn), nil
+}
+
+func (t *Tracker) setAccepting(accepting bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.accepting = accepting
+}
+
+func (t *Tracker) add(conn net.Conn) *connection {
 	caller := &connection{Conn: conn}
-	l.tracker.mu.Lock()
-	defer l.tracker.mu.Unlock()
-	l.tracker.open[caller] = struct{}{}
-	return caller, nil
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.open[caller] = struct{}{}
+	if t.closingUnused {
+		caller.expire(time.Now().Add(unusedGrace))
+	}
+	return caller
 }
 
 // TrackState is the ConnState hook of the http.Server.
@@ -97,6 +120,13 @@
 	return len(t.open)
 }
 
+// Drained reports whether the listener is closed and no connection is open.
+func (t *Tracker) Drained() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.accepting && len(t.open) == 0
+}
+
 // OpenRequests returns the number of requests that are being read or served. A connection
 // has at most one.
 func (t *Tracker) OpenRequests() int {
@@ -133,6 +163,9 @@
 // CloseUnused closes the connections on which no request has begun. It is called when no
 // further connections are accepted.
 func (t *Tracker) CloseUnused() {
+	t.mu.Lock()
+	t.closingUnused = true
+	t.mu.Unlock()
 	for _, caller := range t.all() {
 		caller.expire(time.Now().Add(unusedGrace))
 	}
--- a/edge/connections.go
+++ b/edge/connections.go
@@ -91,7 +91,7 @@
 	time.Sleep(min(unreadyDelay, grace/3))
 	_ = i.callerListener.Close()
 	i.connections.CloseUnused()
-	for i.connections.Count() > 0 && time.Now().Before(deadline) {
+	for !i.connections.Drained() && time.Now().Before(deadline) {
 		time.Sleep(openPollInterval)
 	}
 	i.log.StateChanges.Info("left", "cut", i.connections.OpenRequests(), "after_ms", time.Since(startTime).Milliseconds())
--- a/serve/instance.go
+++ b/serve/instance.go
@@ -229,7 +229,7 @@
 	_ = i.callerListener.Close()
 	i.callerConnections.CloseWhenIdle()
 	i.callerConnections.CloseUnused()
-	for i.callerConnections.Count() > 0 {
+	for !i.callerConnections.Drained() {
 		if time.Now().After(deadline) {
 			i.log.Warn("drain timeout passed; open requests were aborted", "requests", i.callerConnections.OpenRequests())
 			return
