Announce the end of a connection when serve writes the response's header

What callers saw: nothing yet; found by the review. A response that began after serve had begun to leave said nothing of the end of its connection, which came 20 ms later, beside the next request. It decided when the request began; http.Server.Shutdown, which it replaced, decided when the header was written. Change: callerconn.AnnounceClose wraps the response writer and decides directly before the header. Before: TestResponseThatBeginsAfterLeaveAnnouncesEndOfConnection failed; after: go test ./demo -run Leav -count=2 passes, go test ./serve ./proxy too.

--- a/serve/instance.go
+++ b/serve/instance.go
@@ -250,24 +250,13 @@
 
 func (i *Instance) newCallerServer() *http.Server {
 	return &http.Server{
-		Handler:           i.openRequests.countRequests(i.announceLeaveToCaller(i.proxy.Handler())),
+		Handler:           i.openRequests.countRequests(i.callerConnections.AnnounceClose(i.proxy.Handler())),
 		ConnState:         i.callerConnections.TrackState,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    i.opts.Settings.Limits.HeaderBytes + headerLimitMargin,
 	}
 }
 
-// announceLeaveToCaller tells callers that their connection ends with the response if the
-// instance is leaving.
-func (i *Instance) announceLeaveToCaller(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if i.leaving.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 func (i *Instance) operatorHandler() http.Handler {
 	return operatorapi.NewHandler(operatorapi.Options{
 		Objects:   i.objects,
