Take a response with a status below 100 for a failure of its server

A request that was read ended with a closed connection and no answer if its server responded with a status from 000 to 099. Cause: http.ReadResponse accepts such a status, and WriteHeader panics on it, so net/http closed the caller's connection. Change: backendclient, where responses are read, fails the attempt; it may have run. Before: TestStatusThatIsNoHTTPStatusGetsAnAnswer failed with EOF instead of 502.

--- a/edge/backendclient/send.go
+++ b/edge/backendclient/send.go
@@ -33,6 +33,10 @@
 // errMismatched reports a response that does not belong to the request.
 var errMismatched = errors.New("the server responded to another request")
 
+// errInvalidStatus reports a response whose status is below 100, which http.ReadResponse
+// accepts and no http.ResponseWriter can pass on.
+var errInvalidStatus = errors.New("the response has no valid HTTP status")
+
 // errHeaderTooLarge reports a response whose header does not end within maxHeaderBytes.
 var errHeaderTooLarge = errors.New("the header of the response exceeds the size limit")
 
@@ -172,6 +176,9 @@
 		if err != nil {
 			return err
 		}
+		if resp.StatusCode < http.StatusContinue {
+			return errInvalidStatus
+		}
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
