Abort the response of a caller that has left before its first byte

A caller that had closed its sending side got an empty 200 that no server gave, which is worse than no answer. Cause: callerLeft returned without writing or aborting, and net/http then writes 200 with no body. Change: it aborts the response in any case, as it did for a stream that had begun. Ruled out: serving a half-closed caller to the end; net/http cancels the request's context as soon as the read side ends, and can't tell it from a caller that has gone. After: go test ./edge/reverseproxy passes.

--- a/edge/reverseproxy/retry.go
+++ b/edge/reverseproxy/retry.go
@@ -184,8 +184,9 @@
 	panic(http.ErrAbortHandler)
 }
 
-// callerLeft records that the caller left before its response was complete. If a
-// stream had begun, it aborts the response.
+// callerLeft records that the caller left before its response was complete, and aborts the
+// response: a caller that has only closed its sending side must not take what it got for
+// complete.
 func (f *forwarder) callerLeft() {
 	req := f.request
 	f.class.CountFinal(outcome.Abandoned)
@@ -193,9 +194,7 @@
 	f.handler.Metrics.CountUndelivered(end)
 	f.handler.Failures.Log(context.Background(), undeliveredLevel(end), "caller left", "request", req.id, "connection", end.String(), "sends", req.sends,
 		"events", f.stream.eventCount, "elapsed_ms", time.Since(req.arrived).Milliseconds())
-	if f.stream.started {
-		panic(http.ErrAbortHandler)
-	}
+	panic(http.ErrAbortHandler)
 }
 
 // logSent logs which server a request goes to and the values that led to this
