Give requests that are open at the end of the grace period a final response

Cause: the end of a stop closed the connections. It took the answers away from requests that had been read, though a failure can still be written. Change: at the cut the contexts of all requests end with a cause of ours. A request that may have run gets 502, another one 503; a stream that has begun is aborted, as before. The connections are closed 300 ms later at the latest, 400 ms before the platform's kill. Ruled out: cutting later (a hanging server uses any time); closing at once and logging it. Before: TestRequestOpenAtEndOfGracePeriodIsAnswered failed with EOF (3 of 3). After: it passes, and go test ./edge -run 'Grace|Stop|Shutdown' and go test ./edge/reverseproxy.

--- a/edge/connections.go
+++ b/edge/connections.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"bergamotpin.example/bergamotpin/edge/reverseproxy"
 	"bergamotpin.example/bergamotpin/objects"
 )
 
@@ -31,8 +32,10 @@
 	// dialTimeout bounds the time to establish a connection to the metadata store.
 	dialTimeout = time.Second
 	// cutMargin is how long before the end of the platform's grace period the shutdown
-	// cuts the requests that are still open.
-	cutMargin = 700 * time.Millisecond
+	// ends the requests that are still open. cutResponseTime is how long it then waits for
+	// their final responses to be written.
+	cutMargin       = 700 * time.Millisecond
+	cutResponseTime = 300 * time.Millisecond
 	// unreadyDelay is how long the shutdown still accepts connections. The platform
 	// stops opening connections after two failed readiness checks, which are one second
 	// apart. The remaining time is a margin.
@@ -56,6 +59,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         i.connections.TrackState,
+		BaseContext:       func(net.Listener) context.Context { return i.requests },
 		ErrorLog:          log.New(serverErrorLog{i}, "", 0),
 	}
 }
@@ -79,7 +83,8 @@
 
 // shutDown announces to the other instances that this one leaves. It goes on accepting
 // connections for up to unreadyDelay. Then it waits until all connections have ended or the
-// grace period is nearly over.
+// grace period is nearly over. The requests that are still open then get their final
+// responses.
 func (i *Instance) shutDown() {
 	i.stopping.Store(true)
 	i.gossip.Leave()
@@ -91,8 +96,16 @@
 	time.Sleep(min(unreadyDelay, grace/3))
 	_ = i.callerListener.Close()
 	i.connections.CloseUnused()
+	i.awaitDrained(deadline)
+	open := i.connections.OpenRequests()
+	i.cutRequests(reverseproxy.ErrCut)
+	i.awaitDrained(deadline.Add(cutResponseTime))
+	i.log.StateChanges.Info("left", "cut", open, "after_ms", time.Since(startTime).Milliseconds())
+}
+
+// awaitDrained waits until all connections of callers have ended, at most until deadline.
+func (i *Instance) awaitDrained(deadline time.Time) {
 	for !i.connections.Drained() && time.Now().Before(deadline) {
 		time.Sleep(openPollInterval)
 	}
-	i.log.StateChanges.Info("left", "cut", i.connections.OpenRequests(), "after_ms", time.Since(startTime).Milliseconds())
 }
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -57,9 +57,12 @@
 	// metricsListener is nil if metrics are not served.
 	metricsListener net.Listener
 	connections     *callerconn.Tracker
-	stopping        atomic.Bool
-	storeCalls      storeCalls
-	healthChanges   healthChangeCounts
+	// requests is the context of the callers' requests. cutRequests ends it.
+	requests      context.Context
+	cutRequests   context.CancelCauseFunc
+	stopping      atomic.Bool
+	storeCalls    storeCalls
+	healthChanges healthChangeCounts
 }
 
 // Options configures an instance.
@@ -81,6 +84,7 @@
 	debug.SetGCPercent(heapGrowth)
 	debug.SetMemoryLimit(int64(memoryFraction * float64(s.MemoryBytes)))
 	i := &Instance{options: o, log: eventlog.New(o.LogOutput), connections: callerconn.New()}
+	i.requests, i.cutRequests = context.WithCancelCause(context.Background())
 	i.settings.Store(&s)
 	if err := i.assemble(s); err != nil {
 		i.log.Close()
--- a/edge/reverseproxy/handler.go
+++ b/edge/reverseproxy/handler.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"bergamotpin.example/bergamotpin/edge/backendclient"
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
@@ -42,6 +44,10 @@
 	BufferBytes int64
 }
 
+// ErrCut is the cause with which the context of a request ends if the instance ends it
+// before its caller or its deadline does. The request gets its final response at once.
+var ErrCut = errors.New("the instance ends the request")
+
 // Handler serves callers' requests. It is safe for concurrent use.
 type Handler struct {
 	Options
--- a/edge/reverseproxy/retry.go
+++ b/edge/reverseproxy/retry.go
@@ -79,9 +79,9 @@
 			return
 		}
 		if f.callerCtx.Err() != nil {
-			// When the caller leaves, the connection to the server is closed. The
-			// attempt's error then says nothing about the server.
-			failed.reason = outcome.CallerLeft
+			// The connection to the server was closed because of this. The attempt's
+			// error then says nothing about the server.
+			failed.reason = f.endReason()
 		}
 		f.recordFailure(s, failed)
 		if failed.reason == outcome.CallerLeft {
@@ -99,6 +99,14 @@
 	}
 }
 
+// endReason says why the context of the caller's request has ended.
+func (f *forwarder) endReason() outcome.Reason {
+	if errors.Is(context.Cause(f.callerCtx), ErrCut) {
+		return outcome.InstanceLeaving
+	}
+	return outcome.CallerLeft
+}
+
 // next returns the attempt that goes on in place of the last one, or else a new one.
 func (f *forwarder) next(ctx context.Context) (*sending, *refusal) {
 	if s := f.goesOn; s != nil {
