Decide in one place whether a response announces the end of its connection

Cause: edge set Connection: close in its three ways of writing a response, serve by a wrapper of the response writer; the same rule stood twice. Change: edge uses callerconn.AnnounceClose too, and reverseproxy no longer needs to know that the instance stops. Ruled out: the three calls in serve as well, whose responses are written in as many places. Conclusion: one rule, one place.

--- a/edge/connections.go
+++ b/edge/connections.go
@@ -55,7 +55,7 @@
 
 func (i *Instance) newCallerServer() *http.Server {
 	return &http.Server{
-		Handler:           i.handler,
+		Handler:           i.connections.AnnounceClose(i.handler),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         i.connections.TrackState,
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -114,7 +114,7 @@
 	i.selector.SetInstances(i.gossip.CountInstances)
 	i.handler = reverseproxy.New(reverseproxy.Options{
 		Catalog: i.catalog, Selector: i.selector, Client: i.client, Metrics: i.metrics,
-		Successes: i.log.Successes, Failures: i.log.Failures, Stopping: i.stopping.Load,
+		Successes: i.log.Successes, Failures: i.log.Failures,
 		BufferBytes: int64(bufferFraction * float64(s.MemoryBytes)),
 	})
 	if i.callerListener, err = net.Listen("tcp4", s.CallersAddress.String()); err != nil {
--- a/edge/reverseproxy/fixture_test.go
+++ b/edge/reverseproxy/fixture_test.go
@@ -53,7 +53,7 @@
 	f.handler = New(Options{
 		Catalog: f.catalog, Selector: NewServerSelector(balancer.Options{DataCentre: "dc1", Seed: 1}, retries),
 		Client: backendclient.NewClient(nil), Metrics: m, Successes: discard, Failures: discard,
-		Stopping: func() bool { return false }, BufferBytes: smallestInstanceBytes / 8,
+		BufferBytes: smallestInstanceBytes / 8,
 	})
 	server := httptest.NewServer(f.handler)
 	t.Cleanup(server.Close)
--- a/edge/reverseproxy/handler.go
+++ b/edge/reverseproxy/handler.go
@@ -36,9 +36,6 @@
 	// each failed attempt, and each request that ended in another way.
 	Successes *slog.Logger
 	Failures  *slog.Logger
-	// Stopping reports whether the instance is stopping. If it is, callers'
-	// connections are closed after the response.
-	Stopping func() bool
 	// BufferBytes bounds the memory in which the larger responses are held before they
 	// are passed on.
 	BufferBytes int64
@@ -84,19 +81,9 @@
 		"configuration", h.Catalog.Snapshot().Version,
 	}
 	h.Failures.Warn("refused", append(attributes, overloadAttributes(req, refused.overload)...)...)
-	h.announceStop(w)
 	h.recordUndelivered(req, refused.status, refused.write(w))
 }
 
-// announceStop tells the caller that its connection ends with this response if the instance
-// is stopping. It is called directly before the response's header is written, so that it also
-// holds for requests that arrived before the stop.
-func (h *Handler) announceStop(w http.ResponseWriter) {
-	if h.Stopping() {
-		w.Header().Set("Connection", "close")
-	}
-}
-
 // overloadAttributes returns the log attributes of a refusal because of the
 // servers' load: the request's urgency, the server it would have gone to, and what
 // this instance knew of the load.
--- a/edge/reverseproxy/stream_relay.go
+++ b/edge/reverseproxy/stream_relay.go
@@ -102,7 +102,6 @@
 		s.firstAfter = time.Since(f.request.arrived)
 		f.class.ObserveFirstToken(s.firstAfter)
 		copyHeader(f.w, platform.ForwardedResponseHeader(response.Header))
-		f.handler.announceStop(f.w)
 		f.w.WriteHeader(response.StatusCode)
 	} else {
 		f.handler.Selector.RecordEvent(a)
--- a/edge/reverseproxy/whole_relay.go
+++ b/edge/reverseproxy/whole_relay.go
@@ -60,7 +60,6 @@
 	if !hasNoBody(f.request.method, whole.status) {
 		f.w.Header().Set("Content-Length", strconv.Itoa(len(whole.body)))
 	}
-	f.handler.announceStop(f.w)
 	f.w.WriteHeader(whole.status)
 	_, err := f.w.Write(whole.body)
 	if err == nil {
