Name the shared parts of the prompt in each failed attempt's log line

Cause of the gap: "attempt failed" named the server and the error, but nothing of the prompt, so the logs could not tell a part that crashes servers from servers that crash by themselves. Ruled out: the same field in "sent". It would cost a line's bytes for each request, and the failed attempts are those that matter.

--- a/edge/reverseproxy/request.go
+++ b/edge/reverseproxy/request.go
@@ -37,6 +37,9 @@
 	header http.Header
 	body   []byte
 	prompt platform.Prompt
+	// sharedBlocks holds the keys of the prompt's prefix blocks without the last block,
+	// which only this request has.
+	sharedBlocks []uint64
 	// lastEventID is the ID of the last stream event that the caller already
 	// has, or "" if it has none.
 	lastEventID string
@@ -66,6 +69,7 @@
 		prompt: platform.ParsePrompt(r.Header), lastEventID: r.Header.Get(platform.HeaderLastEvent),
 	}
 	req.path, _, _ = strings.Cut(req.target, "?")
+	req.sharedBlocks = sharedBlocks(req.prompt.PrefixBlocks)
 	if r.ContentLength != 0 {
 		// net/http reads the rest of a request's body before it sends the
 		// response, so this read needs a deadline. The error is ignored: only
--- a/edge/reverseproxy/retry.go
+++ b/edge/reverseproxy/retry.go
@@ -207,7 +207,8 @@
 		"request", f.request.id, "server", a.Server.ID, "data_centre", a.Server.DataCentre, "reason", failed.reason.String(),
 		"may_have_run", failed.mayHaveRun, "detail", detail, "route", f.request.route.Name,
 		"events", f.stream.eventCount, "silent_ms", sinceLastEvent.Milliseconds(),
-		"elapsed_ms", time.Since(f.request.arrived).Milliseconds(), "expected_ms", a.ExpectedDelay.Milliseconds())
+		"elapsed_ms", time.Since(f.request.arrived).Milliseconds(), "expected_ms", a.ExpectedDelay.Milliseconds(),
+		"blocks", blockNames(f.request.sharedBlocks))
 }
 
 // attempt sends the request to a server and relays the response. It reports
