Withhold parts of prompts under which servers end

Cause: nothing was kept about parts of prompts. Each end counted against its server, which is new after its restart, so the next request with the part was sent like any other. The class of the fault: a failure is put down to the server alone, though the request may have caused it.

Why this fix works: - edge/promptguard (new, no I/O) holds which servers ended under which part, the last part of a prompt excepted. A part under which three servers ended is refused with 503, "not run", for 10 s, then tried by one instance after the other; an answer clears it everywhere, one more end withholds it for 2 min, 10 min, 1 h. - The evidence is the fleet's: a union of servers, exchanged in the gossip datagrams, also to other data centres. A repeated report changes nothing, and evidence is told until 30 s before it is forgotten, so that instances don't keep it alive. - A part that was answered lately, at any instance, is cleared. Proof is a whole answer, or events over two steps of 250 ms; an answer that only the end of its connection ends counts if the server still listens afterwards. - An end of a server is a broken connection and then a refused one ("connection refused", three looks within 250 ms, one check a server for all its broken requests, beside the requests and bounded in number and time). A time-out, an open port or a full pool prove nothing. - Parts of bystanders are not withheld if a part with more ended servers explains them.

What remains: a part that is found sound only after its withholding, since no instance saw it answered, is refused for 10 s and until an instance's turn comes (3 s an instance, a minute at most). A part beyond the 32nd of a prompt is not looked at.

--- a/edge/backendclient/connection_pool.go
+++ b/edge/backendclient/connection_pool.go
@@ -91,6 +91,11 @@
 	if conn := c.takeIdle(s.Key, atMostOnce); conn != nil {
 		return conn, nil
 	}
+	return c.open(ctx, s)
+}
+
+// open opens a connection, within the bound of the connections to the server.
+func (c *Client) open(ctx context.Context, s Server) (*connection, error) {
 	if !c.reserveConnection(s) {
 		return nil, &engineclient.SendError{Reason: outcome.ServerRefused, NotStarted: true, Err: errors.New("all connections to the server are in use")}
 	}
--- a/edge/gossip/message.go
+++ b/edge/gossip/message.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"bergamotpin.example/bergamotpin/edge/balancer"
+	"bergamotpin.example/bergamotpin/edge/promptguard"
 )
 
 // maxDatagramBytes is the largest datagram that is sent without IP fragmentation.
@@ -44,6 +45,8 @@
 	Summary bool `cbor:"13,keyasint,omitempty"`
 	// Urgencies are reports on the sender's recent requests. A summary has none.
 	Urgencies []balancer.UrgencyReport `cbor:"14,keyasint,omitempty"`
+	// Prompts are reports on parts of prompts that crash servers. A summary has none.
+	Prompts []promptguard.Report `cbor:"15,keyasint,omitempty"`
 }
 
 // errMalformed reports data from a peer that could not be decoded.
--- a/edge/gossip/node.go
+++ b/edge/gossip/node.go
@@ -13,6 +13,7 @@
 
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
+	"bergamotpin.example/bergamotpin/edge/promptguard"
 )
 
 const (
@@ -44,6 +45,10 @@
 	// ReceiveSummary is called with the sums of another data centre.
 	Summary        func(now time.Time) []balancer.ServerReport
 	ReceiveSummary func(dataCentre string, reports []balancer.ServerReport, now time.Time)
+	// PromptReports returns the reports on parts of prompts that crash servers.
+	// ReceivePromptReports is called with the reports of a peer.
+	PromptReports        func(now time.Time) []promptguard.Report
+	ReceivePromptReports func(reports []promptguard.Report, now time.Time)
 	// StoreAge returns how long ago the metadata store last responded to this instance.
 	StoreAge func(now time.Time) time.Duration
 	// OnChange is called with the changes that fetched records made to the catalog.
@@ -178,7 +183,7 @@
 
 // sendRound sends this round's datagrams, and logs the peers that fell silent.
 func (n *Node) sendRound(now time.Time) {
-	reports := n.opts.Reports(now)
+	reports, promptReports := n.opts.Reports(now), n.opts.PromptReports(now)
 	revision, serversDigest := n.opts.Catalog.Digest()
 	storeAge := n.opts.StoreAge(now)
 	n.mu.Lock()
@@ -192,6 +197,7 @@
 		Address: n.opts.Address, Leaving: n.leaving, Revision: revision, ServersDigest: serversDigest,
 		Known: n.members.knownAddresses(n.sequence, maxKnown), Reports: reports.Servers, DataCentre: n.opts.DataCentre,
 		StoreAgeMs: storeAge.Milliseconds(), Urgencies: reports.Urgencies,
+		Prompts: promptReports,
 	}
 	withoutReports := complete
 	withoutReports.Reports, withoutReports.Urgencies, withoutReports.Known = nil, nil, n.members.knownAddresses(n.sequence, maxKnownRemote)
@@ -277,5 +283,6 @@
 		n.opts.Log.Info("peer became live", "peer", m.Name, "address", m.Address)
 	}
 	n.opts.ReceiveReports(m.Name, m.DataCentre, balancer.InstanceReports{Servers: m.Reports, Urgencies: m.Urgencies}, now)
+	n.opts.ReceivePromptReports(m.Prompts, now)
 	n.fetchIfBehind(*peer, m)
 }
--- a/edge/gossip/node_test.go
+++ b/edge/gossip/node_test.go
@@ -13,6 +13,7 @@
 
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
+	"bergamotpin.example/bergamotpin/edge/promptguard"
 )
 
 // plainDecoder decodes a configuration whose spec is only its version.
@@ -37,6 +38,7 @@
 	reports   map[string][]balancer.ServerReport
 	summaries map[string][]balancer.ServerReport
 	urgencies map[string][]balancer.UrgencyReport
+	guard     *promptguard.Guard
 	stop      context.CancelFunc
 	done      chan struct{}
 }
@@ -62,6 +64,7 @@
 		catalog: catalog.New(plainDecoder{}), storeAge: storeAge,
 		reports: make(map[string][]balancer.ServerReport), summaries: make(map[string][]balancer.ServerReport),
 		urgencies: make(map[string][]balancer.UrgencyReport),
+		guard:     promptguard.New(promptguard.Options{Instances: func() int { return 1 }}),
 		done:      make(chan struct{}),
 	}
 	node, err := Listen(Options{
@@ -86,6 +89,7 @@
 			defer n.mu.Unlock()
 			n.summaries[dataCentre] = reports
 		},
+		PromptReports: n.guard.Reports, ReceivePromptReports: n.guard.Receive,
 		OnChange: func(string, []catalog.Change) {}, Log: slog.New(slog.DiscardHandler),
 		StoreAge: n.currentStoreAge,
 	})
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -18,6 +18,7 @@
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
 	"bergamotpin.example/bergamotpin/edge/gossip"
+	"bergamotpin.example/bergamotpin/edge/promptguard"
 	"bergamotpin.example/bergamotpin/edge/reverseproxy"
 	"bergamotpin.example/bergamotpin/eventlog"
 	"bergamotpin.example/bergamotpin/metrics"
@@ -94,6 +95,7 @@
 	i.catalog = catalog.New(platform.Decoder{})
 	i.selector = reverseproxy.NewServerSelector(balancer.Options{DataCentre: s.DataCentre, Seed: randomSeed(s.Name)}, s.Retries)
 	i.client = backendclient.NewClient(nil)
+	prompts := promptguard.New(promptguard.Options{Seed: randomSeed(s.Name), Instances: i.selector.Instances})
 	i.metrics = metrics.New(s.Name, s.DataCentre)
 	i.watcher = i.newWatcher(s.StoreAddress)
 	var err error
@@ -101,6 +103,7 @@
 		Name: s.Name, DataCentre: s.DataCentre, Cluster: s.StoreAddress.String(), Address: s.PeersAddress, Seeds: s.Seeds, Catalog: i.catalog,
 		Reports: i.selector.Reports, ReceiveReports: i.selector.ReceiveReports, OnChange: i.catalogChanged,
 		Summary: i.selector.Summary, ReceiveSummary: i.selector.ReceiveSummary,
+		PromptReports: prompts.Reports, ReceivePromptReports: prompts.Receive,
 		StoreAge: i.storeAge, Log: i.log.StateChanges,
 	})
 	if err != nil {
@@ -108,7 +111,7 @@
 	}
 	i.selector.SetInstances(i.gossip.CountInstances)
 	i.handler = reverseproxy.New(reverseproxy.Options{
-		Catalog: i.catalog, Selector: i.selector, Client: i.client, Metrics: i.metrics,
+		Catalog: i.catalog, Selector: i.selector, Client: i.client, Metrics: i.metrics, Prompts: prompts,
 		Successes: i.log.Successes, Failures: i.log.Failures, Stopping: i.stopping.Load,
 		BufferBytes: int64(bufferFraction * float64(s.MemoryBytes)),
 	})
@@ -180,6 +183,7 @@
 	_ = readyServer.Close()
 	_ = metricsServer.Close()
 	tasks.Wait()
+	i.handler.Close()
 	_ = i.metrics.Close()
 	i.log.StateChanges.Info("stop")
 	i.log.Close()
--- /dev/null
+++ b/edge/promptguard/guard.go
@@ -0,0 +1,237 @@
+package promptguard
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	// maxParts bounds the table of suspects.
+	maxParts = 64
+	// Each instance tries a part from a time of its own on, within turnSpan for each
+	// instance after the part was withheld, maxTurnSpan at most. So few of a bad part's
+	// requests are sent before all instances know that a try failed.
+	turnSpan    = 3 * time.Second
+	maxTurnSpan = time.Minute
+	// tryInterval is the time between two tries of an instance.
+	tryInterval = 5 * time.Second
+)
+
+// Options configures a Guard.
+type Options struct {
+	// Seed differs between instances. It determines an instance's turns, and which
+	// reports it draws if not all fit.
+	Seed uint64
+	// Instances returns the number of instances, this one included.
+	Instances func() int
+}
+
+// Guard holds the evidence about parts of prompts. It is safe for concurrent use.
+type Guard struct {
+	options Options
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	suspects map[uint64]*suspect
+	answered answeredParts
+	// cleared holds the parts that other instances reported as answered, with the time
+	// until which this counts.
+	cleared map[uint64]time.Time
+	// toTell holds the answered parts that other instances suspect, with the time until
+	// which they are told.
+	toTell map[uint64]time.Time
+}
+
+// New returns a guard that knows nothing.
+func New(o Options) *Guard {
+	return &Guard{
+		options:  o,
+		random:   rand.New(rand.NewPCG(o.Seed, 0)),
+		suspects: make(map[uint64]*suspect),
+		cleared:  make(map[uint64]time.Time),
+		toTell:   make(map[uint64]time.Time),
+	}
+}
+
+// RecordAnswered records that a request with these parts was answered, so that no server
+// ends under them.
+func (g *Guard) RecordAnswered(parts []uint64, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, part := range parts {
+		g.answered.add(part, now)
+		if _, suspected := g.suspects[part]; suspected {
+			delete(g.suspects, part)
+			g.tellAnswered(part, now)
+		}
+	}
+}
+
+// AllAnswered reports whether each of the parts is known to have been answered lately.
+func (g *Guard) AllAnswered(parts []uint64, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, part := range parts {
+		if !g.knownAnswered(part, now) {
+			return false
+		}
+	}
+	return true
+}
+
+// Suspect is a part with the number of servers that ended under it, and the number of
+// failed tries after it was withheld.
+type Suspect struct {
+	Part                 uint64
+	Servers, FailedTries int
+}
+
+// RecordCrash records that a server ended while it held a request with these parts. It
+// returns the parts that were not answered lately.
+func (g *Guard) RecordCrash(server uint64, parts []uint64, now time.Time) []Suspect {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var found []Suspect
+	for _, part := range parts {
+		if g.knownAnswered(part, now) {
+			continue
+		}
+		evidence := suspect{servers: []uint64{server}, newest: now}
+		if s, ok := g.suspects[part]; ok && !s.expired(now) {
+			evidence.level = s.level
+			if s.convicted() && now.Sub(s.newest) >= s.period() {
+				evidence.level++
+			}
+		}
+		g.merge(part, evidence, now)
+		// Evidence of this moment always finds room.
+		s := g.suspects[part]
+		s.own = true
+		found = append(found, Suspect{part, len(s.servers), s.level})
+	}
+	return found
+}
+
+// Withheld is a part that must not be sent to servers.
+type Withheld struct {
+	Suspect
+	// For is the time until requests with the part may be sent again.
+	For time.Duration
+}
+
+// Withheld returns the first of the parts that is withheld. If none is, a request with
+// these parts is taken to be sent now.
+func (g *Guard) Withheld(parts []uint64, now time.Time) (Withheld, bool) {
+	instances := g.options.Instances()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.suspects) == 0 {
+		return Withheld{}, false
+	}
+	for _, part := range parts {
+		s, ok := g.suspects[part]
+		if !ok || s.expired(now) || !g.mustWithhold(s) {
+			continue
+		}
+		if left := g.nextTry(part, s, instances).Sub(now); left > 0 {
+			return Withheld{Suspect{part, len(s.servers), s.level}, left}, true
+		}
+	}
+	for _, part := range parts {
+		if s, ok := g.suspects[part]; ok {
+			s.triedAt = now
+		}
+	}
+	return Withheld{}, false
+}
+
+// mustWithhold reports whether a part is convicted, and no other part explains the ends. A
+// part explains an end if more servers ended under it: requests that happen to be at the
+// same servers lend their parts to the evidence.
+func (g *Guard) mustWithhold(s *suspect) bool {
+	if s.level > 0 || !s.convicted() {
+		return s.convicted()
+	}
+	for _, other := range g.suspects {
+		moreEnded := other.level > 0 || len(other.servers) > len(s.servers)
+		if moreEnded && s.unexplainedBy(other) < withholdThreshold {
+			return false
+		}
+	}
+	return true
+}
+
+// nextTry is the time from which this instance may send a convicted part again.
+func (g *Guard) nextTry(part uint64, s *suspect, instances int) time.Time {
+	span := min(time.Duration(instances)*turnSpan, maxTurnSpan)
+	// The remainder of a product with an odd constant spreads seeds and parts well enough.
+	turn := time.Duration((g.options.Seed ^ part) * 0x9e3779b97f4a7c15 >> 1 % uint64(span))
+	next := s.newest.Add(s.period() + turn)
+	if again := s.triedAt.Add(tryInterval); s.triedAt.After(s.newest) && again.After(next) {
+		return again
+	}
+	return next
+}
+
+// merge takes in evidence about a part, if there is room for it.
+func (g *Guard) merge(part uint64, evidence suspect, now time.Time) {
+	s, ok := g.suspects[part]
+	if ok && !s.expired(now) {
+		s.merge(&evidence)
+		return
+	}
+	delete(g.suspects, part)
+	if g.makeRoom(&evidence, now) {
+		evidence.servers = normalise(evidence.servers)
+		g.suspects[part] = &evidence
+	}
+}
+
+// makeRoom makes room for a suspect. It forgets old ones. If the table is still full, it
+// drops the one with the fewest servers, the oldest of these. It returns false if that
+// would be the new one itself: otherwise two instances would go on putting what they
+// dropped back into each other's tables.
+func (g *Guard) makeRoom(added *suspect, now time.Time) bool {
+	g.expire(now)
+	if len(g.suspects) < maxParts {
+		return true
+	}
+	var victim uint64
+	var least *suspect
+	for part, s := range g.suspects {
+		if least == nil || cmp.Or(compareStrength(s, least), s.newest.Compare(least.newest), cmp.Compare(part, victim)) < 0 {
+			victim, least = part, s
+		}
+	}
+	if compareStrength(added, least) == 0 && added.newest.Before(least.newest) {
+		return false
+	}
+	delete(g.suspects, victim)
+	return true
+}
+
+// compareStrength orders suspects by the strength of the evidence.
+func compareStrength(a, b *suspect) int {
+	return cmp.Or(cmp.Compare(a.level, b.level), cmp.Compare(len(a.servers), len(b.servers)))
+}
+
+// expire forgets what no longer counts.
+func (g *Guard) expire(now time.Time) {
+	for part, s := range g.suspects {
+		if s.expired(now) {
+			delete(g.suspects, part)
+		}
+	}
+	expireTimes(g.cleared, now)
+	expireTimes(g.toTell, now)
+}
+
+func expireTimes(until map[uint64]time.Time, now time.Time) {
+	for part, end := range until {
+		if !now.Before(end) {
+			delete(until, part)
+		}
+	}
+}
--- /dev/null
+++ b/edge/reverseproxy/crash_check.go
@@ -0,0 +1,171 @@
+package reverseproxy
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"bergamotpin.example/bergamotpin/edge/backendclient"
+	"bergamotpin.example/bergamotpin/edge/balancer"
+	"bergamotpin.example/bergamotpin/edge/catalog"
+	"bergamotpin.example/bergamotpin/outcome"
+)
+
+const (
+	// maxCrashChecks bounds the servers that are checked at once, and maxCheckedRequests
+	// the requests that wait for the check of one server.
+	maxCrashChecks     = 64
+	maxCheckedRequests = 64
+	// crashCheckTimeout bounds one check, which ends earlier unless the network is broken.
+	crashCheckTimeout = time.Second
+)
+
+// crashCheckDelays are the pauses before each look at a server's port. The port of a
+// server that ends may close a little later than its connections. A server that starts
+// again needs longer than all of them.
+var crashCheckDelays = [...]time.Duration{0, 50 * time.Millisecond, 200 * time.Millisecond}
+
+// checkedRequest is a request whose connection ended.
+type checkedRequest struct {
+	id     string
+	blocks []uint64
+	// answered is set if its answer may be whole: it had no length, so a server that ends
+	// looks the same.
+	answered bool
+}
+
+// crashChecks finds out whether a server whose connections ended has itself ended. Checks
+// run beside the requests, so no caller waits for them. They are safe for concurrent use.
+type crashChecks struct {
+	handler *Handler
+	ctx     context.Context
+	cancel  context.CancelFunc
+	tasks   sync.WaitGroup
+
+	mu sync.Mutex
+	// waiting holds the requests that wait for the running check of a server, by the
+	// server's connection key. It is nil once the checks were closed.
+	waiting map[string][]checkedRequest
+}
+
+func newCrashChecks(h *Handler) *crashChecks {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &crashChecks{handler: h, ctx: ctx, cancel: cancel, waiting: make(map[string][]checkedRequest)}
+}
+
+// close cancels the running checks and waits for them.
+func (c *crashChecks) close() {
+	c.mu.Lock()
+	c.waiting = nil
+	c.mu.Unlock()
+	c.cancel()
+	c.tasks.Wait()
+}
+
+// begin has a request wait for the check of its server. It starts the check if none runs.
+func (c *crashChecks) begin(server catalog.BackendServer, target backendclient.Server, r checkedRequest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	waiting, running := c.waiting[target.Key]
+	switch {
+	case c.waiting == nil:
+		return
+	case running && len(waiting) < maxCheckedRequests:
+		c.waiting[target.Key] = append(waiting, r)
+		return
+	case running || len(c.waiting) >= maxCrashChecks:
+		c.handler.Failures.Warn("crash check left out", "request", r.id, "server", server.ID, "checks", len(c.waiting))
+		return
+	}
+	c.waiting[target.Key] = []checkedRequest{r}
+	c.tasks.Go(func() { c.check(server, target) })
+}
+
+// check looks at the server's port and records the result for the waiting requests.
+func (c *crashChecks) check(server catalog.BackendServer, target backendclient.Server) {
+	ctx, cancel := context.WithTimeout(c.ctx, crashCheckTimeout)
+	defer cancel()
+	listening, known := c.look(ctx, target)
+	c.mu.Lock()
+	requests := c.waiting[target.Key]
+	delete(c.waiting, target.Key)
+	c.mu.Unlock()
+	if !known {
+		return
+	}
+	now := time.Now()
+	if !listening {
+		c.recordCrash(server, requests, now)
+		return
+	}
+	for _, r := range requests {
+		if r.answered {
+			c.handler.Prompts.RecordAnswered(r.blocks, now)
+		}
+	}
+}
+
+// look reports whether the server still listened at the last look, and whether that is
+// known.
+func (c *crashChecks) look(ctx context.Context, target backendclient.Server) (listening, known bool) {
+	for _, delay := range crashCheckDelays {
+		select {
+		case <-ctx.Done():
+			return false, false
+		case <-time.After(delay):
+		}
+		if listening, known = c.handler.Client.Listens(ctx, target); known && !listening {
+			break
+		}
+	}
+	return listening, known
+}
+
+// recordCrash records the end of a server with the parts of the requests that it held.
+func (c *crashChecks) recordCrash(server catalog.BackendServer, requests []checkedRequest, now time.Time) {
+	key := balancer.ServerKey(server)
+	for _, r := range requests {
+		suspects := c.handler.Prompts.RecordCrash(key, r.blocks, now)
+		c.handler.Failures.Warn("server ended under request", "request", r.id, "server", server.ID, "data_centre", server.DataCentre,
+			"suspects", suspectNames(suspects))
+	}
+}
+
+// recordAnswered records that the parts of the attempt's prompt were answered. delimited
+// is false if only the end of the connection marked the end of the answer.
+func (f *forwarder) recordAnswered(a *balancer.Attempt, delimited bool) {
+	blocks := f.request.sharedBlocks
+	if len(blocks) == 0 {
+		return
+	}
+	now := time.Now()
+	if delimited {
+		f.handler.Prompts.RecordAnswered(blocks, now)
+		return
+	}
+	f.checkServer(a, true)
+}
+
+// checkServer has a check find out whether the attempt's server ended, if that would tell
+// something about the parts of the prompt.
+func (f *forwarder) checkServer(a *balancer.Attempt, answered bool) {
+	req := f.request
+	if len(req.sharedBlocks) == 0 || f.handler.Prompts.AllAnswered(req.sharedBlocks, time.Now()) {
+		return
+	}
+	f.handler.crashes.begin(a.Server, f.handler.connectionTarget(req, a), checkedRequest{id: req.id, blocks: req.sharedBlocks, answered: answered})
+}
+
+// refuseWithheld refuses a request whose prompt holds a part under which servers ended.
+func (h *Handler) refuseWithheld(req *request) *refusal {
+	if len(req.sharedBlocks) == 0 {
+		return nil
+	}
+	part, withheld := h.Prompts.Withheld(req.sharedBlocks, time.Now())
+	if !withheld {
+		return nil
+	}
+	refused := refuseNotRun(outcome.PromptWithheld, part.For)
+	refused.suspect = &part.Suspect
+	return refused
+}
--- a/edge/reverseproxy/doc.go
+++ b/edge/reverseproxy/doc.go
@@ -14,6 +14,7 @@
 //   - A request whose route does not allow retries is sent to a further server
 //     only if no earlier server can have run it. This is checked directly before
 //     each further send.
+//   - A request whose prompt holds a part that package promptguard withholds is not sent.
 //   - API key and route are looked up again before each send, in the configuration
 //     that is in force at that time.
 //   - A successful response is passed on only if it has the server's stamp, and
--- a/edge/reverseproxy/fixture_test.go
+++ b/edge/reverseproxy/fixture_test.go
@@ -13,6 +13,7 @@
 	"bergamotpin.example/bergamotpin/edge/backendclient"
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
+	"bergamotpin.example/bergamotpin/edge/promptguard"
 	"bergamotpin.example/bergamotpin/metrics"
 	"bergamotpin.example/bergamotpin/platform"
 	"bergamotpin.example/bergamotpin/platform/platformtest"
@@ -52,9 +53,11 @@
 	discard := slog.New(slog.DiscardHandler)
 	f.handler = New(Options{
 		Catalog: f.catalog, Selector: NewServerSelector(balancer.Options{DataCentre: "dc1", Seed: 1}, retries),
-		Client: backendclient.NewClient(nil), Metrics: m, Successes: discard, Failures: discard,
+		Client: backendclient.NewClient(nil), Metrics: m,
+		Prompts: promptguard.New(promptguard.Options{Instances: func() int { return 1 }}), Successes: discard, Failures: discard,
 		Stopping: func() bool { return false }, BufferBytes: smallestInstanceBytes / 8,
 	})
+	t.Cleanup(f.handler.Close)
 	server := httptest.NewServer(f.handler)
 	t.Cleanup(server.Close)
 	f.url = server.URL
--- a/edge/reverseproxy/handler.go
+++ b/edge/reverseproxy/handler.go
@@ -10,6 +10,7 @@
 	"bergamotpin.example/bergamotpin/edge/backendclient"
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
+	"bergamotpin.example/bergamotpin/edge/promptguard"
 	"bergamotpin.example/bergamotpin/metrics"
 )
 
@@ -29,6 +30,8 @@
 	Selector *ServerSelector
 	Client   *backendclient.Client
 	Metrics  *metrics.Metrics
+	// Prompts finds the parts of prompts that crash servers.
+	Prompts *promptguard.Guard
 	// Successes logs each send of a request to a server, before its result is
 	// known, and each request that ended with a server's response. Failures logs
 	// each failed attempt, and each request that ended in another way.
@@ -46,10 +49,18 @@
 type Handler struct {
 	Options
 	buffers *bufferBudget
+	crashes *crashChecks
 }
 
-// New returns a Handler with the given options.
-func New(o Options) *Handler { return &Handler{Options: o, buffers: newBufferBudget(o.BufferBytes)} }
+// New returns a Handler with the given options. It must be closed.
+func New(o Options) *Handler {
+	h := &Handler{Options: o, buffers: newBufferBudget(o.BufferBytes)}
+	h.crashes = newCrashChecks(h)
+	return h
+}
+
+// Close ends what the handler does beside the requests.
+func (h *Handler) Close() { h.crashes.close() }
 
 // ServeHTTP forwards one caller's request to a backend server, or refuses it.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -80,6 +91,9 @@
 		"sends", req.sends, "ran", req.possibleRuns, "elapsed_ms", time.Since(req.arrived).Milliseconds(),
 		"configuration", h.Catalog.Snapshot().Version,
 	}
+	if refused.suspect != nil {
+		attributes = append(attributes, "suspects", suspectNames([]promptguard.Suspect{*refused.suspect}))
+	}
 	h.Failures.Warn("refused", append(attributes, overloadAttributes(req, refused.overload)...)...)
 	if h.Stopping() {
 		w.Header().Set("Connection", "close")
@@ -106,13 +120,16 @@
 }
 
 // beginAttempt chooses a server that this request has not been sent to yet. It
-// refuses the request if the current configuration no longer accepts it, or if
-// no server is available.
+// refuses the request if the current configuration no longer accepts it, if a part
+// of its prompt is withheld, or if no server is available.
 func (h *Handler) beginAttempt(req *request) (balancer.Attempt, *refusal) {
 	snapshot := h.Catalog.Snapshot()
 	if refused := req.resolveRoute(snapshot); refused != nil {
 		return balancer.Attempt{}, refused
 	}
+	if refused := h.refuseWithheld(req); refused != nil {
+		return balancer.Attempt{}, refused
+	}
 	candidates := serversNotTried(snapshot.AvailableServers(req.service.Name, time.Now()), req.tried)
 	return h.Selector.BeginAttempt(req.balancerRequest(snapshot), candidates)
 }
--- a/edge/reverseproxy/prompt_blocks.go
+++ b/edge/reverseproxy/prompt_blocks.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"bergamotpin.example/bergamotpin/edge/balancer"
+	"bergamotpin.example/bergamotpin/edge/promptguard"
 	"bergamotpin.example/bergamotpin/platform"
 )
 
@@ -41,3 +42,19 @@
 	}
 	return names.String()
 }
+
+// suspectNames returns the first suspects for a log line, each as KEY:SERVERS or, after
+// failed tries, KEY:SERVERS/TRIES.
+func suspectNames(suspects []promptguard.Suspect) string {
+	var names strings.Builder
+	for i, s := range suspects[:min(len(suspects), maxLoggedBlocks)] {
+		if i > 0 {
+			names.WriteByte(',')
+		}
+		names.WriteString(strconv.FormatUint(s.Part, 16) + ":" + strconv.Itoa(s.Servers))
+		if s.FailedTries > 0 {
+			names.WriteString("/" + strconv.Itoa(s.FailedTries))
+		}
+	}
+	return names.String()
+}
--- a/edge/reverseproxy/refusal.go
+++ b/edge/reverseproxy/refusal.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bergamotpin.example/bergamotpin/edge/balancer"
+	"bergamotpin.example/bergamotpin/edge/promptguard"
 	"bergamotpin.example/bergamotpin/outcome"
 	"bergamotpin.example/bergamotpin/platform"
 )
@@ -29,6 +30,8 @@
 	retryAfter time.Duration
 	// overload is set if the request was refused because of the servers' load.
 	overload *overloadDetails
+	// suspect is set if the request was refused because of a part of its prompt.
+	suspect *promptguard.Suspect
 }
 
 // overloadDetails holds the values that led to the refusal of a request because
--- a/edge/reverseproxy/retry.go
+++ b/edge/reverseproxy/retry.go
@@ -101,6 +101,9 @@
 			f.callerLeft()
 			return
 		}
+		if failed.reason == outcome.StreamCut && failed.mayHaveRun {
+			f.checkServer(&a, false)
+		}
 		if !f.mayRetry(ctx) {
 			f.giveUp(nil)
 			return
@@ -307,10 +310,17 @@
 		f.serverError = whole
 		return false, failure{reason: outcome.ServerError, mayHaveRun: true, err: errors.Errorf("status %d", whole.status)}
 	}
+	if whole.status/100 == 2 {
+		f.recordAnswered(a, isDelimited(response.Response))
+	}
 	f.writeWhole(whole)
 	return true, failure{}
 }
 
+// isDelimited reports whether the end of a response can be told from the end of its
+// connection.
+func isDelimited(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
+
 // readErrorReason converts an error from reading a response into the reason of
 // the failure. The instance itself closes a connection if the request's deadline
 // passed or its caller left. Both give ServerTimeout here; if the caller left,
--- a/edge/reverseproxy/stream_relay.go
+++ b/edge/reverseproxy/stream_relay.go
@@ -42,6 +42,39 @@
 	longestGap time.Duration
 }
 
+const (
+	// A stream shows that its prompt does not crash servers once its events have arrived
+	// for soundSteps times soundStep. A crash comes within a fraction of that. With one
+	// step, a pause of this instance would look the same.
+	soundStep  = 250 * time.Millisecond
+	soundSteps = 2
+)
+
+// streamProgress is the progress of one attempt's stream.
+type streamProgress struct {
+	// steps counts the steps that were completed, and stepBegan is when the current one
+	// began.
+	steps     int
+	stepBegan time.Time
+}
+
+// isSound takes in the arrival of an event. It returns true once, when the stream has
+// shown that its prompt does not crash servers.
+func (p *streamProgress) isSound(arrived time.Time) bool {
+	switch {
+	case p.steps == soundSteps:
+		return false
+	case p.stepBegan.IsZero():
+		p.stepBegan = arrived
+		return false
+	case arrived.Sub(p.stepBegan) < soundStep:
+		return false
+	}
+	p.steps++
+	p.stepBegan = arrived
+	return p.steps == soundSteps
+}
+
 // lastEventID returns the ID of the event after which a server must resume the
 // stream, or "" if the server must start at the beginning.
 func (s *streamState) lastEventID(req *request) string {
@@ -57,6 +90,7 @@
 	reader := bufio.NewReaderSize(response, eventBufferBytes)
 	buffered := reservation{budget: f.handler.buffers}
 	defer buffered.release()
+	var progress streamProgress
 	for {
 		if err := response.SetReadDeadline(f.request.nextEventDeadline(time.Now())); err != nil {
 			return false, failure{reason: readErrorReason(err), mayHaveRun: true, err: err}
@@ -64,7 +98,7 @@
 		buffered.release()
 		event, err := readEvent(reader, &buffered)
 		if err == io.EOF && len(event) == 0 {
-			return f.endStream(a)
+			return f.endStream(a, isDelimited(response.Response))
 		}
 		if err != nil {
 			return false, failure{reason: readErrorReason(err), mayHaveRun: true, err: err}
@@ -72,6 +106,9 @@
 		if failed, ok := f.writeEvent(response, a, event); !ok {
 			return false, failed
 		}
+		if progress.isSound(f.stream.lastAt) {
+			f.recordAnswered(a, true)
+		}
 	}
 }
 
@@ -118,10 +155,11 @@
 }
 
 // endStream completes the response after the server ended the stream.
-func (f *forwarder) endStream(a *balancer.Attempt) (bool, failure) {
+func (f *forwarder) endStream(a *balancer.Attempt, delimited bool) (bool, failure) {
 	if !f.stream.started {
 		return false, failure{reason: outcome.StreamCut, mayHaveRun: true, err: errors.New("the stream ended without an event")}
 	}
+	f.recordAnswered(a, delimited)
 	f.recordCompleted(a.Server.ID, http.StatusOK)
 	return true, failure{}
 }
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -104,6 +104,9 @@
 	// HeldBack means that the request was refused because more urgent requests are
 	// late.
 	HeldBack
+	// PromptWithheld means that the request's prompt holds a part under which several
+	// servers ended.
+	PromptWithheld
 	reasonCount
 )
 
@@ -119,7 +122,7 @@
 	"server_refused", "server_unreachable", "stream_cut", "server_timeout",
 	"server_error", "preempted", "caller_left", "pool_pressure", "continued", "resumed",
 	"body_timeout", "key_completed", "key_unknown",
-	"unknown_route", "garbled", "server_moved", "held_back",
+	"unknown_route", "garbled", "server_moved", "held_back", "prompt_withheld",
 }
 
 // String returns the reason's name in metrics, logs and responses.
