Try withheld parts of prompts one at a time, and less often

Cause: three tries in that time (after 10 s, 2 min, 10 min), and while the server of a try had yet to end, the turn of the next instance came. Change: a try is told in the reports, and all wait 5 s for its result. After a failed try the part is withheld for 10 min, then an hour, and the instances' turns lie within half of that; the first turns lie within 5 s an instance instead of 3. The first withholding stays at 10 s, since it is the one that ordinary crashes can cause. Ruled out: longer periods alone. TestOthersWaitForTheResultOfATry is new.

--- a/edge/promptguard/fleet_test.go
+++ b/edge/promptguard/fleet_test.go
@@ -20,9 +20,24 @@
 	// inFlight holds the reports that arrive in the next round, by recipient.
 	inFlight map[int][][]Report
 	rounds   int
-	nextID   uint64
+	// crashes holds the ends of servers that are yet to come, with their rounds.
+	crashes []pendingCrash
+	// sent holds the times at which bad requests reached servers, and ended those at
+	// which the servers ended.
+	sent, ended []time.Time
+	nextID      uint64
 }
 
+// pendingCrash is the end of a server in a later round.
+type pendingCrash struct {
+	round  int
+	happen func()
+}
+
+// crashRounds is the time from a bad request's arrival at a server to the server's end: the
+// prompt waits and is read first.
+const crashRounds = 7
+
 func newFleet(size, cycle int, seed uint64) *fleet {
 	f := &fleet{random: rand.New(rand.NewPCG(seed, 0)), now: startTime, cycle: cycle, inFlight: map[int][][]Report{}, nextID: 1000}
 	for range size {
@@ -42,6 +57,10 @@
 	}
 	clear(f.inFlight)
 	f.rounds++
+	for len(f.crashes) > 0 && f.crashes[0].round <= f.rounds {
+		f.crashes[0].happen()
+		f.crashes = f.crashes[1:]
+	}
 	for from, g := range f.instances {
 		reports := g.Reports(f.now)
 		if reports == nil {
@@ -62,20 +81,39 @@
 
 func (f *fleet) any() *Guard { return f.instances[f.random.IntN(len(f.instances))] }
 
-// sendBad sends a request with the bad part, unless it is withheld. It returns whether the
-// request reached a server. That server ends, and holds a few other requests.
-func (f *fleet) sendBad() bool {
+// sendBad sends a request with the bad part, unless it is withheld. The server that it
+// reaches ends a little later, and holds a few other requests then.
+func (f *fleet) sendBad() {
 	g := f.any()
 	prompt := []uint64{firstPart, badPart}
 	if _, withheld := g.Withheld(prompt, f.now); withheld {
-		return false
+		return
 	}
+	f.sent = append(f.sent, f.now)
 	server := f.newID()
-	g.RecordCrash(server, prompt, f.now)
-	for range f.random.IntN(6) {
-		f.any().RecordCrash(server, f.soundPrompt(), f.now)
+	f.crashes = append(f.crashes, pendingCrash{f.rounds + crashRounds, func() {
+		f.ended = append(f.ended, f.now)
+		g.RecordCrash(server, prompt, f.now)
+		for range f.random.IntN(6) {
+			f.any().RecordCrash(server, f.soundPrompt(), f.now)
+		}
+	}})
+}
+
+// checkSends fails the test if more bad requests reached servers later than 3 s after the
+// fifth end than the rules allow.
+func (f *fleet) checkSends(t *testing.T) {
+	t.Helper()
+	after := 0
+	for _, when := range f.sent {
+		if len(f.ended) >= 5 && when.After(f.ended[4].Add(3*time.Second)) {
+			after++
+		}
+	}
+	t.Logf("%d bad requests reached servers, %d of them late", len(f.sent), after)
+	if after > 3 {
+		t.Errorf("%d bad requests reached servers later than 3 s after the fifth end, want at most 3", after)
 	}
-	return true
 }
 
 // soundPrompt returns the shared parts of a sound request. Half of the second parts are new.
@@ -96,29 +134,17 @@
 }
 
 // TestBurstOfBadRequestsIsTriedOnceOrTwice guards against tries by many instances at once:
-// bad requests come ten times a second for so long that the part is tried three times.
+// bad requests come ten times a second for so long that the part is tried twice.
 func TestBurstOfBadRequestsIsTriedOnceOrTwice(t *testing.T) {
 	const rounds = int((20 * time.Minute) / round)
 	for seed := range seeds() {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			f := newFleet(7, 5, seed)
-			var reached []time.Duration
 			for range rounds {
 				f.exchange()
-				if f.sendBad() {
-					reached = append(reached, f.now.Sub(startTime))
-				}
-			}
-			t.Logf("bad requests reached servers after %v", reached)
-			after := 0
-			for _, when := range reached {
-				if len(reached) >= 5 && when > reached[4]+3*time.Second {
-					after++
-				}
-			}
-			if after > 3 {
-				t.Errorf("%d bad requests reached servers later than 3 s after the fifth, want at most 3", after)
+				f.sendBad()
 			}
+			f.checkSends(t)
 		})
 	}
 }
@@ -151,7 +177,7 @@
 		maxReached    = 5 + 3
 		soundPerRound = 10
 	)
-	reached, refused := 0, 0
+	refused := 0
 	for n := range seconds * roundsPerBad {
 		f.exchange()
 		for range soundPerRound {
@@ -162,13 +188,13 @@
 			}
 			g.RecordAnswered(prompt, f.now)
 		}
-		if n%roundsPerBad == 0 && f.sendBad() {
-			reached++
+		if n%roundsPerBad == 0 {
+			f.sendBad()
 		}
 	}
-	t.Logf("%d bad requests reached servers", reached)
-	if reached > maxReached {
-		t.Errorf("%d bad requests reached servers, want at most %d", reached, maxReached)
+	f.checkSends(t)
+	if len(f.sent) > maxReached {
+		t.Errorf("%d bad requests reached servers, want at most %d", len(f.sent), maxReached)
 	}
 	if refused > 0 {
 		t.Errorf("%d sound requests were refused, want none", refused)
--- a/edge/promptguard/guard.go
+++ b/edge/promptguard/guard.go
@@ -10,12 +10,7 @@
 const (
 	// maxParts bounds the table of suspects.
 	maxParts = 64
-	// Each instance tries a part from a time of its own on, within turnSpan for each
-	// instance after the part was withheld, maxTurnSpan at most. So few of a bad part's
-	// requests are sent before all instances know that a try failed.
-	turnSpan    = 3 * time.Second
-	maxTurnSpan = time.Minute
-	// tryInterval is the time between two tries of an instance.
+	// tryInterval is the time between two tries, so that the result of the first is known.
 	tryInterval = 5 * time.Second
 )
 
@@ -141,7 +136,7 @@
 	}
 	for _, part := range parts {
 		if s, ok := g.suspects[part]; ok {
-			s.triedAt = now
+			s.ownTry, s.lastTry = now, now
 		}
 	}
 	return Withheld{}, false
@@ -165,11 +160,10 @@
 
 // nextTry is the time from which this instance may send a convicted part again.
 func (g *Guard) nextTry(part uint64, s *suspect, instances int) time.Time {
-	span := min(time.Duration(instances)*turnSpan, maxTurnSpan)
 	// The remainder of a product with an odd constant spreads seeds and parts well enough.
-	turn := time.Duration((g.options.Seed ^ part) * 0x9e3779b97f4a7c15 >> 1 % uint64(span))
+	turn := time.Duration((g.options.Seed ^ part) * 0x9e3779b97f4a7c15 >> 1 % uint64(s.turnSpan(instances)))
 	next := s.newest.Add(s.period() + turn)
-	if again := s.triedAt.Add(tryInterval); s.triedAt.After(s.newest) && again.After(next) {
+	if again := s.lastTry.Add(tryInterval); s.lastTry.After(s.newest) && again.After(next) {
 		return again
 	}
 	return next
--- a/edge/promptguard/guard_test.go
+++ b/edge/promptguard/guard_test.go
@@ -40,8 +40,8 @@
 	}
 	got, ok := g.Withheld([]uint64{otherPart, badPart}, at(time.Second))
 	least := withholdPeriods[0] - time.Second
-	if !ok || got.Suspect != (Suspect{badPart, 3, 0}) || got.For < least || got.For > least+turnSpan {
-		t.Errorf("got %+v, %v; want part %d withheld for %v and up to %v more", got, ok, badPart, least, turnSpan)
+	if !ok || got.Suspect != (Suspect{badPart, 3, 0}) || got.For < least || got.For > least+firstTurnSpan {
+		t.Errorf("got %+v, %v; want part %d withheld for %v and up to %v more", got, ok, badPart, least, firstTurnSpan)
 	}
 }
 
@@ -127,10 +127,11 @@
 	crash()
 	for n, period := range append(withholdPeriods[:], withholdPeriods[len(withholdPeriods)-1]) {
 		crash()
-		if !isWithheld(g, badPart, now.Add(period-time.Millisecond)) || isWithheld(g, badPart, now.Add(period+turnSpan)) {
-			t.Errorf("after %d failed tries: not withheld for %v", n, period)
+		span := g.suspects[badPart].turnSpan(1)
+		if !isWithheld(g, badPart, now.Add(period-time.Millisecond)) || isWithheld(g, badPart, now.Add(period+span)) {
+			t.Errorf("after %d failed tries: not withheld for %v and up to %v more", n, period, span)
 		}
-		now = now.Add(period + turnSpan)
+		now = now.Add(period + span)
 	}
 	now = now.Add(2 * withholdPeriods[len(withholdPeriods)-1])
 	crash()
@@ -145,13 +146,30 @@
 	for n := range uint64(3) {
 		g.RecordCrash(n, []uint64{badPart}, at(0))
 	}
-	end := at(withholdPeriods[0] + turnSpan)
+	end := at(withholdPeriods[0] + firstTurnSpan)
 	first, second := isWithheld(g, badPart, end), isWithheld(g, badPart, end.Add(time.Millisecond))
 	if first || !second || isWithheld(g, badPart, end.Add(tryInterval)) {
 		t.Errorf("got withheld %v and %v, want the first request to pass, and the next one %v later", first, second, tryInterval)
 	}
 }
 
+// TestOthersWaitForTheResultOfATry guards against instances that try a part while the
+// server that got another instance's try has yet to end.
+func TestOthersWaitForTheResultOfATry(t *testing.T) {
+	g, other := newGuard(0), newGuard(1)
+	for n := range uint64(3) {
+		g.RecordCrash(n, []uint64{badPart}, at(0))
+	}
+	other.Receive(g.Reports(at(0)), at(0))
+	end := at(withholdPeriods[0] + firstTurnSpan)
+	tried := !isWithheld(g, badPart, end)
+	heard := end.Add(200 * time.Millisecond)
+	other.Receive(g.Reports(heard), heard)
+	if !tried || !isWithheld(other, badPart, heard) || isWithheld(other, badPart, end.Add(tryInterval)) {
+		t.Errorf("got tried %v; want the other instance to wait %v for the result", tried, tryInterval)
+	}
+}
+
 // TestPartThatTurnsBadIsFound guards against a part that counts as sound for ever.
 func TestPartThatTurnsBadIsFound(t *testing.T) {
 	g := newGuard(0)
--- a/edge/promptguard/reports.go
+++ b/edge/promptguard/reports.go
@@ -17,7 +17,7 @@
 	maxAnsweredReports = 8
 	rankedReports      = 6
 	// Upper bounds of the encoded bytes of a report without its servers, and of a server.
-	reportBytes, serverBytes = 14, 5
+	reportBytes, serverBytes = 17, 5
 	// tellFirstFor is how long a part under which one server ended is reported. Each
 	// instance gets several datagrams in that time. Nearly all such parts are sound.
 	tellFirstFor = 10 * time.Second
@@ -38,6 +38,9 @@
 	Servers []uint64
 	// AgeMs is how long ago the newest end became known, in milliseconds.
 	AgeMs int64
+	// TryAgeMs is how long ago the sender tried the part, in milliseconds, or 0 if it did
+	// not do so lately.
+	TryAgeMs int64
 }
 
 // Reports returns the reports for the next datagrams: answered parts that others suspect,
@@ -81,7 +84,11 @@
 		firsthand := s.own && (len(s.servers) > 1 || age < tellFirstFor)
 		if s.isNews(now) && (firsthand || s.convicted()) {
 			// Later changes replace the slice of servers as a whole.
-			reports = append(reports, Report{Part: part, Level: s.level, Servers: s.servers, AgeMs: age.Milliseconds()})
+			report := Report{Part: part, Level: s.level, Servers: s.servers, AgeMs: age.Milliseconds()}
+			if tryAge := now.Sub(s.ownTry); s.convicted() && tryAge < tryInterval {
+				report.TryAgeMs = max(tryAge.Milliseconds(), 1)
+			}
+			reports = append(reports, report)
 		}
 	}
 	slices.SortFunc(reports, func(a, b Report) int {
@@ -133,6 +140,12 @@
 	if evidence.isNews(now) && !g.knownAnswered(r.Part, now) {
 		g.merge(r.Part, evidence, now)
 	}
+	if s, ok := g.suspects[r.Part]; ok && r.TryAgeMs > 0 {
+		try := now.Add(-time.Duration(min(r.TryAgeMs, maxAge)) * time.Millisecond)
+		if try.After(s.lastTry) {
+			s.lastTry = try
+		}
+	}
 }
 
 // tellAnswered has the next reports state that a part was answered.
--- a/edge/promptguard/reports_test.go
+++ b/edge/promptguard/reports_test.go
@@ -87,7 +87,7 @@
 	limit := withholdPeriods[0] + suspicion + time.Second
 	for now.Before(at(limit)) {
 		step()
-		if now.Equal(at(withholdPeriods[0] + turnSpan + time.Second)) {
+		if now.Equal(at(withholdPeriods[0] + firstTurnSpan + time.Second)) {
 			for n, g := range instances {
 				if isWithheld(g, badPart, now) {
 					t.Errorf("instance %d withholds the part 1 s after its period and turn", n)
@@ -109,7 +109,7 @@
 	for n := range uint64(4) {
 		g.RecordCrash(n, []uint64{badPart}, at(0))
 	}
-	tried := at(withholdPeriods[0] + turnSpan)
+	tried := at(withholdPeriods[0] + firstTurnSpan)
 	g.RecordCrash(9, []uint64{badPart}, tried)
 	const wait = 80 * time.Second
 	now := tried.Add(wait)
@@ -117,8 +117,9 @@
 	teller.Receive(g.Reports(tried), tried)
 	restarted.Receive(teller.Reports(now), now)
 	got, ok := restarted.Withheld([]uint64{badPart}, now)
-	if want := withholdPeriods[1] - wait; !ok || got.FailedTries != 1 || got.For < want || got.For > want+turnSpan {
-		t.Errorf("got %+v, %v; want withheld for %v and up to %v more after one failed try", got, ok, want, turnSpan)
+	span := withholdPeriods[1] / 2
+	if want := withholdPeriods[1] - wait; !ok || got.FailedTries != 1 || got.For < want || got.For > want+span {
+		t.Errorf("got %+v, %v; want withheld for %v and up to %v more after one failed try", got, ok, want, span)
 	}
 }
 
--- a/edge/promptguard/suspect.go
+++ b/edge/promptguard/suspect.go
@@ -19,8 +19,17 @@
 
 // withholdPeriods are the times for which a part is withheld, first and after each further
 // failed try; the last one repeats. The first is short, because servers that end together
-// by chance convict sound parts too.
-var withholdPeriods = [...]time.Duration{10 * time.Second, 2 * time.Minute, 10 * time.Minute, time.Hour}
+// by chance convict sound parts too. A try that fails leaves little doubt.
+var withholdPeriods = [...]time.Duration{10 * time.Second, 10 * time.Minute, time.Hour}
+
+const (
+	// Each instance tries a part from a time of its own on: firstTurnSpan for each
+	// instance after the first withholding, maxFirstTurnSpan at most, and within half of the
+	// period after a later one. So few of a bad part's requests are sent before all
+	// instances know that a try failed.
+	firstTurnSpan    = 5 * time.Second
+	maxFirstTurnSpan = time.Minute
+)
 
 // suspect is a part under which servers ended.
 type suspect struct {
@@ -35,8 +44,9 @@
 	newest time.Time
 	// own is set if this instance itself saw a server end under the part.
 	own bool
-	// triedAt is when this instance last let a request through as a try.
-	triedAt time.Time
+	// ownTry is when this instance last let a request through as a try, and lastTry when
+	// any instance did so.
+	ownTry, lastTry time.Time
 }
 
 // convicted reports whether the servers suffice to withhold the part.
@@ -47,6 +57,14 @@
 	return withholdPeriods[min(s.level, len(withholdPeriods)-1)]
 }
 
+// turnSpan is the time after a withholding in which the instances begin to try the part.
+func (s *suspect) turnSpan(instances int) time.Duration {
+	if s.level > 0 {
+		return s.period() / 2
+	}
+	return min(time.Duration(instances)*firstTurnSpan, maxFirstTurnSpan)
+}
+
 // retention is how long the evidence counts. A convicted part keeps it while it is tried.
 func (s *suspect) retention() time.Duration {
 	if !s.convicted() {
