--- a/edge/reverseproxy/handler.go
+++ b/edge/reverseproxy/handler.go
@@ -12,6 +12,7 @@
 	"bergamotpin.example/bergamotpin/edge/backendclient"
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
+	"bergamotpin.example/bergamotpin/edge/promptguard"
 	"bergamotpin.example/bergamotpin/metrics"
 )
 
@@ -31,6 +32,8 @@
 	Selector *ServerSelector
 	Client   *backendclient.Client
 	Metrics  *metrics.Metrics
+	// Prompts finds the parts of prompts that crash servers.
+	Prompts *promptguard.Guard
 	// Successes logs each send of a request to a server, before its result is
 	// known, and each request that ended with a server's response. Failures logs
 	// each failed attempt, and each request that ended in another way.
@@ -49,10 +52,18 @@
 type Handler struct {
 	Options
 	buffers *bufferBudget
+	crashes *crashChecks
 }
 
-// New returns a Handler with the given options.
-func New(o Options) *Handler { return &Handler{Options: o, buffers: newBufferBudget(o.BufferBytes)} }
+// New returns a Handler with the given options. It must be closed.
+func New(o Options) *Handler {
+	h := &Handler{Options: o, buffers: newBufferBudget(o.BufferBytes)}
+	h.crashes = newCrashChecks(h)
+	return h
+}
+
+// Close ends what the handler does beside the requests.
+func (h *Handler) Close() { h.crashes.close() }
 
 // ServeHTTP forwards one caller's request to a backend server, or refuses it.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -80,6 +91,9 @@
 		"sends", req.sends, "ran", req.possibleRuns, "elapsed_ms", time.Since(req.arrived).Milliseconds(),
 		"configuration", h.Catalog.Snapshot().Version,
 	}
+	if refused.suspect != nil {
+		attributes = append(attributes, "suspects", suspectNames([]promptguard.Suspect{*refused.suspect}))
+	}
 	h.Failures.Warn("refused", append(attributes, overloadAttributes(req, refused.overload)...)...)
 	h.recordUndelivered(req, refused.status, refused.write(w))
 }
@@ -103,13 +117,16 @@
 }
 
 // beginAttempt chooses a server that this request has not been sent to yet. It
-// refuses the request if the current configuration no longer accepts it, or if
-// begin does.
+// refuses the request if the current configuration no longer accepts it, if a part
+// of its prompt is withheld, or if begin does.
 func (h *Handler) beginAttempt(req *request, begin beginFunc) (balancer.Attempt, *refusal) {
 	snapshot := h.Catalog.Snapshot()
 	if refused := req.resolveRoute(snapshot); refused != nil {
 		return balancer.Attempt{}, refused
 	}
+	if refused := h.refuseWithheld(req); refused != nil {
+		return balancer.Attempt{}, refused
+	}
 	candidates := serversNotTried(snapshot.AvailableServers(req.service.Name, time.Now()), req.tried)
 	return begin(req.balancerRequest(snapshot), candidates)
 }
--- a/edge/reverseproxy/retry.go
+++ b/edge/reverseproxy/retry.go
@@ -130,6 +130,9 @@
 		f.request.possibleRuns++
 	}
 	f.logFailed(&s.attempt, failed)
+	if failed.reason == outcome.StreamCut && failed.mayHaveRun {
+		f.checkServer(&s.attempt, false)
+	}
 }
 
 // mayRetry reports whether the request may be sent to another server. If so, it
@@ -232,7 +235,8 @@
 		"request", f.request.id, "server", a.Server.ID, "data_centre", a.Server.DataCentre, "reason", failed.reason.String(),
 		"may_have_run", failed.mayHaveRun, "detail", detail, "route", f.request.route.Name,
 		"events", f.stream.eventCount, "silent_ms", sinceLastEvent.Milliseconds(),
-		"elapsed_ms", time.Since(f.request.arrived).Milliseconds(), "expected_ms", a.ExpectedDelay.Milliseconds())
+		"elapsed_ms", time.Since(f.request.arrived).Milliseconds(), "expected_ms", a.ExpectedDelay.Milliseconds(),
+		"blocks", blockNames(f.request.sharedBlocks))
 }
 
 // attempt sends the request to a server, unless that was done before, and relays the
--- a/edge/reverseproxy/stream_relay.go
+++ b/edge/reverseproxy/stream_relay.go
@@ -42,6 +42,39 @@
 	longestGap time.Duration
 }
 
+const (
+	// A stream shows that its prompt does not crash servers once its events have arrived
+	// for soundSteps times soundStep. A crash comes within a fraction of that. With one
+	// step, a pause of this instance would look the same.
+	soundStep  = 250 * time.Millisecond
+	soundSteps = 2
+)
+
+// streamProgress is the progress of one attempt's stream.
+type streamProgress struct {
+	// steps counts the steps that were completed, and stepBegan is when the current one
+	// began.
+	steps     int
+	stepBegan time.Time
+}
+
+// isSound takes in the arrival of an event. It returns true once, when the stream has
+// shown that its prompt does not crash servers.
+func (p *streamProgress) isSound(arrived time.Time) bool {
+	switch {
+	case p.steps == soundSteps:
+		return false
+	case p.stepBegan.IsZero():
+		p.stepBegan = arrived
+		return false
+	case arrived.Sub(p.stepBegan) < soundStep:
+		return false
+	}
+	p.steps++
+	p.stepBegan = arrived
+	return p.steps == soundSteps
+}
+
 // lastEventID returns the ID of the event after which a server must resume the
 // stream, or "" if the server must start at the beginning.
 func (s *streamState) lastEventID(req *request) string {
@@ -57,6 +90,7 @@
 	reader := bufio.NewReaderSize(s.response, eventBufferBytes)
 	buffered := reservation{budget: f.handler.buffers}
 	defer buffered.release()
+	var progress streamProgress
 	for {
 		buffered.release()
 		f.others.watch(s, eventPatience)
@@ -72,12 +106,16 @@
 			return false, failure{mayHaveRun: true}
 		}
 		if ended {
+			f.recordAnswered(&s.attempt, isDelimited(s.response.Response))
 			f.recordCompleted(s.attempt.Server.ID, http.StatusOK)
 			return true, failure{}
 		}
 		if failed, ok := f.writeEvent(s.response, &s.attempt, event); !ok {
 			return false, failed
 		}
+		if progress.isSound(f.stream.lastAt) {
+			f.recordAnswered(&s.attempt, true)
+		}
 	}
 }
 
