--- a/edge/catalog/catalog.go
+++ b/edge/catalog/catalog.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"bergamotpin.example/bergamotpin/objects"
 	"bergamotpin.example/bergamotpin/rendezvous"
 )
 
@@ -103,19 +104,19 @@
 }
 
 // MergeEvents merges the events of a watch on the servers. Together with the records
-// merged before, the events must cover every change of a server up to revision.
-func (c *Catalog) MergeEvents(records []Record, revision int64, now time.Time) []Change {
+// merged before, the events must cover every change of a server up to version.
+func (c *Catalog) MergeEvents(records []Record, version objects.Version, now time.Time) []Change {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	changes := c.merge(records, 0, now)
-	c.completeRevision = max(c.completeRevision, revision)
+	c.completeRevision = max(c.completeRevision, version.Revision)
 	return changes
 }
 
-// MergeServerList merges a complete list of the servers as of a revision. A known
+// MergeServerList merges a complete list of the servers as of a version. A known
 // server that is not in the list counts as deleted, unless its record is newer than the
 // list.
-func (c *Catalog) MergeServerList(records []Record, revision int64, now time.Time) []Change {
+func (c *Catalog) MergeServerList(records []Record, version objects.Version, now time.Time) []Change {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	listed := make(map[string]bool, len(records))
@@ -123,12 +124,12 @@
 		listed[r.Name] = true
 	}
 	for name, known := range c.servers {
-		if !listed[name] && !known.Deleted && known.Revision <= revision {
-			records = append(records, Record{Kind: KindServer, Name: name, Revision: revision, Deleted: true})
+		if !listed[name] && !known.Deleted && known.Revision <= version.Revision {
+			records = append(records, Record{Kind: KindServer, Name: name, Revision: version.Revision, Era: version.Era, Deleted: true})
 		}
 	}
 	changes := c.merge(records, 0, now)
-	c.completeRevision = max(c.completeRevision, revision)
+	c.completeRevision = max(c.completeRevision, version.Revision)
 	return changes
 }
 
--- a/edge/catalog/catalog_test.go
+++ b/edge/catalog/catalog_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"bergamotpin.example/bergamotpin/objects"
 )
 
 // plainDecoder decodes specs that are the JSON form of the catalog's own types.
@@ -127,9 +129,9 @@
 func TestServersWithoutEntryAreALastResort(t *testing.T) {
 	catalog := New(plainDecoder{})
 	catalog.Merge([]Record{serverRecord("a", 2, BackendServer{}), serverRecord("b", 3, BackendServer{})}, start)
-	catalog.MergeServerList([]Record{serverRecord("b", 3, BackendServer{})}, 5, start)
+	catalog.MergeServerList([]Record{serverRecord("b", 3, BackendServer{})}, objects.Version{Revision: 5}, start)
 	expectEqual(t, "usable", availableIDs(catalog, start), "[b]")
-	catalog.MergeServerList(nil, 6, start)
+	catalog.MergeServerList(nil, objects.Version{Revision: 6}, start)
 	expectEqual(t, "usable with no entry left", availableIDs(catalog, start.Add(MissingEntryGrace/2)), "[a b]")
 	expectEqual(t, "usable later", availableIDs(catalog, start.Add(MissingEntryGrace+1)), "[]")
 	catalog.Merge([]Record{serverRecord("a", 7, BackendServer{})}, start)
@@ -151,7 +153,7 @@
 // one must.
 func TestStaleRecordOfDeletedServerIsIgnored(t *testing.T) {
 	catalog := New(plainDecoder{})
-	catalog.MergeServerList([]Record{serverRecord("b", 1, BackendServer{})}, 10, start)
+	catalog.MergeServerList([]Record{serverRecord("b", 1, BackendServer{})}, objects.Version{Revision: 10}, start)
 	catalog.Merge([]Record{serverRecord("a", 5, BackendServer{})}, start)
 	expectEqual(t, "usable", availableIDs(catalog, start), "[b]")
 	catalog.Merge([]Record{serverRecord("a", 11, BackendServer{})}, start)
--- a/edge/catalog/types.go
+++ b/edge/catalog/types.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"bergamotpin.example/bergamotpin/objects"
 )
 
 // RequestKind says whether a request may be retried.
@@ -156,8 +158,13 @@
 	Revision int64      `cbor:"3,keyasint"`
 	Deleted  bool       `cbor:"4,keyasint,omitempty"`
 	Spec     []byte     `cbor:"5,keyasint,omitempty"`
+	// Era is the store's era in which the object got its revision.
+	Era objects.Era `cbor:"6,keyasint,omitempty"`
 }
 
+// Version returns the record's position in the order of the store's writes.
+func (r Record) Version() objects.Version { return objects.Version{Era: r.Era, Revision: r.Revision} }
+
 // Decoder decodes the specs of records.
 type Decoder interface {
 	Configuration(spec []byte) (Configuration, error)
--- a/edge/catalog/watcher.go
+++ b/edge/catalog/watcher.go
@@ -35,11 +35,11 @@
 // Source is the store that records come from. Its errors are those of package
 // objects.
 type Source interface {
-	// List returns all records of a kind and the revision of the source.
-	List(ctx context.Context, kind RecordKind) ([]Record, int64, error)
-	// Watch returns the changes of a kind after a revision, and the revision of
+	// List returns all records of a kind and the version of the source.
+	List(ctx context.Context, kind RecordKind) ([]Record, objects.Version, error)
+	// Watch returns the changes of a kind after a revision, and the version of
 	// the source, as soon as there is a change or wait has passed.
-	Watch(ctx context.Context, kind RecordKind, after int64, wait time.Duration) ([]Record, int64, error)
+	Watch(ctx context.Context, kind RecordKind, after int64, wait time.Duration) ([]Record, objects.Version, error)
 }
 
 // Watcher keeps a catalog up to date with a source. It continuously watches only the
@@ -134,12 +134,12 @@
 	if kind == KindServer {
 		after = w.serversRevision
 	}
-	records, revision, err := w.Source.Watch(callCtx, kind, after, wait)
+	records, version, err := w.Source.Watch(callCtx, kind, after, wait)
 	w.OnCall(callWatch, resultName(err))
 	if err != nil {
 		return err
 	}
-	w.applyResponse(callWatch, kind, records, revision)
+	w.applyResponse(callWatch, kind, records, version)
 	if len(records) > 0 {
 		sleep(ctx, batchDelay)
 	}
@@ -150,30 +150,30 @@
 func (w *Watcher) list(ctx context.Context, kind RecordKind) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	records, revision, err := w.Source.List(ctx, kind)
+	records, version, err := w.Source.List(ctx, kind)
 	w.OnCall(callList, resultName(err))
 	if err != nil {
 		return err
 	}
-	w.applyResponse(callList, kind, records, revision)
+	w.applyResponse(callList, kind, records, version)
 	return nil
 }
 
 // applyResponse merges the records of a response into the catalog.
-func (w *Watcher) applyResponse(call string, kind RecordKind, records []Record, revision int64) {
-	w.sourceRevision = max(w.sourceRevision, revision)
+func (w *Watcher) applyResponse(call string, kind RecordKind, records []Record, version objects.Version) {
+	w.sourceRevision = max(w.sourceRevision, version.Revision)
 	now := time.Now()
 	var changes []Change
 	switch {
 	case kind == KindConfiguration:
 		changes = w.Catalog.Merge(records, now)
-		w.configurationRevision = revision
+		w.configurationRevision = version.Revision
 	case call == callList:
-		changes = w.Catalog.MergeServerList(records, revision, now)
-		w.serversRevision = revision
+		changes = w.Catalog.MergeServerList(records, version, now)
+		w.serversRevision = version.Revision
 	default:
-		changes = w.Catalog.MergeEvents(records, revision, now)
-		w.serversRevision = revision
+		changes = w.Catalog.MergeEvents(records, version, now)
+		w.serversRevision = version.Revision
 	}
 	w.OnChange(call, changes)
 }
--- a/edge/catalog/watcher_test.go
+++ b/edge/catalog/watcher_test.go
@@ -16,6 +16,7 @@
 // fakeSource is an in-memory source.
 type fakeSource struct {
 	mu       sync.Mutex
+	era      objects.Era
 	revision int64
 	config   Record
 	servers  map[string]Record
@@ -34,7 +35,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	r.Revision = s.revision
+	r.Revision, r.Era = s.revision, s.era
 	if r.Kind == KindConfiguration {
 		s.config = r
 		return
@@ -68,30 +69,30 @@
 	return out
 }
 
-func (s *fakeSource) List(_ context.Context, kind RecordKind) ([]Record, int64, error) {
+func (s *fakeSource) List(_ context.Context, kind RecordKind) ([]Record, objects.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls["list "+kind.String()]++
 	if s.err != nil {
-		return nil, 0, s.err
+		return nil, objects.Version{}, s.err
 	}
-	return s.records(kind, 0), s.revision, nil
+	return s.records(kind, 0), objects.Version{Era: s.era, Revision: s.revision}, nil
 }
 
 // Watch returns only after the whole wait, like a source that failed to notify the
 // watch of a change.
-func (s *fakeSource) Watch(ctx context.Context, kind RecordKind, after int64, wait time.Duration) ([]Record, int64, error) {
+func (s *fakeSource) Watch(ctx context.Context, kind RecordKind, after int64, wait time.Duration) ([]Record, objects.Version, error) {
 	sleep(ctx, wait)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls["watch "+kind.String()]++
 	switch {
 	case s.err != nil:
-		return nil, 0, s.err
-	case after < s.compacted:
-		return nil, 0, objects.ErrCompacted
+		return nil, objects.Version{}, s.err
+	case after < s.compacted || after > s.revision:
+		return nil, objects.Version{}, objects.ErrCompacted
 	}
-	return s.records(kind, after), s.revision, nil
+	return s.records(kind, after), objects.Version{Era: s.era, Revision: s.revision}, nil
 }
 
 // runFakeWatcher calls test while a watcher watches a fakeSource, in simulated time.
@@ -172,12 +173,12 @@
 // revision from which the watch started, as if it knew no later revision.
 type staleServerSource struct{ *fakeSource }
 
-func (s staleServerSource) Watch(ctx context.Context, kind RecordKind, after int64, wait time.Duration) ([]Record, int64, error) {
-	records, revision, err := s.fakeSource.Watch(ctx, kind, after, wait)
+func (s staleServerSource) Watch(ctx context.Context, kind RecordKind, after int64, wait time.Duration) ([]Record, objects.Version, error) {
+	records, version, err := s.fakeSource.Watch(ctx, kind, after, wait)
 	if kind == KindServer {
-		return nil, after, err
+		return nil, objects.Version{Era: version.Era, Revision: after}, err
 	}
-	return records, revision, err
+	return records, version, err
 }
 
 // TestStaleResponsesDoNotCauseBusyLoop has the source respond to watches of the servers
--- a/objects/errors.go
+++ b/objects/errors.go
@@ -30,6 +30,9 @@
 	// ErrUncertain reports a write that got no readable response. The write may
 	// have taken effect, or may still take effect.
 	ErrUncertain = errors.New("objects: no response, the write may have taken effect")
+	// ErrEra reports a response whose era is no number, or is lower than one that was
+	// known. Nothing else in the response may be used.
+	ErrEra = errors.New("objects: invalid era of the store")
 	// ErrInvalid reports a call that is invalid, so that a retry does not help.
 	ErrInvalid = errors.New("objects: invalid")
 )
