Order what the store wrote by era and revision

objects.Version (era, revision) orders them now, as docs/DESIGN.md says:

- configurations by the operator's version first, so that the newest acknowledged one stays in force across eras, and also reaches instances that began after the step
- servers by version; one of an older era that the list of the new one lacks is used for two seconds more, and then deleted by an instance that has such a list, which teaches the others by its tombstone.
No instance empties its table by a list.
- a server that was leaving or deleted in an older era, and that the copy lists as ready, gets nothing new for ten seconds; peers teach each other such departures (Record.Hides), and the digest includes them.
An entry that is written again later ends that of a deleted server, another start time that of a leaving one.
- the watcher lists each kind once at a new era, and doesn't watch on from a revision of the older one. sourceRevision is of one era.
An answer whose era falls or is no number is counted (store_calls, result invalid_era), logged as "store became unreachable" and not used.
- a message states the era, the operator's version, and the configuration's era if that is another one (CBOR keys 16 to 18); records state their era (6).
Without them, the receiver's era is meant, and configurations are compared by revision, as before.
The servers of a peer with an older era are not fetched.
Hashes of the newest era's records are as before, so that digests agree during a rolling change.
- a fetch that brought nothing new is noted for both kinds, not only for servers

In other tests only the calls of Digest and receive changed, and the message of TestMessageSize states an era.

Ruled out: time limits that start at the store's return (instances can't know it); marks that hold for ever (a server whose entry stays in the store is alive).

Open: see docs/DESIGN.md, "What remains".

--- a/edge/catalog/catalog.go
+++ b/edge/catalog/catalog.go
@@ -27,12 +27,15 @@
 	Version int64
 	// Err says why a record could not be decoded.
 	Err error
+	// Previous and Current are the store's versions before and after a change of its
+	// era. They are set only for ChangedEra.
+	Previous, Current objects.Version
 }
 
 // Types of changes. ChangedInForce refers to a configuration; ChangedAvailable,
 // ChangedLeaving, ChangedEntryDeleted (the entry was deleted) and
 // ChangedRestarted refer to a server; ChangedUnreadable refers to a record of
-// either kind.
+// either kind; ChangedEra refers to the store: it came back from an older copy.
 const (
 	ChangedInForce      = "in_force"
 	ChangedAvailable    = "ready"
@@ -40,6 +43,7 @@
 	ChangedEntryDeleted = "gone"
 	ChangedRestarted    = "restarted"
 	ChangedUnreadable   = "unreadable"
+	ChangedEra          = "era"
 )
 
 // Catalog holds the records of one instance. It is safe for concurrent use.
@@ -52,17 +56,26 @@
 	servers       map[string]Record
 	// deletedAt holds the time at which the deletion of each deleted server was merged.
 	deletedAt map[string]time.Time
-	// completeRevision is a revision up to which all server records are known. If a
-	// record of an unknown server is not above this revision, the server was deleted
-	// after that record was written.
-	completeRevision int64
-	// digest is the sum of recordHash over servers.
+	// complete is a version up to which all server records are known. If a record of an
+	// unknown server is not above this version, the server was deleted after that record
+	// was written.
+	complete objects.Version
+	// digest is the sum of the hashes of servers and departures.
 	digest uint64
+	// era is the newest era of the store that is known, and eraSince the time at which it
+	// was learnt. settled is the last era in which missing entries were counted as
+	// deleted.
+	era, settled objects.Era
+	eraSince     time.Time
+	departures   map[string]departure
 }
 
 // New returns an empty catalog.
 func New(d Decoder) *Catalog {
-	c := &Catalog{decoder: d, servers: make(map[string]Record), deletedAt: make(map[string]time.Time)}
+	c := &Catalog{
+		decoder: d, servers: make(map[string]Record), deletedAt: make(map[string]time.Time),
+		departures: make(map[string]departure),
+	}
 	c.snapshot.Store(newSnapshot())
 	return c
 }
@@ -70,14 +83,6 @@
 // Snapshot returns the current state. The caller must not modify it.
 func (c *Catalog) Snapshot() *Snapshot { return c.snapshot.Load() }
 
-// Digest returns the configuration's revision and a digest of the servers'
-// records. Catalogs with the same records have the same digest.
-func (c *Catalog) Digest() (revision int64, servers uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.configuration.Revision, c.digest
-}
-
 // ConfigurationRecord returns the record of the configuration in force.
 func (c *Catalog) ConfigurationRecord() (Record, bool) {
 	c.mu.Lock()
@@ -85,7 +90,8 @@
 	return c.configuration, c.configuration.Revision > 0
 }
 
-// ServerRecords returns the records of all servers, tombstones included.
+// ServerRecords returns the records of all servers, tombstones included, and then the
+// departures.
 func (c *Catalog) ServerRecords() []Record {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -93,14 +99,20 @@
 	for _, r := range c.servers {
 		records = append(records, r)
 	}
+	for _, d := range c.departures {
+		d.record.Hides = d.hides.Revision
+		records = append(records, d.record)
+	}
 	return records
 }
 
-// Merge merges records from any source and returns what changed.
+// Merge merges records from any source, and returns what they and the passing of time
+// changed. Merge without records has to be called from time to time.
 func (c *Catalog) Merge(records []Record, now time.Time) []Change {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.merge(records, c.completeRevision, now)
+	changes := c.enterEraOf(records, now)
+	return append(changes, c.merge(stampEra(records, c.era), merging{after: c.complete}, now)...)
 }
 
 // MergeEvents merges the events of a watch on the servers. Together with the records
@@ -108,34 +120,56 @@
 func (c *Catalog) MergeEvents(records []Record, version objects.Version, now time.Time) []Change {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	changes := c.merge(records, 0, now)
-	c.completeRevision = max(c.completeRevision, version.Revision)
-	return changes
+	changes, ok := c.enterEraOfStore(&version, now)
+	if !ok {
+		return nil
+	}
+	if version.Era == c.complete.Era {
+		c.complete.Revision = max(c.complete.Revision, version.Revision)
+	}
+	return append(changes, c.merge(stampEra(records, version.Era), merging{}, now)...)
 }
 
 // MergeServerList merges a complete list of the servers as of a version. A known
 // server that is not in the list counts as deleted, unless its record is newer than the
-// list.
+// list. If its record is of an older era, it counts as deleted once entryReturnTime has
+// passed since the beginning of the era.
 func (c *Catalog) MergeServerList(records []Record, version objects.Version, now time.Time) []Change {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	changes, ok := c.enterEraOfStore(&version, now)
+	if !ok {
+		return nil
+	}
+	records = stampEra(records, version.Era)
 	listed := make(map[string]bool, len(records))
 	for _, r := range records {
 		listed[r.Name] = true
 	}
 	for name, known := range c.servers {
-		if !listed[name] && !known.Deleted && known.Revision <= version.Revision {
+		if !listed[name] && !known.Deleted && known.Era == version.Era && known.Revision <= version.Revision {
 			records = append(records, Record{Kind: KindServer, Name: name, Revision: version.Revision, Era: version.Era, Deleted: true})
 		}
 	}
-	changes := c.merge(records, 0, now)
-	c.completeRevision = max(c.completeRevision, version.Revision)
-	return changes
+	if version.After(c.complete) {
+		c.complete = version
+	}
+	return append(changes, c.merge(records, merging{fromList: true}, now)...)
 }
 
-// merge applies each record that is newer than the known one. A record of an
-// unknown server is applied only if its revision is above minRevision.
-func (c *Catalog) merge(records []Record, minRevision int64, now time.Time) []Change {
+// merging says where records come from.
+type merging struct {
+	// after is the version above which records of unknown servers are applied.
+	after objects.Version
+	// fromList is set if the records are a list of the store.
+	fromList bool
+}
+
+// merge applies each record that is newer than the known one.
+func (c *Catalog) merge(records []Record, from merging, now time.Time) []Change {
+	if len(records) == 0 && !c.unsettled(now) {
+		return nil
+	}
 	var changes []Change
 	next := *c.snapshot.Load()
 	next.Servers = maps.Clone(next.Servers)
@@ -144,9 +178,11 @@
 		case KindConfiguration:
 			changes = append(changes, c.mergeConfiguration(&next, r)...)
 		case KindServer:
-			changes = append(changes, c.mergeServer(&next, r, minRevision, now)...)
+			changes = append(changes, c.mergeServer(&next, r, from, now)...)
 		}
 	}
+	// After the records, because these may be what was still missing.
+	changes = append(changes, c.settle(&next, now)...)
 	if len(changes) == 0 {
 		return nil
 	}
@@ -157,7 +193,7 @@
 }
 
 func (c *Catalog) mergeConfiguration(next *Snapshot, r Record) []Change {
-	if r.Deleted || r.Revision <= c.configuration.Revision {
+	if r.Deleted || r.Era == c.configuration.Era && r.Revision <= c.configuration.Revision {
 		return nil
 	}
 	change := Change{Kind: r.Kind, Name: r.Name, Revision: r.Revision}
@@ -166,7 +202,8 @@
 		change.Type, change.Err = ChangedUnreadable, err
 		return []Change{change}
 	}
-	if next.Ready && cfg.Version < next.Version {
+	known := ConfigurationVersion{Operator: next.Version, Store: c.configuration.Version()}
+	if next.Ready && !(ConfigurationVersion{Operator: cfg.Version, Store: r.Version()}).After(known) {
 		return nil
 	}
 	c.configuration = r
@@ -175,20 +212,22 @@
 	return []Change{change}
 }
 
-func (c *Catalog) mergeServer(next *Snapshot, r Record, minRevision int64, now time.Time) []Change {
+func (c *Catalog) mergeServer(next *Snapshot, r Record, from merging, now time.Time) []Change {
 	known, exists := c.servers[r.Name]
 	if exists && !r.newerThan(known) {
-		return nil
+		return c.learnDeparture(next, r, known, now)
 	}
-	if !exists && (r.Deleted || r.Revision <= minRevision) {
+	if !exists && (r.Deleted || !r.Version().After(from.after)) {
 		return nil
 	}
+	r.Hides = 0
 	c.servers[r.Name] = r
-	c.digest += recordHash(r) - recordHash(known)
+	c.digest += c.hash(r) - c.hash(known)
 	previous, existed := next.Servers[r.Name]
 	change := Change{Kind: r.Kind, Name: r.Name, Revision: r.Revision}
 	if r.Deleted {
 		c.deletedAt[r.Name] = now
+		c.dropDeparture(r.Name)
 		if !existed || previous.EntryMissing {
 			return nil
 		}
@@ -201,9 +240,16 @@
 	server, err := c.decoder.Server(r.Name, r.Spec)
 	if err != nil {
 		delete(next.Servers, r.Name)
+		c.dropDeparture(r.Name)
 		change.Type, change.Err = ChangedUnreadable, err
 		return []Change{change}
 	}
+	if exists {
+		c.holdDeparture(known, r, previous, server, from.fromList, now)
+	}
+	if _, departed := c.departures[r.Name]; departed {
+		server.Leaving = true
+	}
 	next.Servers[r.Name] = server
 	change.Type = changeType(previous, existed, server)
 	return []Change{change}
@@ -219,13 +265,13 @@
 	return ChangedAvailable
 }
 
-// newerThan compares records by revision. A deletion may have the same revision
-// as the object that it removed, and then counts as newer.
+// newerThan compares records by version. A deletion may have the same revision as the
+// object that it removed, and then counts as newer.
 func (r Record) newerThan(known Record) bool {
-	if r.Revision == known.Revision {
+	if r.Version() == known.Version() {
 		return r.Deleted && !known.Deleted
 	}
-	return r.Revision > known.Revision
+	return r.Version().After(known.Version())
 }
 
 // dropTombstones removes deleted servers from the snapshot after
@@ -242,7 +288,29 @@
 	}
 }
 
-// recordHash is a record's contribution to the digest. It is zero for a deleted
+// sumDigest computes the digest anew, because the hashes depend on the era.
+func (c *Catalog) sumDigest() {
+	c.digest = 0
+	for _, r := range c.servers {
+		c.digest += c.hash(r)
+	}
+	for _, d := range c.departures {
+		c.digest += departureHash(d.record)
+	}
+}
+
+// hash is a record's contribution to the digest. That of a record of the newest era does
+// not depend on the era, so that instances of the version before, which know no eras, have
+// the same digest. Digests are compared together with their eras.
+func (c *Catalog) hash(r Record) uint64 {
+	h := recordHash(r)
+	if h == 0 || r.Era == c.era {
+		return h
+	}
+	return rendezvous.Mix(h ^ rendezvous.Mix(uint64(r.Era)))
+}
+
+// recordHash is a record's hash within its era. It is zero for a deleted
 // server, so that an instance that never knew the server has the same digest as
 // one that saw the deletion.
 func recordHash(r Record) uint64 {
--- a/edge/catalog/catalog_test.go
+++ b/edge/catalog/catalog_test.go
@@ -213,9 +213,7 @@
 			first = catalog
 			continue
 		}
-		wantRevision, wantServers := first.Digest()
-		revision, servers := catalog.Digest()
-		if revision != wantRevision || servers != wantServers {
+		if catalog.Digest() != first.Digest() {
 			t.Errorf("seed %d: the digests depend on the merge order, want equal digests", seed)
 		}
 		expectEqual(t, "usable", availableIDs(catalog, start.Add(time.Hour)), fmt.Sprint(availableIDs(first, start.Add(time.Hour))))
--- a/edge/catalog/era_test.go
+++ b/edge/catalog/era_test.go
@@ -16,9 +16,9 @@
 	thirdEra  = objects.NumberedEra(3)
 )
 
-// entryReturnTime is how long the pages say that entries may take to be back after the
+// pagesReturnTime is how long the pages say that entries may take to be back after the
 // store is.
-const entryReturnTime = 2 * time.Second
+const pagesReturnTime = 2 * time.Second
 
 // in returns the record as of an era.
 func in(era objects.Era, r Record) Record {
@@ -117,12 +117,12 @@
 	}
 	c.MergeServerList(records, at(firstEra, 100), start)
 	c.MergeServerList(nil, at(secondEra, 50), start)
-	almost := start.Add(entryReturnTime - time.Millisecond)
+	almost := start.Add(pagesReturnTime - time.Millisecond)
 	c.Merge(nil, almost)
 	expectEqual(t, "usable before they are back", availableIDs(c, almost), "[s0 s1 s2 s3]")
 	c.MergeEvents([]Record{in(secondEra, serverRecord("s1", 51, BackendServer{})), in(secondEra, serverRecord("s2", 52, BackendServer{}))}, at(secondEra, 52), almost)
 	expectEqual(t, "usable while some are back", availableIDs(c, almost), "[s0 s1 s2 s3]")
-	late := start.Add(entryReturnTime + time.Millisecond)
+	late := start.Add(pagesReturnTime + time.Millisecond)
 	c.Merge(nil, late)
 	expectEqual(t, "usable after the time", availableIDs(c, late), "[s1 s2]")
 }
@@ -133,7 +133,7 @@
 	c := New(plainDecoder{})
 	c.MergeServerList([]Record{in(firstEra, serverRecord("a", 90, BackendServer{}))}, at(firstEra, 100), start)
 	c.MergeServerList(nil, at(secondEra, 50), start)
-	late := start.Add(entryReturnTime + time.Millisecond)
+	late := start.Add(pagesReturnTime + time.Millisecond)
 	c.Merge(nil, late)
 	end := late.Add(MissingEntryGrace + time.Millisecond)
 	c.Merge(nil, end)
@@ -207,13 +207,13 @@
 	c.MergeServerList([]Record{in(firstEra, serverRecord("a", 90, BackendServer{})), in(firstEra, serverRecord("b", 91, BackendServer{}))}, at(firstEra, 100), start)
 	c.MergeServerList([]Record{in(secondEra, serverRecord("a", 51, BackendServer{}))}, at(secondEra, 55), start)
 	c.Merge([]Record{in(secondEra, configurationRecord(54, 8))}, start)
-	soon := start.Add(entryReturnTime / 2)
+	soon := start.Add(pagesReturnTime / 2)
 	c.MergeServerList(nil, at(thirdEra, 20), soon)
 	c.Merge([]Record{in(thirdEra, configurationRecord(20, 7))}, soon)
 	expectEqual(t, "version", c.Snapshot().Version, "9")
 	expectEqual(t, "usable after both", availableIDs(c, soon), "[a b]")
 	c.MergeEvents([]Record{in(thirdEra, serverRecord("a", 21, BackendServer{})), in(thirdEra, serverRecord("c", 22, BackendServer{}))}, at(thirdEra, 22), soon)
-	late := soon.Add(entryReturnTime + time.Millisecond)
+	late := soon.Add(pagesReturnTime + time.Millisecond)
 	c.Merge(nil, late)
 	expectEqual(t, "usable later", availableIDs(c, late), "[a c]")
 	c.Merge([]Record{in(thirdEra, configurationRecord(23, 10))}, late)
--- a/edge/catalog/types.go
+++ b/edge/catalog/types.go
@@ -160,6 +160,9 @@
 	Spec     []byte     `cbor:"5,keyasint,omitempty"`
 	// Era is the store's era in which the object got its revision.
 	Era objects.Era `cbor:"6,keyasint,omitempty"`
+	// Hides is set if a peer teaches a departure: the record is older than the server's
+	// newest one, whose revision is Hides, and says why that one must not be used.
+	Hides int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Version returns the record's position in the order of the store's writes.
--- a/edge/catalog/watcher.go
+++ b/edge/catalog/watcher.go
@@ -60,7 +60,8 @@
 
 	// configurationRevision and serversRevision are the revisions up to which each
 	// kind is known, or 0 if the kind must be listed. sourceRevision is the highest
-	// revision of the source seen in a response.
+	// revision of the source seen in a response. All are revisions of the same era.
+	era                   objects.Era
 	configurationRevision int64
 	serversRevision       int64
 	sourceRevision        int64
@@ -74,8 +75,8 @@
 func (w *Watcher) LastResponse() time.Time { return time.Unix(0, w.lastResponse.Load()) }
 
 // Run watches the source until ctx ends. It lists all records at the start, and again
-// if the source has compacted its history and can therefore not return the changes
-// since the last response.
+// if the source has compacted its history, or came back from an older copy, and can
+// therefore not return the changes since the last response.
 func (w *Watcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if w.listed() && !w.ShouldWatch() {
@@ -135,10 +136,17 @@
 		after = w.serversRevision
 	}
 	records, version, err := w.Source.Watch(callCtx, kind, after, wait)
+	err = w.checkEra(&version, err)
 	w.OnCall(callWatch, resultName(err))
 	if err != nil {
 		return err
 	}
+	if version.Era != w.era {
+		// The changes are those since a revision of the new era, so they are not complete.
+		w.enterEra(version)
+		w.OnChange(callWatch, w.Catalog.EnterEra(version, time.Now()))
+		return nil
+	}
 	w.applyResponse(callWatch, kind, records, version)
 	if len(records) > 0 {
 		sleep(ctx, batchDelay)
@@ -151,14 +159,40 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	records, version, err := w.Source.List(ctx, kind)
+	err = w.checkEra(&version, err)
 	w.OnCall(callList, resultName(err))
 	if err != nil {
 		return err
 	}
+	if version.Era != w.era {
+		w.enterEra(version)
+	}
 	w.applyResponse(callList, kind, records, version)
 	return nil
 }
 
+// checkEra sets the era of a response that states none, and returns an error if the era
+// is lower than the one that is known.
+func (w *Watcher) checkEra(version *objects.Version, err error) error {
+	if err != nil {
+		return err
+	}
+	known := w.Catalog.Era()
+	if version.Era == objects.EraUnstated {
+		version.Era = known
+	}
+	if version.Era < known {
+		return errors.Wrapf(objects.ErrEra, "the era fell from %v to %v", known, version.Era)
+	}
+	return nil
+}
+
+// enterEra has both kinds listed again, because the source came back from an older copy.
+func (w *Watcher) enterEra(version objects.Version) {
+	w.era, w.sourceRevision = version.Era, version.Revision
+	w.configurationRevision, w.serversRevision = 0, 0
+}
+
 // applyResponse merges the records of a response into the catalog.
 func (w *Watcher) applyResponse(call string, kind RecordKind, records []Record, version objects.Version) {
 	w.sourceRevision = max(w.sourceRevision, version.Revision)
@@ -166,7 +200,7 @@
 	var changes []Change
 	switch {
 	case kind == KindConfiguration:
-		changes = w.Catalog.Merge(records, now)
+		changes = w.Catalog.Merge(stampEra(records, version.Era), now)
 		w.configurationRevision = version.Revision
 	case call == callList:
 		changes = w.Catalog.MergeServerList(records, version, now)
@@ -187,6 +221,8 @@
 		return "compacted"
 	case errors.Is(err, objects.ErrRateLimited):
 		return "rate_limited"
+	case errors.Is(err, objects.ErrEra):
+		return "invalid_era"
 	}
 	return "unavailable"
 }
--- a/edge/catalog/watcher_era_test.go
+++ b/edge/catalog/watcher_era_test.go
@@ -51,7 +51,7 @@
 	source := newNumberedSource()
 	runFakeWatcher(t, source, always, func(c *Catalog, _ *Watcher) {
 		calls := source.countCalls(func() {
-			source.stepBack(3)
+			source.stepBack(4)
 			time.Sleep(10 * watchWait)
 		})
 		// The watch that was open when the source stepped back is one more.
@@ -78,12 +78,12 @@
 	source := newNumberedSource()
 	runFakeWatcher(t, source, always, func(c *Catalog, _ *Watcher) {
 		calls := source.countCalls(func() {
-			source.stepBack(4)
+			source.stepBack(5)
 			for n := range 6 {
 				source.put(serverRecord(fmt.Sprint("new", n), 0, BackendServer{}))
 			}
 			source.put(configurationRecord(0, 5))
-			time.Sleep(watchWait + entryReturnTime + MissingEntryGrace)
+			time.Sleep(watchWait + pagesReturnTime + MissingEntryGrace)
 		})
 		expectEqual(t, "version", c.Snapshot().Version, "5")
 		expectEqual(t, "usable", availableIDs(c, time.Now()), "[new0 new1 new2 new3 new4 new5 s0 s1 s2]")
--- a/edge/gossip/members.go
+++ b/edge/gossip/members.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"bergamotpin.example/bergamotpin/edge/catalog"
 )
 
 const (
@@ -29,11 +31,11 @@
 	Leaving      bool
 	// StoreResponseAt is when the metadata store last responded to the member.
 	StoreResponseAt time.Time
-	Revision        int64
-	ServersDigest   uint64
-	// emptyFetch holds two digests of server records, the member's and this instance's,
-	// as they were when a fetch from the member last brought nothing new.
-	emptyFetch [2]uint64
+	// Digest is the digest of the member's records.
+	Digest catalog.Digest
+	// emptyFetch holds two digests, the member's and this instance's, as they were when a
+	// fetch from the member last brought nothing new.
+	emptyFetch [2]catalog.Digest
 }
 
 // members holds the other instances by address.
@@ -60,9 +62,9 @@
 	m.all[a] = &member{Address: a, LastReceived: now}
 }
 
-// receive records a message. It returns the sender, whether the message is newer
+// receive records a message and the digest that it states. It returns the sender, whether the message is newer
 // than the last one from this sender, and whether the sender was not live before.
-func (m *members) receive(msg message, now time.Time) (peer *member, isNew, becameLive bool) {
+func (m *members) receive(msg message, digest catalog.Digest, now time.Time) (peer *member, isNew, becameLive bool) {
 	if msg.Address == m.self {
 		return nil, false, false
 	}
@@ -74,7 +76,7 @@
 	becameLive = !peer.Live
 	peer.Name, peer.DataCentre = msg.Name, msg.DataCentre
 	peer.Started, peer.Sequence = msg.Started, msg.Sequence
-	peer.Leaving, peer.Revision, peer.ServersDigest = msg.Leaving, msg.Revision, msg.ServersDigest
+	peer.Leaving, peer.Digest = msg.Leaving, digest
 	peer.LastReceived, peer.Live = now, true
 	peer.StoreResponseAt = now.Add(-time.Duration(msg.StoreAgeMs) * time.Millisecond)
 	for _, a := range msg.Known {
@@ -190,12 +192,12 @@
 }
 
 // confirmedAt returns when the store last responded to a live member whose
-// configuration is not newer than revision. Without such a member it returns the zero
+// configuration is not newer than the given one. Without such a member it returns the zero
 // time.
-func (m *members) confirmedAt(revision int64) time.Time {
+func (m *members) confirmedAt(configuration catalog.ConfigurationVersion) time.Time {
 	var newest time.Time
 	for _, peer := range m.all {
-		if peer.Live && peer.Revision <= revision && peer.StoreResponseAt.After(newest) {
+		if peer.Live && !peer.Digest.Configuration.After(configuration) && peer.StoreResponseAt.After(newest) {
 			newest = peer.StoreResponseAt
 		}
 	}
--- a/edge/gossip/message.go
+++ b/edge/gossip/message.go
@@ -44,6 +44,7 @@
 	Summary bool `cbor:"13,keyasint,omitempty"`
 	// Urgencies are reports on the sender's recent requests. A summary has none.
 	Urgencies []balancer.UrgencyReport `cbor:"14,keyasint,omitempty"`
+	stated
 }
 
 // errMalformed reports data from a peer that could not be decoded.
--- a/edge/gossip/node.go
+++ b/edge/gossip/node.go
@@ -13,6 +13,7 @@
 
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
+	"bergamotpin.example/bergamotpin/objects"
 )
 
 const (
@@ -154,11 +155,11 @@
 // ConfigurationAge returns how long ago the metadata store confirmed, to this instance
 // or to a live peer, that there is no newer configuration than the one in force here.
 func (n *Node) ConfigurationAge(now time.Time) time.Duration {
-	revision, _ := n.opts.Catalog.Digest()
+	digest := n.opts.Catalog.Digest()
 	own := n.opts.StoreAge(now)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return min(own, now.Sub(n.members.confirmedAt(revision)))
+	return min(own, now.Sub(n.members.confirmedAt(digest.Configuration)))
 }
 
 func (n *Node) sendLoop(ctx context.Context) {
@@ -179,7 +180,7 @@
 // sendRound sends this round's datagrams, and logs the peers that fell silent.
 func (n *Node) sendRound(now time.Time) {
 	reports := n.opts.Reports(now)
-	revision, serversDigest := n.opts.Catalog.Digest()
+	digest := n.opts.Catalog.Digest()
 	storeAge := n.opts.StoreAge(now)
 	n.mu.Lock()
 	for _, peer := range n.members.expire(now) {
@@ -189,9 +190,9 @@
 	recipients := n.planRound(storeAge)
 	complete := message{
 		Cluster: n.opts.Cluster, Name: n.opts.Name, Started: n.started, Sequence: n.sequence,
-		Address: n.opts.Address, Leaving: n.leaving, Revision: revision, ServersDigest: serversDigest,
+		Address: n.opts.Address, Leaving: n.leaving, Revision: digest.Configuration.Store.Revision, ServersDigest: digest.Servers,
 		Known: n.members.knownAddresses(n.sequence, maxKnown), Reports: reports.Servers, DataCentre: n.opts.DataCentre,
-		StoreAgeMs: storeAge.Milliseconds(), Urgencies: reports.Urgencies,
+		StoreAgeMs: storeAge.Milliseconds(), Urgencies: reports.Urgencies, stated: newStated(digest),
 	}
 	withoutReports := complete
 	withoutReports.Reports, withoutReports.Urgencies, withoutReports.Known = nil, nil, n.members.knownAddresses(n.sequence, maxKnownRemote)
@@ -267,8 +268,9 @@
 
 // handleMessage processes a message that is not a summary.
 func (n *Node) handleMessage(m message, now time.Time) {
+	digest := m.digest(n.opts.Catalog.Digest())
 	n.mu.Lock()
-	peer, isNew, becameLive := n.members.receive(m, now)
+	peer, isNew, becameLive := n.members.receive(m, digest, now)
 	n.mu.Unlock()
 	if !isNew {
 		return
@@ -277,5 +279,6 @@
 		n.opts.Log.Info("peer became live", "peer", m.Name, "address", m.Address)
 	}
 	n.opts.ReceiveReports(m.Name, m.DataCentre, balancer.InstanceReports{Servers: m.Reports, Urgencies: m.Urgencies}, now)
-	n.fetchIfBehind(*peer, m)
+	n.opts.OnChange("peer "+m.Name, n.opts.Catalog.EnterEra(objects.Version{Era: digest.Era, Revision: m.Revision}, now))
+	n.fetchIfBehind(*peer)
 }
--- a/edge/gossip/node_test.go
+++ b/edge/gossip/node_test.go
@@ -13,6 +13,7 @@
 
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
+	"bergamotpin.example/bergamotpin/objects"
 )
 
 // plainDecoder decodes a configuration whose spec is only its version.
@@ -249,13 +250,13 @@
 	now := time.Unix(100, 0)
 	from := netip.MustParseAddrPort("10.0.0.2:1")
 	accepts := func(started int64, sequence uint64) bool {
-		_, isNew, _ := m.receive(message{Name: "b", Address: from, Started: started, Sequence: sequence}, now)
+		_, isNew, _ := m.receive(message{Name: "b", Address: from, Started: started, Sequence: sequence}, catalog.Digest{}, now)
 		return isNew
 	}
 	if !accepts(5, 2) || accepts(5, 2) || accepts(5, 1) || accepts(4, 9) || !accepts(5, 3) || !accepts(6, 1) {
 		t.Error("accepted a stale message (a duplicate, one out of order, or one from before a restart), or rejected a new one")
 	}
-	if _, isNew, _ := m.receive(message{Name: "a", Address: m.self, Started: 9, Sequence: 9}, now); isNew {
+	if _, isNew, _ := m.receive(message{Name: "a", Address: m.self, Started: 9, Sequence: 9}, catalog.Digest{}, now); isNew {
 		t.Error("an instance accepted its own message, want it rejected")
 	}
 	for _, raw := range [][]byte{nil, {0xff}, []byte("junk")} {
@@ -289,6 +290,7 @@
 		m := message{
 			Cluster: "10.200.1.7:8223", Name: "edge-ro-central-a-1", DataCentre: "ro-central-a", Started: time.Now().UnixNano(),
 			Sequence: 1000, Address: netip.MustParseAddrPort("10.1.0.40:7340"), Revision: 50, ServersDigest: 1 << 60, StoreAgeMs: 300,
+			stated: stated{Era: objects.NumberedEra(2), ConfigurationVersion: 120},
 		}
 		for n := range servers {
 			m.Reports = append(m.Reports, balancer.ServerReport{
--- a/edge/gossip/record_fetch.go
+++ b/edge/gossip/record_fetch.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -64,15 +65,18 @@
 	_, _ = w.Write(raw)
 }
 
-// fetchIfBehind fetches records from the sender of a message if the message shows that
-// this instance lacks some of the sender's records. Only one fetch runs at a time.
-func (n *Node) fetchIfBehind(peer member, m message) {
-	revision, serversDigest := n.opts.Catalog.Digest()
-	sameServers := m.ServersDigest == serversDigest || peer.emptyFetch == [2]uint64{m.ServersDigest, serversDigest}
-	behind := m.Revision > revision || !sameServers
-	if m.Revision >= revision {
-		// A sender with an older configuration is itself behind, so its message does not
-		// show whether this instance lacks records.
+// fetchIfBehind fetches records from a peer if its digest shows that this instance lacks
+// some of the peer's records. Only one fetch runs at a time.
+func (n *Node) fetchIfBehind(peer member) {
+	own := n.opts.Catalog.Digest()
+	lacking := differenceTo(own, peer.Digest)
+	if peer.emptyFetch == [2]catalog.Digest{peer.Digest, own} {
+		lacking = difference{}
+	}
+	behind := lacking.configuration || lacking.servers
+	if peer.Digest.Era >= own.Era && !own.Configuration.After(peer.Digest.Configuration) {
+		// A sender with an older configuration or era is itself behind, so its message does
+		// not show whether this instance lacks records.
 		n.setBehind(behind, time.Now())
 	}
 	if !behind {
@@ -94,31 +98,35 @@
 		if n.ShouldWatchStore(time.Now()) {
 			time.Sleep(watcherFetchDelay)
 		}
-		n.fetchMissing(peer, m)
+		n.fetchMissing(peer)
 	})
 }
 
-// fetchMissing fetches the kinds of records that differ from those of the sender of a
-// message.
-func (n *Node) fetchMissing(peer member, m message) {
-	revision, serversDigest := n.opts.Catalog.Digest()
+// fetchMissing fetches the kinds of records that this instance lacks.
+func (n *Node) fetchMissing(peer member) {
+	own := n.opts.Catalog.Digest()
+	lacking := differenceTo(own, peer.Digest)
+	changes := 0
 	// Servers are fetched before the configuration, because the instance counts as ready
 	// for requests as soon as it has a configuration.
-	if m.ServersDigest != serversDigest && n.fetch(peer, pathServers) == 0 {
-		n.recordEmptyFetch(peer, m.ServersDigest, serversDigest)
+	if lacking.servers {
+		changes = n.fetch(peer, pathServers)
+	}
+	if lacking.configuration {
+		changes = cmp.Or(changes, n.fetch(peer, pathConfiguration))
 	}
-	if m.Revision > revision {
-		n.fetch(peer, pathConfiguration)
+	if changes == 0 {
+		n.recordEmptyFetch(peer, own)
 	}
 }
 
-// recordEmptyFetch notes that a fetch of a peer's server records brought nothing new.
-// These records are not fetched again until the server records of either side change.
-func (n *Node) recordEmptyFetch(peer member, peerDigest, ownDigest uint64) {
+// recordEmptyFetch notes that a fetch from a peer brought nothing new. Nothing is fetched
+// from it again until the records of either side change.
+func (n *Node) recordEmptyFetch(peer member, own catalog.Digest) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if known := n.members.all[peer.Address]; known != nil {
-		known.emptyFetch = [2]uint64{peerDigest, ownDigest}
+		known.emptyFetch = [2]catalog.Digest{peer.Digest, own}
 	}
 }
 
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -228,6 +228,8 @@
 			return
 		case <-ticker.C:
 		}
+		// Some records only hold for a time after the store came back from an older copy.
+		i.catalogChanged("time", i.catalog.Merge(nil, time.Now()))
 		snapshot := i.catalog.Snapshot()
 		i.reportHealthChanges(snapshot, time.Now())
 		i.selector.RetainServers(snapshot)
