Say when an instance believes in a new era of the store

Each change is one log line now, "store era changed" with the eras, the revisions and the source, and counts in store_era_changes by source. An instance that has just started and learns its first era writes none.

--- a/edge/era_test.go
+++ b/edge/era_test.go
@@ -120,6 +120,20 @@
 	if got := store.Lists("servers") - lists; got > 3 {
 		t.Errorf("got %d lists of the servers, want at most three", got)
 	}
+	for n, i := range instances {
+		// The third instance began after the step back.
+		want := map[bool]int{true: 1, false: 0}[n < 2]
+		if got := strings.Count(i.log.String(), `"msg":"store era changed","was":"1","is":"2"`); got != want {
+			t.Errorf("instance %d: got %d lines on the change of the era, want %d", n, got, want)
+		}
+		var counted int64
+		for _, r := range i.eraChanges.readings() {
+			counted += r.Value
+		}
+		if counted != int64(want) {
+			t.Errorf("instance %d: counted %d changes of the era, want %d", n, counted, want)
+		}
+	}
 	calls := store.Calls()
 	time.Sleep(2 * time.Second)
 	// Two watchers, each with a call of 0.7 s.
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -59,6 +59,7 @@
 	stopping        atomic.Bool
 	storeCalls      storeCalls
 	healthChanges   healthChangeCounts
+	eraChanges      eraChanges
 }
 
 // Options configures an instance.
@@ -206,6 +207,10 @@
 		return
 	}
 	for _, c := range changes {
+		if c.Type == catalog.ChangedEra {
+			i.eraChanged(source, c)
+			continue
+		}
 		detail := ""
 		if c.Err != nil {
 			detail = c.Err.Error()
