Do not learn from a peer an entry that the new era's list lacked

An instance that has listed the new era, and still serves a server of the older era that the list lacked, took a peer's entry of the new era for it, although the list shows that this entry was deleted meanwhile. The server stayed in use until a tombstone came.

TestEntryDeletedBeforeListIsNotTaught failed without the change: "usable: got [a b], want [b]". go test ./edge/catalog passes.

--- a/edge/catalog/catalog.go
+++ b/edge/catalog/catalog.go
@@ -220,6 +220,10 @@
 	if !exists && (r.Deleted || !r.Version().After(from.after)) {
 		return nil
 	}
+	if exists && known.Era < r.Era && r.Era == from.after.Era && !r.Deleted && !r.Version().After(from.after) {
+		// The list of this era lacked the entry, so it was deleted after it was written.
+		return nil
+	}
 	r.Hides = 0
 	c.servers[r.Name] = r
 	c.digest += c.hash(r) - c.hash(known)
--- a/edge/catalog/era_test.go
+++ b/edge/catalog/era_test.go
@@ -247,3 +247,15 @@
 		}
 	}
 }
+
+// TestEntryDeletedBeforeListIsNotTaught guards against a peer that has not seen a deletion
+// in the new era, and teaches the entry to an instance that has a list without it.
+func TestEntryDeletedBeforeListIsNotTaught(t *testing.T) {
+	c := New(plainDecoder{})
+	c.MergeServerList([]Record{in(firstEra, serverRecord("a", 90, BackendServer{})), in(firstEra, serverRecord("b", 91, BackendServer{}))}, at(firstEra, 100), start)
+	c.MergeServerList([]Record{in(secondEra, serverRecord("b", 41, BackendServer{}))}, at(secondEra, 51), start)
+	c.Merge([]Record{in(secondEra, serverRecord("a", 40, BackendServer{}))}, start)
+	late := start.Add(pagesReturnTime + time.Millisecond)
+	c.Merge(nil, late)
+	expectEqual(t, "usable", availableIDs(c, late), "[b]")
+}
