Do not use the entry that a server had before its restart

A server that was restarted under its ID after the copy was made is listed with its older start in the copy. That process no longer runs, but the entry counted as newer than the known one, and requests went to its address. Such an entry is hidden now like that of a leaving server, until an entry with another start is written.

TestOlderStartOfServerIsNotUsed failed without the change: "usable: got [a b], want [b]", at the instance and at a peer. go test ./edge/catalog passes.

--- a/edge/catalog/departures.go
+++ b/edge/catalog/departures.go
@@ -19,11 +19,13 @@
 const departureSeed = 0xd3a7
 
 // departure is what this instance knows of a server that was leaving or deleted in an
-// older era, and that an entry of a newer era lists as ready. Such an entry is as old as
-// the copy from which the store came back, so the server gets no new requests.
+// older era, or had started again, and that an entry of a newer era lists as ready. Such
+// an entry is as old as the copy from which the store came back, so the server gets no new
+// requests.
 type departure struct {
 	record Record
-	// startedAtMillis is the server's start, if the record is not a deletion.
+	// startedAtMillis is the start of the process that departed, if the record is not a
+	// deletion.
 	startedAtMillis int64
 	// hides is the version of the entry that the departure holds against.
 	hides objects.Version
@@ -43,11 +45,20 @@
 	case known.Deleted && fromList:
 		// An entry that comes in an event was written after the store came back.
 		c.addDeparture(departure{record: known, hides: r.Version()})
-	case !known.Deleted && previous.Leaving && previous.StartedAtMillis == server.StartedAtMillis:
-		c.addDeparture(departure{record: known, startedAtMillis: previous.StartedAtMillis, hides: r.Version()})
+	case !known.Deleted && previous.showsDepartureOf(server):
+		c.addDeparture(departure{record: known, startedAtMillis: server.StartedAtMillis, hides: r.Version()})
 	}
 }
 
+// showsDepartureOf reports whether the known entry of a server says that the process of
+// another entry is leaving, or was followed by another process.
+func (known BackendServer) showsDepartureOf(other BackendServer) bool {
+	if known.StartedAtMillis == other.StartedAtMillis {
+		return known.Leaving
+	}
+	return known.StartedAtMillis > other.StartedAtMillis
+}
+
 // endsWith reports whether a newer entry of the server ends the departure.
 func (d departure) endsWith(r Record, server BackendServer) bool {
 	if server.Leaving {
@@ -76,10 +87,10 @@
 	}
 	if !r.Deleted {
 		departed, err := c.decoder.Server(r.Name, r.Spec)
-		if err != nil || !departed.Leaving || departed.StartedAtMillis != server.StartedAtMillis {
+		if err != nil || !departed.showsDepartureOf(server) {
 			return nil
 		}
-		d.startedAtMillis = departed.StartedAtMillis
+		d.startedAtMillis = server.StartedAtMillis
 	}
 	d.record.Hides = 0
 	c.dropDeparture(r.Name)
--- a/edge/catalog/era_test.go
+++ b/edge/catalog/era_test.go
@@ -259,3 +259,22 @@
 	c.Merge(nil, late)
 	expectEqual(t, "usable", availableIDs(c, late), "[b]")
 }
+
+// TestOlderStartOfServerIsNotUsed guards against a copy that brings back the entry that a
+// server had before it started again under its ID.
+func TestOlderStartOfServerIsNotUsed(t *testing.T) {
+	c := New(plainDecoder{})
+	entry := func(era objects.Era, id string, revision, born int64) Record {
+		return in(era, serverRecord(id, revision, BackendServer{StartedAtMillis: born}))
+	}
+	c.MergeServerList([]Record{entry(firstEra, "a", 90, 2), entry(firstEra, "b", 41, 1)}, at(firstEra, 100), start)
+	copied := []Record{entry(secondEra, "a", 40, 1), entry(secondEra, "b", 41, 1)}
+	c.MergeServerList(copied, at(secondEra, 50), start)
+	expectEqual(t, "usable", availableIDs(c, start), "[b]")
+	peer := New(plainDecoder{})
+	peer.MergeServerList(copied, at(secondEra, 50), start)
+	peer.Merge(c.ServerRecords(), start)
+	expectEqual(t, "usable at a peer", availableIDs(peer, start), "[b]")
+	c.MergeEvents([]Record{entry(secondEra, "a", 51, 2)}, at(secondEra, 51), start)
+	expectEqual(t, "usable after a wrote again", availableIDs(c, start), "[a b]")
+}
