Hold a deletion against a copy that a peer teaches

An instance that knew a server to be deleted in the older era hid the copy's entry only if it listed the copy itself. Learnt from a peer that had begun after the step back, the entry made the server usable. Records say now whether they came in a list (FromList, CBOR key 8), and so may be as old as the copy; entries that came in an event were written after the step back and are used. An entry with a later start than the deleted one is used, too.

TestDeletionHoldsAgainstPeerWithCopy failed without the change: "usable: got [a b], want [b]". TestDepartureIsNotTaughtAgainstLaterEntry passed before and guards the new condition (it fails if that is always false). TestDeletedServerOfOlderEraGetsNothingNew got a second step. go test ./edge/catalog passes.

--- a/edge/catalog/catalog.go
+++ b/edge/catalog/catalog.go
@@ -112,7 +112,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	changes := c.enterEraOf(records, now)
-	return append(changes, c.merge(stampEra(records, c.era), merging{after: c.complete}, now)...)
+	return append(changes, c.merge(stampEra(records, c.era), c.complete, now)...)
 }
 
 // MergeEvents merges the events of a watch on the servers. Together with the records
@@ -127,7 +127,7 @@
 	if version.Era == c.complete.Era {
 		c.complete.Revision = max(c.complete.Revision, version.Revision)
 	}
-	return append(changes, c.merge(stampEra(records, version.Era), merging{}, now)...)
+	return append(changes, c.merge(stampEra(records, version.Era), objects.Version{}, now)...)
 }
 
 // MergeServerList merges a complete list of the servers as of a version. A known
@@ -143,8 +143,9 @@
 	}
 	records = stampEra(records, version.Era)
 	listed := make(map[string]bool, len(records))
-	for _, r := range records {
-		listed[r.Name] = true
+	for n := range records {
+		records[n].FromList = true
+		listed[records[n].Name] = true
 	}
 	for name, known := range c.servers {
 		if !listed[name] && !known.Deleted && known.Era == version.Era && known.Revision <= version.Revision {
@@ -154,19 +155,12 @@
 	if version.After(c.complete) {
 		c.complete = version
 	}
-	return append(changes, c.merge(records, merging{fromList: true}, now)...)
-}
-
-// merging says where records come from.
-type merging struct {
-	// after is the version above which records of unknown servers are applied.
-	after objects.Version
-	// fromList is set if the records are a list of the store.
-	fromList bool
+	return append(changes, c.merge(records, objects.Version{}, now)...)
 }
 
-// merge applies each record that is newer than the known one.
-func (c *Catalog) merge(records []Record, from merging, now time.Time) []Change {
+// merge applies each record that is newer than the known one. A record of an unknown
+// server is applied only if its version is above after.
+func (c *Catalog) merge(records []Record, after objects.Version, now time.Time) []Change {
 	if len(records) == 0 && !c.unsettled(now) {
 		return nil
 	}
@@ -178,7 +172,7 @@
 		case KindConfiguration:
 			changes = append(changes, c.mergeConfiguration(&next, r)...)
 		case KindServer:
-			changes = append(changes, c.mergeServer(&next, r, from, now)...)
+			changes = append(changes, c.mergeServer(&next, r, after, now)...)
 		}
 	}
 	// After the records, because these may be what was still missing.
@@ -212,15 +206,15 @@
 	return []Change{change}
 }
 
-func (c *Catalog) mergeServer(next *Snapshot, r Record, from merging, now time.Time) []Change {
+func (c *Catalog) mergeServer(next *Snapshot, r Record, after objects.Version, now time.Time) []Change {
 	known, exists := c.servers[r.Name]
 	if exists && !r.newerThan(known) {
 		return c.learnDeparture(next, r, known, now)
 	}
-	if !exists && (r.Deleted || !r.Version().After(from.after)) {
+	if !exists && (r.Deleted || !r.Version().After(after)) {
 		return nil
 	}
-	if exists && known.Era < r.Era && r.Era == from.after.Era && !r.Deleted && !r.Version().After(from.after) {
+	if exists && known.Era < r.Era && r.Era == after.Era && !r.Deleted && !r.Version().After(after) {
 		// The list of this era lacked the entry, so it was deleted after it was written.
 		return nil
 	}
@@ -249,7 +243,7 @@
 		return []Change{change}
 	}
 	if exists {
-		c.holdDeparture(known, r, previous, server, from.fromList, now)
+		c.holdDeparture(known, r, previous, server, now)
 	}
 	if _, departed := c.departures[r.Name]; departed {
 		server.Leaving = true
--- a/edge/catalog/departures.go
+++ b/edge/catalog/departures.go
@@ -33,7 +33,7 @@
 
 // holdDeparture updates the departure of a server whose known record is about to be
 // replaced by a readable entry.
-func (c *Catalog) holdDeparture(known, r Record, previous, server BackendServer, fromList bool, now time.Time) {
+func (c *Catalog) holdDeparture(known, r Record, previous, server BackendServer, now time.Time) {
 	d, held := c.departures[r.Name]
 	switch {
 	case held && d.endsWith(r, server):
@@ -42,8 +42,9 @@
 		d.hides = r.Version()
 		c.departures[r.Name] = d
 	case server.Leaving || known.Era >= r.Era || now.Sub(c.eraSince) > departureHold:
-	case known.Deleted && fromList:
-		// An entry that comes in an event was written after the store came back.
+	case known.Deleted && r.FromList && (previous.ID == "" || previous.StartedAtMillis >= server.StartedAtMillis):
+		// An entry that comes in an event, or that states a later start, was written after
+		// the store came back.
 		c.addDeparture(departure{record: known, hides: r.Version()})
 	case !known.Deleted && previous.showsDepartureOf(server):
 		c.addDeparture(departure{record: known, startedAtMillis: server.StartedAtMillis, hides: r.Version()})
@@ -82,7 +83,7 @@
 		return nil
 	}
 	d := departure{record: r, hides: known.Version()}
-	if r.Deleted && r.Hides != known.Revision {
+	if r.Deleted && (r.Hides != known.Revision || !known.FromList) {
 		return nil
 	}
 	if !r.Deleted {
--- a/edge/catalog/era.go
+++ b/edge/catalog/era.go
@@ -139,7 +139,7 @@
 		for name, known := range c.servers {
 			if known.Era < c.era && !known.Deleted {
 				gone := Record{Kind: KindServer, Name: name, Revision: c.complete.Revision, Era: c.era, Deleted: true}
-				changes = append(changes, c.mergeServer(next, gone, merging{}, now)...)
+				changes = append(changes, c.mergeServer(next, gone, objects.Version{}, now)...)
 			}
 		}
 	}
--- a/edge/catalog/era_test.go
+++ b/edge/catalog/era_test.go
@@ -185,6 +185,9 @@
 	copied := []Record{in(secondEra, serverRecord("a", 40, BackendServer{})), in(secondEra, serverRecord("b", 41, BackendServer{}))}
 	c.MergeServerList(copied, at(secondEra, 50), start)
 	expectEqual(t, "usable in the copy", availableIDs(c, start), "[b]")
+	copied = []Record{in(thirdEra, serverRecord("a", 40, BackendServer{})), in(thirdEra, serverRecord("b", 41, BackendServer{}))}
+	c.MergeServerList(copied, at(thirdEra, 45), start)
+	expectEqual(t, "usable in the copy's second return", availableIDs(c, start), "[b]")
 	later := start.Add(time.Minute)
 	c.Merge(nil, later)
 	expectEqual(t, "usable a minute later", availableIDs(c, later), "[a b]")
@@ -278,3 +281,34 @@
 	c.MergeEvents([]Record{entry(secondEra, "a", 51, 2)}, at(secondEra, 51), start)
 	expectEqual(t, "usable after a wrote again", availableIDs(c, start), "[a b]")
 }
+
+// TestDeletionHoldsAgainstPeerWithCopy guards against a peer that began after the step back
+// and teaches the copy's entry of a server that is known to be gone.
+func TestDeletionHoldsAgainstPeerWithCopy(t *testing.T) {
+	c := New(plainDecoder{})
+	c.MergeServerList([]Record{in(firstEra, serverRecord("a", 80, BackendServer{})), in(firstEra, serverRecord("b", 81, BackendServer{}))}, at(firstEra, 90), start)
+	c.MergeEvents([]Record{in(firstEra, deletedServer("a", 95))}, at(firstEra, 95), start)
+	peer := New(plainDecoder{})
+	peer.MergeServerList([]Record{in(secondEra, serverRecord("a", 40, BackendServer{})), in(secondEra, serverRecord("b", 41, BackendServer{}))}, at(secondEra, 50), start)
+	c.Merge(peer.ServerRecords(), start)
+	expectEqual(t, "usable", availableIDs(c, start), "[b]")
+	// A later entry was written after the step back.
+	peer.MergeEvents([]Record{in(secondEra, serverRecord("a", 51, BackendServer{}))}, at(secondEra, 51), start)
+	c.Merge(peer.ServerRecords(), start)
+	expectEqual(t, "usable after a wrote again", availableIDs(c, start), "[a b]")
+}
+
+// TestDepartureIsNotTaughtAgainstLaterEntry guards against a peer that hides the copy's entry
+// of a server, and teaches that to an instance that has seen it write again.
+func TestDepartureIsNotTaughtAgainstLaterEntry(t *testing.T) {
+	peer := New(plainDecoder{})
+	peer.MergeServerList([]Record{in(firstEra, serverRecord("a", 80, BackendServer{})), in(firstEra, serverRecord("b", 81, BackendServer{}))}, at(firstEra, 90), start)
+	peer.MergeEvents([]Record{in(firstEra, deletedServer("a", 95))}, at(firstEra, 95), start)
+	copied := []Record{in(secondEra, serverRecord("a", 40, BackendServer{})), in(secondEra, serverRecord("b", 41, BackendServer{}))}
+	peer.MergeServerList(copied, at(secondEra, 50), start)
+	c := New(plainDecoder{})
+	c.MergeServerList(copied, at(secondEra, 50), start)
+	c.MergeEvents([]Record{in(secondEra, serverRecord("a", 51, BackendServer{}))}, at(secondEra, 51), start)
+	c.Merge(peer.ServerRecords(), start)
+	expectEqual(t, "usable", availableIDs(c, start), "[a b]")
+}
--- a/edge/catalog/types.go
+++ b/edge/catalog/types.go
@@ -163,6 +163,9 @@
 	// Hides is set if a peer teaches a departure: the record is older than the server's
 	// newest one, whose revision is Hides, and says why that one must not be used.
 	Hides int64 `cbor:"7,keyasint,omitempty"`
+	// FromList is set if the record came in a list of the store, so that it may be as old
+	// as the copy from which the store came back.
+	FromList bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Version returns the record's position in the order of the store's writes.
