--- a/edge/gossip/message.go
+++ b/edge/gossip/message.go
@@ -47,6 +47,7 @@
 	Urgencies []balancer.UrgencyReport `cbor:"14,keyasint,omitempty"`
 	// Prompts are reports on parts of prompts that crash servers. A summary has none.
 	Prompts []promptguard.Report `cbor:"15,keyasint,omitempty"`
+	stated
 }
 
 // errMalformed reports data from a peer that could not be decoded.
--- a/edge/gossip/node.go
+++ b/edge/gossip/node.go
@@ -14,6 +14,7 @@
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
 	"bergamotpin.example/bergamotpin/edge/promptguard"
+	"bergamotpin.example/bergamotpin/objects"
 )
 
 const (
@@ -159,11 +160,11 @@
 // ConfigurationAge returns how long ago the metadata store confirmed, to this instance
 // or to a live peer, that there is no newer configuration than the one in force here.
 func (n *Node) ConfigurationAge(now time.Time) time.Duration {
-	revision, _ := n.opts.Catalog.Digest()
+	digest := n.opts.Catalog.Digest()
 	own := n.opts.StoreAge(now)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return min(own, now.Sub(n.members.confirmedAt(revision)))
+	return min(own, now.Sub(n.members.confirmedAt(digest.Configuration)))
 }
 
 func (n *Node) sendLoop(ctx context.Context) {
@@ -184,7 +185,7 @@
 // sendRound sends this round's datagrams, and logs the peers that fell silent.
 func (n *Node) sendRound(now time.Time) {
 	reports, promptReports := n.opts.Reports(now), n.opts.PromptReports(now)
-	revision, serversDigest := n.opts.Catalog.Digest()
+	digest := n.opts.Catalog.Digest()
 	storeAge := n.opts.StoreAge(now)
 	n.mu.Lock()
 	for _, peer := range n.members.expire(now) {
@@ -194,10 +195,10 @@
 	recipients := n.planRound(storeAge)
 	complete := message{
 		Cluster: n.opts.Cluster, Name: n.opts.Name, Started: n.started, Sequence: n.sequence,
-		Address: n.opts.Address, Leaving: n.leaving, Revision: revision, ServersDigest: serversDigest,
+		Address: n.opts.Address, Leaving: n.leaving, Revision: digest.Configuration.Store.Revision, ServersDigest: digest.Servers,
 		Known: n.members.knownAddresses(n.sequence, maxKnown), Reports: reports.Servers, DataCentre: n.opts.DataCentre,
 		StoreAgeMs: storeAge.Milliseconds(), Urgencies: reports.Urgencies,
-		Prompts: promptReports,
+		Prompts: promptReports, stated: newStated(digest),
 	}
 	withoutReports := complete
 	withoutReports.Reports, withoutReports.Urgencies, withoutReports.Known = nil, nil, n.members.knownAddresses(n.sequence, maxKnownRemote)
@@ -273,8 +274,9 @@
 
 // handleMessage processes a message that is not a summary.
 func (n *Node) handleMessage(m message, now time.Time) {
+	digest := m.digest(n.opts.Catalog.Digest())
 	n.mu.Lock()
-	peer, isNew, becameLive := n.members.receive(m, now)
+	peer, isNew, becameLive := n.members.receive(m, digest, now)
 	n.mu.Unlock()
 	if !isNew {
 		return
@@ -284,5 +286,6 @@
 	}
 	n.opts.ReceiveReports(m.Name, m.DataCentre, balancer.InstanceReports{Servers: m.Reports, Urgencies: m.Urgencies}, now)
 	n.opts.ReceivePromptReports(m.Prompts, now)
-	n.fetchIfBehind(*peer, m)
+	n.opts.OnChange("peer "+m.Name, n.opts.Catalog.EnterEra(objects.Version{Era: digest.Era, Revision: m.Revision}, now))
+	n.fetchIfBehind(*peer)
 }
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -64,6 +64,7 @@
 	stopping      atomic.Bool
 	storeCalls    storeCalls
 	healthChanges healthChangeCounts
+	eraChanges    eraChanges
 }
 
 // Options configures an instance.
@@ -215,6 +216,10 @@
 		return
 	}
 	for _, c := range changes {
+		if c.Type == catalog.ChangedEra {
+			i.eraChanged(source, c)
+			continue
+		}
 		detail := ""
 		if c.Err != nil {
 			detail = c.Err.Error()
@@ -237,6 +242,8 @@
 			return
 		case <-ticker.C:
 		}
+		// Some records only hold for a time after the store came back from an older copy.
+		i.catalogChanged("time", i.catalog.Merge(nil, time.Now()))
 		snapshot := i.catalog.Snapshot()
 		i.reportHealthChanges(snapshot, time.Now())
 		i.selector.RetainServers(snapshot)
