Stop gracefully too when a listener has failed

If the listener of the readiness check or of the metrics failed, the instance closed all callers' connections at once. Cause: Run shut down gracefully only if it was told to stop. Change: it does so in both cases, logs the listener's error and returns it. Before: TestFailedListenerDoesNotCutOpenRequests failed, the open stream was cut after 19 bytes. After: go test ./edge -run 'FailedListener|Shutdown|Grace' passes. The settings of test instances are now made in one place; no other test changed.

--- a/edge/grace_end_test.go
+++ b/edge/grace_end_test.go
@@ -1,6 +1,9 @@
 package edge
 
 import (
+	"context"
+	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -26,3 +29,33 @@
 	}
 	<-i.done
 }
+
+// TestFailedListenerDoesNotCutOpenRequests guards against an instance that closes all callers' connections at once
+// because the listener of the readiness check has failed.
+func TestFailedListenerDoesNotCutOpenRequests(t *testing.T) {
+	store, server := newPlatform(t)
+	server.SetBehaviour(platformtest.Behaviour{Events: 10, EventPause: 50 * time.Millisecond})
+	store.Put("config", "main", configurationText(1))
+	i := &testInstance{settingsPath: writeSettings(t, settingsText(t, "127.0.0.2", freePort(t, "127.0.0.2"), store.URL, 3))}
+	started, err := Start(Options{SettingsPath: i.settingsPath, LogOutput: io.Discard})
+	if err != nil {
+		t.Fatal(err)
+	}
+	i.Instance = started
+	ended := make(chan error, 1)
+	go func() { ended <- i.Run(context.Background(), nil) }()
+	await(t, "ready", i.isReady)
+	resp, err := i.send(t, "open")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	_ = i.readyListener.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || !strings.Contains(string(body), "id: 10\n") {
+		t.Errorf("the open stream was cut: got error %v after %d bytes, want all events up to ID 10", err, len(body))
+	}
+	if err := <-ended; err == nil {
+		t.Error("Run returned no error, want that of the listener")
+	}
+}
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -156,7 +156,8 @@
 	return h.Sum64() ^ uint64(time.Now().UnixNano())
 }
 
-// Run serves until ctx ends, and then shuts down. It reads the settings file again
+// Run serves until ctx ends or a listener fails, and then shuts down. If a listener failed,
+// it returns the listener's error. It reads the settings file again
 // when reload receives a value.
 func (i *Instance) Run(ctx context.Context, reload <-chan struct{}) error {
 	s := i.settings.Load()
@@ -181,9 +182,10 @@
 	var err error
 	select {
 	case <-ctx.Done():
-		i.shutDown()
 	case err = <-serveErrors:
+		i.log.StateChanges.Error("a listener failed", "error", err.Error())
 	}
+	i.shutDown()
 	stop()
 	_ = callerServer.Close()
 	_ = readyServer.Close()
--- a/edge/instance_test.go
+++ b/edge/instance_test.go
@@ -83,13 +83,19 @@
 	return r
 }
 
-// startInstanceWithLog starts an instance that logs to out.
-func startInstanceWithLog(t *testing.T, out io.Writer, ip string, peerPort uint16, storeURL string, graceSeconds int) *testInstance {
+// settingsText returns the settings of an instance whose callers' and readiness ports are
+// free.
+func settingsText(t *testing.T, ip string, peerPort uint16, storeURL string, graceSeconds int) string {
 	t.Helper()
 	callerAddress := netip.AddrPortFrom(netip.MustParseAddr(ip), freePort(t, ip))
 	readyAddress := netip.AddrPortFrom(netip.MustParseAddr(ip), freePort(t, ip))
-	text := fmt.Sprintf(settingsTemplate, "edge-"+ip, callerAddress, readyAddress, peerPort, peerPort+1, graceSeconds, strings.TrimPrefix(storeURL, "http://"))
-	r := &testInstance{settingsPath: writeSettings(t, text), reload: make(chan struct{})}
+	return fmt.Sprintf(settingsTemplate, "edge-"+ip, callerAddress, readyAddress, peerPort, peerPort+1, graceSeconds, strings.TrimPrefix(storeURL, "http://"))
+}
+
+// startInstanceWithLog starts an instance that logs to out.
+func startInstanceWithLog(t *testing.T, out io.Writer, ip string, peerPort uint16, storeURL string, graceSeconds int) *testInstance {
+	t.Helper()
+	r := &testInstance{settingsPath: writeSettings(t, settingsText(t, ip, peerPort, storeURL, graceSeconds)), reload: make(chan struct{})}
 	i, err := Start(Options{SettingsPath: r.settingsPath, LogOutput: out})
 	if err != nil {
 		t.Fatal(err)
