Let serve finish operators' requests when it leaves

An operator whose request was in progress when its instance left got a closed connection, and could not know whether a change was accepted. The operators' server was closed at once. Ruled out: the drain timeout of callers, which a watch would always use up. After: go test ./demo ./serve passes. The test of callers keeps its checks; its body is shared now.

--- a/demo/leave_test.go
+++ b/demo/leave_test.go
@@ -95,7 +95,22 @@
 func TestRequestBeingReadAtLeaveIsAnswered(t *testing.T) {
 	d := startSmallDemo(t)
 	defer d.Close()
-	conn, err := net.Dial("tcp", d.CallerAddresses()[0])
+	expectAnswerBesideLeave(t, d, d.CallerAddresses()[0], "/v1/models")
+}
+
+// TestOperatorsRequestBeingReadAtLeaveIsAnswered is the same for operators, who would not know
+// whether their change was accepted.
+func TestOperatorsRequestBeingReadAtLeaveIsAnswered(t *testing.T) {
+	d := startSmallDemo(t)
+	defer d.Close()
+	expectAnswerBesideLeave(t, d, d.OperatorAddresses()[0], "/healthz")
+}
+
+// expectAnswerBesideLeave has the first instance leave while it reads the second request on a
+// kept connection, and expects responses to both requests.
+func expectAnswerBesideLeave(t *testing.T, d *Demo, address, path string) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -104,7 +119,7 @@
 		t.Fatal(err)
 	}
 	reader := bufio.NewReader(conn)
-	const firstPart, rest = "GET /v1/models HTTP/1.1\r\nHost: h", ".example\r\n\r\n"
+	firstPart, rest := "GET "+path+" HTTP/1.1\r\nHost: h", ".example\r\n\r\n"
 	writePart(t, conn, firstPart+rest)
 	readAnswer(t, reader)
 	writePart(t, conn, firstPart)
--- a/serve/instance.go
+++ b/serve/instance.go
@@ -41,8 +41,6 @@
 	headerLimitMargin = 64 << 10
 	// headerTimeout is how long a request's header may take to arrive.
 	headerTimeout = 10 * time.Second
-	// leavePollInterval is how often a leaving instance checks for open connections.
-	leavePollInterval = 10 * time.Millisecond
 )
 
 // Options configures an instance.
@@ -94,8 +92,9 @@
 	routingIndex atomic.Pointer[routing.Index]
 	leaving      atomic.Bool
 	openRequests *openRequests
-	// callerConnections holds the connections of callers.
-	callerConnections *callerconn.Tracker
+	// callerConnections and operatorConnections hold the connections of callers and of
+	// operators.
+	callerConnections, operatorConnections *callerconn.Tracker
 
 	killOnce sync.Once
 	killed   chan struct{}
@@ -114,7 +113,7 @@
 	if opts.Log == nil {
 		opts.Log = slog.New(slog.DiscardHandler)
 	}
-	i := &Instance{opts: opts, log: opts.Log, openRequests: newOpenRequests(), callerConnections: callerconn.New(), killed: make(chan struct{})}
+	i := &Instance{opts: opts, log: opts.Log, openRequests: newOpenRequests(), callerConnections: callerconn.New(), operatorConnections: callerconn.New(), killed: make(chan struct{})}
 	if err := i.listen(); err != nil {
 		i.closeListeners()
 		return nil, err
@@ -158,10 +157,14 @@
 	i.startBackgroundTasks(background, &tasks)
 
 	callerServer := i.newCallerServer()
-	operatorServer := &http.Server{Handler: i.operatorHandler(), ReadHeaderTimeout: headerTimeout}
+	operatorServer := &http.Server{
+		Handler:           i.operatorConnections.AnnounceClose(i.operatorHandler()),
+		ConnState:         i.operatorConnections.TrackState,
+		ReadHeaderTimeout: headerTimeout,
+	}
 	failed := make(chan error, 2)
 	tasks.Go(func() { failed <- callerServer.Serve(i.callerConnections.Listen(i.callerListener)) })
-	tasks.Go(func() { failed <- operatorServer.Serve(i.operatorListener) })
+	tasks.Go(func() { failed <- operatorServer.Serve(i.operatorConnections.Listen(i.operatorListener)) })
 	i.log.Info("serving", "callers", i.CallerAddress(), "operators", i.OperatorAddress())
 
 	var err error
@@ -200,44 +203,6 @@
 	tasks.Go(func() { i.orderController.Run(ctx) })
 }
 
-// shutDown leaves gracefully unless the instance was killed.
-func (i *Instance) shutDown(callerServer *http.Server) {
-	select {
-	case <-i.killed:
-		i.crash(callerServer)
-	default:
-		i.leave(callerServer)
-	}
-}
-
-// leave refuses new requests and announces the leave. It then waits until the
-// open requests have ended, at most for the drain timeout.
-func (i *Instance) leave(callerServer *http.Server) {
-	i.leaving.Store(true)
-	i.log.Info("leaving")
-	i.announceLeave()
-	i.endCallerConnections()
-	_ = callerServer.Close()
-	i.openRequests.closeAndWait()
-	i.proxy.WaitBackground()
-}
-
-// endCallerConnections accepts no further connection and waits until the open ones have
-// ended, at most for the drain timeout.
-func (i *Instance) endCallerConnections() {
-	deadline := time.Now().Add(i.opts.Settings.Limits.DrainTimeout.Std())
-	_ = i.callerListener.Close()
-	i.callerConnections.CloseWhenIdle()
-	i.callerConnections.CloseUnused()
-	for !i.callerConnections.Drained() {
-		if time.Now().After(deadline) {
-			i.log.Warn("drain timeout passed; open requests were aborted", "requests", i.callerConnections.OpenRequests())
-			return
-		}
-		time.Sleep(leavePollInterval)
-	}
-}
-
 // close releases what the components hold after all tasks have ended.
 func (i *Instance) close() {
 	i.claims.Close()
