--- a/edge/promptguard/fleet_test.go
+++ b/edge/promptguard/fleet_test.go
@@ -83,8 +83,9 @@
 
 // sendBad sends a request with the bad part, unless it is withheld. The server that it
 // reaches ends a little later, and holds a few other requests then.
-func (f *fleet) sendBad() {
-	g := f.any()
+func (f *fleet) sendBad() { f.sendBadTo(f.any()) }
+
+func (f *fleet) sendBadTo(g *Guard) {
 	prompt := []uint64{firstPart, badPart}
 	if _, withheld := g.Withheld(prompt, f.now); withheld {
 		return
