Let instances try a withheld prompt part in slots of their own

After a pause of a minute, seven requests with a bad part, one at each of seven instances, all reached servers; three may. Cause: an instance's turn only said from when on it may try. Once all turns had begun, only a try that had already been told held the others back. Change: time after a withholding is divided into slots of five seconds; an instance tries a part only in its own, two slots for each instance, twelve at most (so the last one comes within a minute, as before). With one instance there are no slots. Ruled out: more slots than twelve; sound parts then wait longer (TestFleetOutlivesCrashOfAFifthOfTheServers failed with 24). Tests: TestBadPartThatReturnsTogetherIsTriedByFew failed before and passes; the name of the constant by which four tests waited for a turn has gone, they wait for tryInterval, which is as long.

--- a/edge/promptguard/guard.go
+++ b/edge/promptguard/guard.go
@@ -125,19 +125,19 @@
 	if len(g.suspects) == 0 {
 		return Withheld{}, false
 	}
+	var tried []*suspect
 	for _, part := range parts {
 		s, ok := g.suspects[part]
 		if !ok || s.expired(now) || !g.mustWithhold(s) {
 			continue
 		}
-		if left := g.nextTry(part, s, instances).Sub(now); left > 0 {
+		if left := g.nextTry(part, s, instances, now).Sub(now); left > 0 {
 			return Withheld{Suspect{part, len(s.servers), s.level}, left}, true
 		}
+		tried = append(tried, s)
 	}
-	for _, part := range parts {
-		if s, ok := g.suspects[part]; ok {
-			s.ownTry, s.lastTry = now, now
-		}
+	for _, s := range tried {
+		s.ownTry, s.lastTry = now, now
 	}
 	return Withheld{}, false
 }
@@ -158,15 +158,27 @@
 	return true
 }
 
-// nextTry is the time from which this instance may send a convicted part again.
-func (g *Guard) nextTry(part uint64, s *suspect, instances int) time.Time {
-	// The remainder of a product with an odd constant spreads seeds and parts well enough.
-	turn := time.Duration((g.options.Seed ^ part) * 0x9e3779b97f4a7c15 >> 1 % uint64(s.turnSpan(instances)))
-	next := s.newest.Add(s.period() + turn)
+// nextTry is the time from which this instance may send a convicted part again. Instances
+// try a part in turn, each in slots of its own, so that not all of them try it at once
+// because its requests come to all of them at once.
+func (g *Guard) nextTry(part uint64, s *suspect, instances int, now time.Time) time.Time {
+	end := s.newest.Add(s.period())
+	next := end
 	if again := s.lastTry.Add(tryInterval); s.lastTry.After(s.newest) && again.After(next) {
-		return again
+		next = again
+	}
+	if now.After(next) {
+		next = now
+	}
+	slots := s.slots(instances)
+	// The remainder of a product with an odd constant spreads seeds and parts well enough.
+	own := (g.options.Seed ^ part) * 0x9e3779b97f4a7c15 >> 1 % slots
+	current := uint64(next.Sub(end) / tryInterval)
+	wait := (own + slots - current%slots) % slots
+	if wait == 0 {
+		return next
 	}
-	return next
+	return end.Add(time.Duration(current+wait) * tryInterval)
 }
 
 // merge takes in evidence about a part, if there is room for it.
--- a/edge/promptguard/guard_test.go
+++ b/edge/promptguard/guard_test.go
@@ -40,8 +40,8 @@
 	}
 	got, ok := g.Withheld([]uint64{otherPart, badPart}, at(time.Second))
 	least := withholdPeriods[0] - time.Second
-	if !ok || got.Suspect != (Suspect{badPart, 3, 0}) || got.For < least || got.For > least+firstTurnSpan {
-		t.Errorf("got %+v, %v; want part %d withheld for %v and up to %v more", got, ok, badPart, least, firstTurnSpan)
+	if !ok || got.Suspect != (Suspect{badPart, 3, 0}) || got.For < least || got.For > least+tryInterval {
+		t.Errorf("got %+v, %v; want part %d withheld for %v and up to %v more", got, ok, badPart, least, tryInterval)
 	}
 }
 
@@ -127,7 +127,7 @@
 	crash()
 	for n, period := range append(withholdPeriods[:], withholdPeriods[len(withholdPeriods)-1]) {
 		crash()
-		span := g.suspects[badPart].turnSpan(1)
+		const span = tryInterval
 		if !isWithheld(g, badPart, now.Add(period-time.Millisecond)) || isWithheld(g, badPart, now.Add(period+span)) {
 			t.Errorf("after %d failed tries: not withheld for %v and up to %v more", n, period, span)
 		}
@@ -146,7 +146,7 @@
 	for n := range uint64(3) {
 		g.RecordCrash(n, []uint64{badPart}, at(0))
 	}
-	end := at(withholdPeriods[0] + firstTurnSpan)
+	end := at(withholdPeriods[0] + tryInterval)
 	first, second := isWithheld(g, badPart, end), isWithheld(g, badPart, end.Add(time.Millisecond))
 	if first || !second || isWithheld(g, badPart, end.Add(tryInterval)) {
 		t.Errorf("got withheld %v and %v, want the first request to pass, and the next one %v later", first, second, tryInterval)
@@ -161,7 +161,7 @@
 		g.RecordCrash(n, []uint64{badPart}, at(0))
 	}
 	other.Receive(g.Reports(at(0)), at(0))
-	end := at(withholdPeriods[0] + firstTurnSpan)
+	end := at(withholdPeriods[0] + tryInterval)
 	tried := !isWithheld(g, badPart, end)
 	heard := end.Add(200 * time.Millisecond)
 	other.Receive(g.Reports(heard), heard)
--- a/edge/promptguard/reports_test.go
+++ b/edge/promptguard/reports_test.go
@@ -87,7 +87,7 @@
 	limit := withholdPeriods[0] + suspicion + time.Second
 	for now.Before(at(limit)) {
 		step()
-		if now.Equal(at(withholdPeriods[0] + firstTurnSpan + time.Second)) {
+		if now.Equal(at(withholdPeriods[0] + tryInterval + time.Second)) {
 			for n, g := range instances {
 				if isWithheld(g, badPart, now) {
 					t.Errorf("instance %d withholds the part 1 s after its period and turn", n)
@@ -109,8 +109,11 @@
 	for n := range uint64(4) {
 		g.RecordCrash(n, []uint64{badPart}, at(0))
 	}
-	tried := at(withholdPeriods[0] + firstTurnSpan)
-	g.RecordCrash(9, []uint64{badPart}, tried)
+	tried := at(withholdPeriods[0] + tryInterval)
+	if isWithheld(g, badPart, tried) {
+		t.Fatal("the part is withheld after its period, want a try")
+	}
+	g.RecordCrash(9, []uint64{badPart}, tried.Add(time.Millisecond))
 	const wait = 80 * time.Second
 	now := tried.Add(wait)
 	teller, restarted := newGuard(1), newGuard(2)
--- a/edge/promptguard/suspect.go
+++ b/edge/promptguard/suspect.go
@@ -10,8 +10,7 @@
 	// it is first withheld. Two may end together by chance, and the fleet must stop
 	// sending the part before a sixth one ends.
 	withholdThreshold = 3
-	// suspicion is how long evidence counts that does not withhold its part, and how long
-	// a part is tried at least.
+	// suspicion is how long evidence counts that does not withhold its part.
 	suspicion = 2 * time.Minute
 	// maxServers bounds the servers that are kept for a part.
 	maxServers = 8
@@ -23,12 +22,12 @@
 var withholdPeriods = [...]time.Duration{10 * time.Second, 10 * time.Minute, time.Hour}
 
 const (
-	// Each instance tries a part from a time of its own on: firstTurnSpan for each
-	// instance after the first withholding, maxFirstTurnSpan at most, and within half of the
-	// period after a later one. So few of a bad part's requests are sent before all
-	// instances know that a try failed.
-	firstTurnSpan    = 5 * time.Second
-	maxFirstTurnSpan = time.Minute
+	// After a withholding, time is divided into slots of tryInterval, and each instance
+	// tries the part in one of firstSlotsPerInstance for each instance, maxFirstSlots at
+	// most, so that seldom two instances share one. After a later withholding the slots
+	// take half of its period.
+	firstSlotsPerInstance = 2
+	maxFirstSlots         = 12
 )
 
 // suspect is a part under which servers ended.
@@ -57,12 +56,15 @@
 	return withholdPeriods[min(s.level, len(withholdPeriods)-1)]
 }
 
-// turnSpan is the time after a withholding in which the instances begin to try the part.
-func (s *suspect) turnSpan(instances int) time.Duration {
-	if s.level > 0 {
-		return s.period() / 2
+// slots is the number of slots after which each instance has its turn again.
+func (s *suspect) slots(instances int) uint64 {
+	switch {
+	case instances <= 1:
+		return 1
+	case s.level > 0:
+		return uint64(s.period() / 2 / tryInterval)
 	}
-	return min(time.Duration(instances)*firstTurnSpan, maxFirstTurnSpan)
+	return uint64(min(instances*firstSlotsPerInstance, maxFirstSlots))
 }
 
 // retention is how long the evidence counts. A convicted part keeps it while it is tried.
