Remember a prompt part that was withheld for an hour

After 140 s without requests a part under which five servers had ended was forgotten, and five more ended. Cause: a convicted part was kept for 130 s. The time was chosen for evidence that convicts nothing. Change: a convicted part stays tried in turn for an hour after its withholding. An answer clears it, as before, so a sound part loses nothing by it. Tests: TestBadPartThatReturnsAfterMinutesIsTriedByFew failed before and passes. Two tests of what is forgotten take the new time from the constant; their checks are the same.

--- a/edge/promptguard/suspect.go
+++ b/edge/promptguard/suspect.go
@@ -12,6 +12,8 @@
 	withholdThreshold = 3
 	// suspicion is how long evidence counts that does not withhold its part.
 	suspicion = 2 * time.Minute
+	// convictedMemory is how long a part is at least tried in turn after a withholding.
+	convictedMemory = time.Hour
 	// maxServers bounds the servers that are kept for a part.
 	maxServers = 8
 )
@@ -67,12 +69,13 @@
 	return uint64(min(instances*firstSlotsPerInstance, maxFirstSlots))
 }
 
-// retention is how long the evidence counts. A convicted part keeps it while it is tried.
+// retention is how long the evidence counts. A convicted part keeps it for long: the fleet
+// would otherwise let as many servers end as before, each time that its requests pause.
 func (s *suspect) retention() time.Duration {
 	if !s.convicted() {
 		return suspicion
 	}
-	return s.period() + max(suspicion, s.period())
+	return s.period() + max(convictedMemory, s.period())
 }
 
 // expired reports whether the evidence is too old to count.
