Count a failed try of a prompt part only if there was one

A sound part that was never withheld got ten minutes for one more server that ended under it by chance. Cause: any end later than the first period counted as a failed try, also for a part whose ends another part explained, and for a request sent before the withholding. Change: it counts only if the part was tried since the newest end. A part also explains the ends of another one if as many servers ended under it, but a second or more earlier. Tests: TestPartThatWasNotWithheldHasNoFailedTry failed before and passes. TestRestartedInstanceLearnsWithheldParts now makes the try whose failure it then expects.

--- a/edge/promptguard/guard.go
+++ b/edge/promptguard/guard.go
@@ -10,6 +10,9 @@
 const (
 	// maxParts bounds the table of suspects.
 	maxParts = 64
+	// earlierMargin is how much earlier the ends under one part must have become known than
+	// those under another one to count as earlier. Ends at one server become known together.
+	earlierMargin = time.Second
 	// tryInterval is the time between two tries, so that the result of the first is known.
 	tryInterval = 5 * time.Second
 )
@@ -96,7 +99,8 @@
 		evidence := suspect{servers: []uint64{server}, newest: now}
 		if s, ok := g.suspects[part]; ok && !s.expired(now) {
 			evidence.level = s.level
-			if s.convicted() && now.Sub(s.newest) >= s.period() {
+			// A request that was sent before the part was withheld is no try.
+			if s.convicted() && s.lastTry.After(s.newest) {
 				evidence.level++
 			}
 		}
@@ -143,15 +147,16 @@
 }
 
 // mustWithhold reports whether a part is convicted, and no other part explains the ends. A
-// part explains an end if more servers ended under it: requests that happen to be at the
-// same servers lend their parts to the evidence.
+// part explains an end if more servers ended under it, or as many, but earlier: requests that
+// happen to be at the same servers lend their parts to the evidence.
 func (g *Guard) mustWithhold(s *suspect) bool {
 	if s.level > 0 || !s.convicted() {
 		return s.convicted()
 	}
 	for _, other := range g.suspects {
+		asManyEarlier := len(other.servers) == len(s.servers) && s.newest.Sub(other.newest) >= earlierMargin
 		moreEnded := other.level > 0 || len(other.servers) > len(s.servers)
-		if moreEnded && s.unexplainedBy(other) < withholdThreshold {
+		if (moreEnded || asManyEarlier) && s.unexplainedBy(other) < withholdThreshold {
 			return false
 		}
 	}
