Take back the try of a withheld prompt part that reached no server

A request whose turn it was to try a part found no server, or a closed port; the part then stayed refused for five more seconds, and the request's own second attempt was refused too. Cause: the try was taken before a server was chosen, and kept whatever became of the send. Change: it is taken back if no server was chosen, or if the attempt can't have run.

--- a/edge/promptguard/guard.go
+++ b/edge/promptguard/guard.go
@@ -121,7 +121,8 @@
 }
 
 // Withheld returns the first of the parts that is withheld. If none is, a request with
-// these parts is taken to be sent now.
+// these parts is taken to be sent now. If it reaches no server, ReturnTry must be called with
+// the same time.
 func (g *Guard) Withheld(parts []uint64, now time.Time) (Withheld, bool) {
 	instances := g.options.Instances()
 	g.mu.Lock()
@@ -146,6 +147,22 @@
 	return Withheld{}, false
 }
 
+// ReturnTry takes back the try at the given time, because the request reached no server.
+func (g *Guard) ReturnTry(parts []uint64, triedAt time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, part := range parts {
+		s, ok := g.suspects[part]
+		if !ok || !s.ownTry.Equal(triedAt) {
+			continue
+		}
+		if s.lastTry.Equal(triedAt) {
+			s.lastTry = time.Time{}
+		}
+		s.ownTry = time.Time{}
+	}
+}
+
 // mustWithhold reports whether a part is convicted, and no other part explains the ends. A
 // part explains an end if more servers ended under it, or as many, but earlier: requests that
 // happen to be at the same servers lend their parts to the evidence.
--- a/edge/reverseproxy/crash_check.go
+++ b/edge/reverseproxy/crash_check.go
@@ -156,12 +156,15 @@
 	f.handler.crashes.begin(a.Server, f.handler.connectionTarget(req, a), checkedRequest{id: req.id, blocks: req.sharedBlocks, answered: answered})
 }
 
-// refuseWithheld refuses a request whose prompt holds a part under which servers ended.
+// refuseWithheld refuses a request whose prompt holds a part under which servers ended. A
+// request that passes may be a try of such a part. If it then reaches no server, returnTry
+// must be called.
 func (h *Handler) refuseWithheld(req *request) *refusal {
 	if len(req.sharedBlocks) == 0 {
 		return nil
 	}
-	part, withheld := h.Prompts.Withheld(req.sharedBlocks, time.Now())
+	req.passedGuardAt = time.Now()
+	part, withheld := h.Prompts.Withheld(req.sharedBlocks, req.passedGuardAt)
 	if !withheld {
 		return nil
 	}
@@ -169,3 +172,6 @@
 	refused.suspect = &part.Suspect
 	return refused
 }
+
+// returnTry takes back the try of a withheld part, if the request was one.
+func (h *Handler) returnTry(req *request) { h.Prompts.ReturnTry(req.sharedBlocks, req.passedGuardAt) }
--- a/edge/reverseproxy/handler.go
+++ b/edge/reverseproxy/handler.go
@@ -128,7 +128,11 @@
 		return balancer.Attempt{}, refused
 	}
 	candidates := serversNotTried(snapshot.AvailableServers(req.service.Name, time.Now()), req.tried)
-	return begin(req.balancerRequest(snapshot), candidates)
+	a, refused := begin(req.balancerRequest(snapshot), candidates)
+	if refused != nil {
+		h.returnTry(req)
+	}
+	return a, refused
 }
 
 func serversNotTried(servers []catalog.BackendServer, tried map[string]bool) []catalog.BackendServer {
--- a/edge/reverseproxy/request.go
+++ b/edge/reverseproxy/request.go
@@ -58,6 +58,8 @@
 	tried        map[string]bool
 	sends        int
 	possibleRuns int
+	// passedGuardAt is when the parts of the prompt were last found not to be withheld.
+	passedGuardAt time.Time
 }
 
 // readRequest reads a caller's request, checks it against the current
--- a/edge/reverseproxy/retry.go
+++ b/edge/reverseproxy/retry.go
@@ -128,6 +128,8 @@
 	f.lastFailure = failed
 	if failed.mayHaveRun {
 		f.request.possibleRuns++
+	} else {
+		f.handler.returnTry(f.request)
 	}
 	f.logFailed(&s.attempt, failed)
 	if failed.reason == outcome.StreamCut && failed.mayHaveRun {
