Look for the end of a server before waiting for further attempts

The end of a server under a request was missed if a further server was being asked at that moment. The look was part of recording the failure, which follows the wait for further attempts, up to the deadline; by then the server may have started again. Change: the look begins as soon as the attempt has failed, for further attempts too. It uses the attempt's own server and address, since further attempts look the route up again meanwhile. Tests: TestEndOfServerIsSeenWhileAnotherIsAsked failed before with two servers asked (2 of 2) and passes; go test -race ./edge/reverseproxy -run 'EndOfServer|Crash|Prompt|Silent' passes.

--- a/edge/reverseproxy/crash_check.go
+++ b/edge/reverseproxy/crash_check.go
@@ -143,17 +143,25 @@
 		f.handler.Prompts.RecordAnswered(blocks, now)
 		return
 	}
-	f.checkServer(a, true)
+	f.checkServer(a.Server, f.handler.connectionTarget(f.request, a), true)
 }
 
-// checkServer has a check find out whether the attempt's server ended, if that would tell
-// something about the parts of the prompt.
-func (f *forwarder) checkServer(a *balancer.Attempt, answered bool) {
+// checkAfter has the server of a failed attempt checked if its connection broke. It is called
+// before anything else is waited for, since a server that ended may start again soon.
+func (f *forwarder) checkAfter(s *sending, failed failure) {
+	if failed.reason == outcome.StreamCut && failed.mayHaveRun && f.callerCtx.Err() == nil {
+		f.checkServer(s.attempt.Server, s.target, false)
+	}
+}
+
+// checkServer has a check find out whether a server ended, if that would tell something about
+// the parts of the prompt. It uses nothing of the request that further attempts change.
+func (f *forwarder) checkServer(server catalog.BackendServer, target backendclient.Server, answered bool) {
 	req := f.request
 	if len(req.sharedBlocks) == 0 || f.handler.Prompts.AllAnswered(req.sharedBlocks, time.Now()) {
 		return
 	}
-	f.handler.crashes.begin(a.Server, f.handler.connectionTarget(req, a), checkedRequest{id: req.id, blocks: req.sharedBlocks, answered: answered})
+	f.handler.crashes.begin(server, target, checkedRequest{id: req.id, blocks: req.sharedBlocks, answered: answered})
 }
 
 // refuseWithheld refuses a request whose prompt holds a part under which servers ended. A
--- a/edge/reverseproxy/further_attempts.go
+++ b/edge/reverseproxy/further_attempts.go
@@ -163,6 +163,7 @@
 		_ = s.response.SetReadDeadline(time.Now().Add(refusalReadTimeout))
 	}
 	failed := r.f.unusable(s)
+	r.f.checkAfter(s, failed)
 	r.f.end(s, r.f.attemptResult(failed))
 	r.f.recordFailure(s, failed)
 }
--- a/edge/reverseproxy/retry.go
+++ b/edge/reverseproxy/retry.go
@@ -132,9 +132,6 @@
 		f.handler.returnTry(f.request)
 	}
 	f.logFailed(&s.attempt, failed)
-	if failed.reason == outcome.StreamCut && failed.mayHaveRun {
-		f.checkServer(&s.attempt, false)
-	}
 }
 
 // mayRetry reports whether the request may be sent to another server. If so, it
@@ -266,6 +263,7 @@
 		return true, failed
 	}
 	failed = s.failure(failed)
+	f.checkAfter(s, failed)
 	f.end(s, f.attemptResult(failed))
 	if f.goesOn == nil {
 		f.goesOn = f.others.failed()
