Give each request whose connection broke all looks at its server

A bad part could count as answered for minutes: its server ended during another request's check, whose looks were nearly over. Cause: a request that joined a running check got only what was left of its looks at the port. Change: requests that come during a check wait for another round of looks at the same server. Tests: TestRequestThatJoinsACheckGetsAllItsLooks failed before (5 of 5) and passes; go test -race ./edge/reverseproxy -run 'Joins|Crash|Prompt|Check' passes.

--- a/edge/reverseproxy/crash_check.go
+++ b/edge/reverseproxy/crash_check.go
@@ -81,15 +81,37 @@
 	c.tasks.Go(func() { c.check(server, target) })
 }
 
-// check looks at the server's port and records the result for the waiting requests.
+// check looks at the server's port and records the result for the waiting requests. Those
+// that come during the looks wait for further ones.
 func (c *crashChecks) check(server catalog.BackendServer, target backendclient.Server) {
+	for {
+		requests := c.takeWaiting(target.Key)
+		if len(requests) == 0 {
+			return
+		}
+		c.checkFor(server, target, requests)
+	}
+}
+
+// takeWaiting returns the requests that wait for a check of the server. If there are none,
+// the server's next request starts a new check.
+func (c *crashChecks) takeWaiting(key string) []checkedRequest {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	requests := c.waiting[key]
+	if len(requests) == 0 {
+		delete(c.waiting, key)
+		return nil
+	}
+	c.waiting[key] = nil
+	return requests
+}
+
+// checkFor looks at the server's port for some requests.
+func (c *crashChecks) checkFor(server catalog.BackendServer, target backendclient.Server, requests []checkedRequest) {
 	ctx, cancel := context.WithTimeout(c.ctx, crashCheckTimeout)
 	defer cancel()
 	listening, known := c.look(ctx, target)
-	c.mu.Lock()
-	requests := c.waiting[target.Key]
-	delete(c.waiting, target.Key)
-	c.mu.Unlock()
 	if !known {
 		return
 	}
