Don't blame a prompt for the end of a server that was leaving and had answered

In a release, servers that end after their last answers, given without a length, could have a sound part withheld. Cause: an answer without a length, after which the server's port is closed, counted as an end under it. Change: it doesn't if the catalog says that the server was leaving.

--- a/edge/reverseproxy/crash_check.go
+++ b/edge/reverseproxy/crash_check.go
@@ -146,7 +146,12 @@
 // recordCrash records the end of a server with the parts of the requests that it held.
 func (c *crashChecks) recordCrash(server catalog.BackendServer, requests []checkedRequest, now time.Time) {
 	key := balancer.ServerKey(server)
+	current := c.handler.Catalog.Snapshot().Servers[server.ID]
 	for _, r := range requests {
+		if r.answered && current.Leaving {
+			// The server was to end after its last answers, of which this was one.
+			continue
+		}
 		suspects := c.handler.Prompts.RecordCrash(key, r.blocks, now)
 		c.handler.Failures.Warn("server ended under request", "request", r.id, "server", server.ID, "data_centre", server.DataCentre,
 			"suspects", suspectNames(suspects))
