Keep idle connections open while a stopping instance still accepts requests

Cause: idle connections were closed at the beginning of a stop, when their callers were still sending. Change: they stay open for the time in which new connections are accepted too (2.5 s at most), and the response to their next request announces the end. Only what is idle after that is closed. TestIdleConnectionOutlivesTheBeginOfAStop failed before with "unexpected EOF".

--- a/callerconn/announcement.go
+++ b/callerconn/announcement.go
@@ -3,7 +3,7 @@
 import "net/http"
 
 // AnnounceClose returns a handler like next whose responses say Connection: close if
-// CloseWhenIdle was called before their header is written. The caller then sends its next
+// AnnounceFromNowOn or CloseWhenIdle was called before their header is written. The caller then sends its next
 // request on another connection. The responses of next support http.ResponseController, but
 // no other optional interface.
 func (t *Tracker) AnnounceClose(next http.Handler) http.Handler {
@@ -40,7 +40,7 @@
 	}
 	// A header with a status below 200 is not the response's.
 	w.wroteHeader = status >= http.StatusOK
-	if w.wroteHeader && w.tracker.isStopping() {
+	if w.wroteHeader && w.tracker.isAnnouncing() {
 		w.Header().Set("Connection", "close")
 	}
 }
--- a/callerconn/tracker.go
+++ b/callerconn/tracker.go
@@ -24,9 +24,10 @@
 type Tracker struct {
 	mu   sync.Mutex
 	open map[*connection]struct{}
-	// stopping is set once connections are to be closed as soon as they are idle, and
-	// closingUnused once also those that have not carried a request are.
-	stopping, closingUnused bool
+	// announcing is set once responses announce the end of their connections, stopping once
+	// connections are to be closed as soon as they are idle, and closingUnused once also
+	// those that have not carried a request are.
+	announcing, stopping, closingUnused bool
 	// accepting is set from the first call of Accept until the listener is closed. A
 	// connection may be on its way into open until then.
 	accepting bool
@@ -148,10 +149,25 @@
 	}
 }
 
+// AnnounceFromNowOn has each response whose header is not written yet announce the end of its
+// connection. Idle connections stay open for the next request: its caller learns of the end
+// from the response, and sends no request that crosses the closing.
+func (t *Tracker) AnnounceFromNowOn() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.announcing = true
+}
+
+func (t *Tracker) isAnnouncing() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.announcing
+}
+
 // CloseWhenIdle closes each connection that has carried a request as soon as it is idle.
 func (t *Tracker) CloseWhenIdle() {
 	t.mu.Lock()
-	t.stopping = true
+	t.announcing, t.stopping = true, true
 	t.mu.Unlock()
 	for _, caller := range t.all() {
 		if _, idle := caller.idleFor(time.Now()); idle {
--- a/edge/caller_connection_test.go
+++ b/edge/caller_connection_test.go
@@ -177,3 +177,20 @@
 	}
 	caller.expectEnd("unused connection", time.Second)
 }
+
+// TestIdleConnectionOutlivesTheBeginOfAStop guards against requests that cross the closing of their idle connection: the
+// next request within the time in which the platform still opens connections is answered, and ends the connection.
+func TestIdleConnectionOutlivesTheBeginOfAStop(t *testing.T) {
+	i, _ := startServing(t, 3)
+	caller := newRawCaller(t, i.callersAddress())
+	caller.write(caller.nextRequest())
+	caller.expectAnswer("request before the stop", http.StatusOK)
+	i.stop()
+	await(t, "no longer ready", func() bool { return !i.isReady() })
+	// The instance accepts connections for a third of its grace period.
+	time.Sleep(300 * time.Millisecond)
+	caller.write(caller.nextRequest())
+	if lastOne := caller.expectAnswer("request after the stop", http.StatusOK); !lastOne {
+		t.Error("the response does not announce the end of the connection, want it to")
+	}
+}
--- a/edge/connections.go
+++ b/edge/connections.go
@@ -82,7 +82,8 @@
 }
 
 // shutDown announces to the other instances that this one leaves. It goes on accepting
-// connections for up to unreadyDelay. Then it waits until all connections have ended or the
+// connections and requests for up to unreadyDelay, and announces the end of the connection in
+// each response. Then it waits until all connections have ended or the
 // grace period is nearly over. The requests that are still open then get their final
 // responses.
 func (i *Instance) shutDown() {
@@ -92,9 +93,10 @@
 	startTime := time.Now()
 	grace := i.settings.Load().StopGrace
 	deadline := startTime.Add(grace - cutMargin)
-	i.connections.CloseWhenIdle()
+	i.connections.AnnounceFromNowOn()
 	time.Sleep(min(unreadyDelay, grace/3))
 	_ = i.callerListener.Close()
+	i.connections.CloseWhenIdle()
 	i.connections.CloseUnused()
 	i.awaitDrained(deadline)
 	open := i.connections.OpenRequests()
