Choose different ports for one test instance

The tests look for free ports one after the other and let go of each, so the kernel may give the same one twice; the peers' port is listened on before the callers'. Evidence: a trial of 200,000 triples on loopback gave the peers' port again 60 times, and the same port for callers and readiness 25 times; the tests of edge start some sixty instances a run. Ruled out: outgoing connections to 127.0.0.2, whose own address is 127.0.0.1. Change: a port that was chosen before for the same instance is not taken again. No check changes. After: go test ./edge -run 'LogLine|Metrics|Ready' passes; the cause can't be provoked in a test.

--- a/edge/instance_test.go
+++ b/edge/instance_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -63,15 +64,21 @@
 platform.address=%s
 `
 
-// freePort returns a port that nothing listens on.
-func freePort(t *testing.T, ip string) uint16 {
+// freePort returns a port that nothing listens on, and that is none of those in taken, which
+// were found free before and are not listened on yet.
+func freePort(t *testing.T, ip string, taken ...uint16) uint16 {
 	t.Helper()
-	l, err := net.Listen("tcp4", ip+":0")
-	if err != nil {
-		t.Fatal(err)
+	for {
+		l, err := net.Listen("tcp4", ip+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		port := l.Addr().(*net.TCPAddr).AddrPort().Port()
+		_ = l.Close()
+		if !slices.Contains(taken, port) {
+			return port
+		}
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort().Port()
 }
 
 // startInstance starts an instance that logs to a buffer.
@@ -87,8 +94,9 @@
 // free.
 func settingsText(t *testing.T, ip string, peerPort uint16, storeURL string, graceSeconds int) string {
 	t.Helper()
-	callerAddress := netip.AddrPortFrom(netip.MustParseAddr(ip), freePort(t, ip))
-	readyAddress := netip.AddrPortFrom(netip.MustParseAddr(ip), freePort(t, ip))
+	callerPort := freePort(t, ip, peerPort)
+	callerAddress := netip.AddrPortFrom(netip.MustParseAddr(ip), callerPort)
+	readyAddress := netip.AddrPortFrom(netip.MustParseAddr(ip), freePort(t, ip, peerPort, callerPort))
 	return fmt.Sprintf(settingsTemplate, "edge-"+ip, callerAddress, readyAddress, peerPort, peerPort+1, graceSeconds, strings.TrimPrefix(storeURL, "http://"))
 }
 
@@ -302,9 +310,11 @@
 // as metrics port. The instance must start without serving metrics, and log that.
 func TestTakenMetricsPortDoesNotPreventStart(t *testing.T) {
 	ip := "127.0.0.4"
-	readyAddress := netip.AddrPortFrom(netip.MustParseAddr(ip), freePort(t, ip))
-	callerAddress := netip.AddrPortFrom(netip.MustParseAddr(ip), freePort(t, ip))
-	peerPort := freePort(t, ip)
+	readyPort := freePort(t, ip)
+	callerPort := freePort(t, ip, readyPort)
+	peerPort := freePort(t, ip, readyPort, callerPort)
+	readyAddress := netip.AddrPortFrom(netip.MustParseAddr(ip), readyPort)
+	callerAddress := netip.AddrPortFrom(netip.MustParseAddr(ip), callerPort)
 	path := writeSettings(t, fmt.Sprintf(settingsTemplate, "edge", callerAddress, readyAddress, peerPort, peerPort+1, 3, "127.0.0.1:1"))
 	log := &lockedBuffer{}
 	i, err := Start(Options{SettingsPath: path, LogOutput: log, MetricsPort: readyAddress.Port()})
