--- a/callerconn/doc.go
+++ b/callerconn/doc.go
@@ -9,6 +9,8 @@
 //
 //   - A connection is closed for being idle or unused only if no byte of a request was read
 //     from it. Only the goroutine that reads from the connection decides this.
+//   - Once AnnounceFromNowOn was called, each response whose header is not written yet says
+//     that it is the last one on its connection (AnnounceClose).
 //   - Once CloseWhenIdle was called, each connection is closed after the response to the
 //     request that it carries, or at once if it is idle.
 package callerconn
--- a/edge/connections.go
+++ b/edge/connections.go
@@ -36,9 +36,9 @@
 	// their final responses to be written.
 	cutMargin       = 700 * time.Millisecond
 	cutResponseTime = 300 * time.Millisecond
-	// unreadyDelay is how long the shutdown still accepts connections. The platform
-	// stops opening connections after two failed readiness checks, which are one second
-	// apart. The remaining time is a margin.
+	// unreadyDelay is how long the shutdown still accepts connections, and requests on kept
+	// ones. The platform stops opening connections after two failed readiness checks, which
+	// are one second apart. The remaining time is a margin.
 	unreadyDelay = 2500 * time.Millisecond
 	// openPollInterval is how often the shutdown checks for open connections.
 	openPollInterval = 20 * time.Millisecond
@@ -83,9 +83,8 @@
 
 // shutDown announces to the other instances that this one leaves. It goes on accepting
 // connections and requests for up to unreadyDelay, and announces the end of the connection in
-// each response. Then it waits until all connections have ended or the
-// grace period is nearly over. The requests that are still open then get their final
-// responses.
+// each response. Then it waits until all connections have ended or the grace period is nearly
+// over. The requests that are still open then get their final responses.
 func (i *Instance) shutDown() {
 	i.stopping.Store(true)
 	i.gossip.Leave()
