Read and log the limits that servers name

Now a line says when an instance's belief about a server's limit changes, a gauge counts limited servers, and a limit that can't be read gives a line. No choice of a server changes.

A limit ends or rises only by a response to a request that was sent after the limit was last heard, since responses overtake each other; of two that may be current the lower counts.

--- a/edge/health_metrics.go
+++ b/edge/health_metrics.go
@@ -43,10 +43,7 @@
 	if len(changes) == 0 {
 		return
 	}
-	serverNames := make(map[uint64]string, len(snapshot.Servers))
-	for _, server := range snapshot.Servers {
-		serverNames[balancer.ServerKey(server)] = server.ID
-	}
+	names := serverNames(snapshot)
 	for _, c := range changes {
 		i.healthChanges.add(c.To)
 		if c.Key == 0 {
@@ -54,7 +51,7 @@
 				"silent_ms", c.SilentFor.Milliseconds())
 			continue
 		}
-		i.log.StateChanges.Info("server health changed", "server", serverNames[c.Key], "was", c.From.String(), "is", c.To.String(),
+		i.log.StateChanges.Info("server health changed", "server", names[c.Key], "was", c.From.String(), "is", c.To.String(),
 			"sends", c.Attempts, "failing", c.FailureProbability, "slowness", c.Slowness)
 	}
 }
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -21,6 +21,7 @@
 	"bergamotpin.example/bergamotpin/edge/gossip"
 	"bergamotpin.example/bergamotpin/edge/promptguard"
 	"bergamotpin.example/bergamotpin/edge/reverseproxy"
+	"bergamotpin.example/bergamotpin/edge/serverlimit"
 	"bergamotpin.example/bergamotpin/eventlog"
 	"bergamotpin.example/bergamotpin/metrics"
 	"bergamotpin.example/bergamotpin/objects"
@@ -49,6 +50,7 @@
 	catalog        *catalog.Catalog
 	selector       *reverseproxy.ServerSelector
 	client         *backendclient.Client
+	limits         *serverlimit.Table
 	metrics        *metrics.Metrics
 	gossip         *gossip.Node
 	watcher        *catalog.Watcher
@@ -101,6 +103,7 @@
 	i.catalog = catalog.New(platform.Decoder{})
 	i.selector = reverseproxy.NewServerSelector(balancer.Options{DataCentre: s.DataCentre, Seed: randomSeed(s.Name)}, s.Retries)
 	i.client = backendclient.NewClient(nil)
+	i.limits = serverlimit.New()
 	prompts := promptguard.New(promptguard.Options{Seed: randomSeed(s.Name), Instances: i.selector.Instances})
 	i.metrics = metrics.New(s.Name, s.DataCentre)
 	i.watcher = i.newWatcher(s.StoreAddress)
@@ -117,7 +120,7 @@
 	}
 	i.selector.SetInstances(i.gossip.CountInstances)
 	i.handler = reverseproxy.New(reverseproxy.Options{
-		Catalog: i.catalog, Selector: i.selector, Client: i.client, Metrics: i.metrics, Prompts: prompts,
+		Catalog: i.catalog, Selector: i.selector, Client: i.client, Metrics: i.metrics, Prompts: prompts, Limits: i.limits,
 		Successes: i.log.Successes, Failures: i.log.Failures,
 		BufferBytes: int64(bufferFraction * float64(s.MemoryBytes)),
 	})
@@ -248,7 +251,8 @@
 		i.catalogChanged("time", i.catalog.Merge(nil, time.Now()))
 		snapshot := i.catalog.Snapshot()
 		i.reportHealthChanges(snapshot, time.Now())
-		i.selector.RetainServers(snapshot)
+		i.reportLimitChanges(snapshot, time.Now())
+		i.retainServers(snapshot)
 		currentServers := make(map[string]bool, len(snapshot.Servers))
 		for _, server := range snapshot.Servers {
 			if !server.EntryMissing {
@@ -260,6 +264,16 @@
 	}
 }
 
+// retainServers drops the state of the servers and services that the snapshot lacks.
+func (i *Instance) retainServers(snapshot *catalog.Snapshot) {
+	current := make(map[uint64]bool, len(snapshot.Servers))
+	for _, server := range snapshot.Servers {
+		current[balancer.ServerKey(server)] = true
+	}
+	i.limits.Retain(func(key uint64) bool { return current[key] })
+	i.selector.RetainServers(snapshot, func(key uint64) bool { return current[key] })
+}
+
 // serveReady handles the platform's readiness check.
 func (i *Instance) serveReady(w http.ResponseWriter, r *http.Request) {
 	switch {
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -50,6 +50,7 @@
 	return append(out,
 		metrics.GaugeReading("configuration_version", "", "", int64(i.catalog.Snapshot().Version)),
 		metrics.GaugeReading("configuration_age_ms", "", "", i.gossip.ConfigurationAge(now).Milliseconds()),
+		metrics.GaugeReading("servers_limited", "", "", int64(i.limits.Count())),
 		metrics.GaugeReading("requests_open", "", "", int64(i.connections.OpenRequests())),
 		metrics.CounterReading("connections_made", "", "", i.client.Counters.Connected.Load()),
 		metrics.CounterReading("connections_reused", "", "", i.client.Counters.Reused.Load()),
--- a/edge/reverseproxy/fixture_test.go
+++ b/edge/reverseproxy/fixture_test.go
@@ -14,6 +14,7 @@
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
 	"bergamotpin.example/bergamotpin/edge/promptguard"
+	"bergamotpin.example/bergamotpin/edge/serverlimit"
 	"bergamotpin.example/bergamotpin/metrics"
 	"bergamotpin.example/bergamotpin/platform"
 	"bergamotpin.example/bergamotpin/platform/platformtest"
@@ -55,6 +56,7 @@
 		Catalog: f.catalog, Selector: NewServerSelector(balancer.Options{DataCentre: "dc1", Seed: 1}, retries),
 		Client: backendclient.NewClient(nil), Metrics: m,
 		Prompts: promptguard.New(promptguard.Options{Instances: func() int { return 1 }}), Successes: discard, Failures: discard,
+		Limits:      serverlimit.New(),
 		BufferBytes: smallestInstanceBytes / 8,
 	})
 	t.Cleanup(f.handler.Close)
--- a/edge/reverseproxy/further_attempts.go
+++ b/edge/reverseproxy/further_attempts.go
@@ -140,7 +140,7 @@
 	}
 	r.open[s] = true
 	go func() {
-		s.send(h.Client)
+		s.send(h)
 		r.answered <- s
 	}()
 }
--- a/edge/reverseproxy/handler.go
+++ b/edge/reverseproxy/handler.go
@@ -13,6 +13,7 @@
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
 	"bergamotpin.example/bergamotpin/edge/promptguard"
+	"bergamotpin.example/bergamotpin/edge/serverlimit"
 	"bergamotpin.example/bergamotpin/metrics"
 )
 
@@ -34,6 +35,8 @@
 	Metrics  *metrics.Metrics
 	// Prompts finds the parts of prompts that crash servers.
 	Prompts *promptguard.Guard
+	// Limits holds the limits that servers name.
+	Limits *serverlimit.Table
 	// Successes logs each send of a request to a server, before its result is
 	// known, and each request that ended with a server's response. Failures logs
 	// each failed attempt, and each request that ended in another way.
--- a/edge/reverseproxy/retry.go
+++ b/edge/reverseproxy/retry.go
@@ -243,7 +243,7 @@
 func (f *forwarder) attempt(s *sending) (done bool, failed failure) {
 	if !s.sent {
 		f.others.watch(s, f.request.headerPatience(&s.attempt))
-		s.send(f.handler.Client)
+		s.send(f.handler)
 	}
 	switch {
 	case s.err != nil:
--- a/edge/reverseproxy/sending.go
+++ b/edge/reverseproxy/sending.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -56,9 +57,13 @@
 }
 
 // send sends the request and waits for the header of the response.
-func (s *sending) send(c *backendclient.Client) {
-	s.response, s.err = c.Send(s.ctx, s.target, s.request)
+func (s *sending) send(h *Handler) {
+	sentAt := time.Now()
+	s.response, s.err = h.Client.Send(s.ctx, s.target, s.request)
 	s.sent = true
+	if s.err == nil {
+		h.recordServerLimit(&s.attempt, s.response, sentAt)
+	}
 }
 
 // leave ends the attempt because another server has responded.
--- a/edge/reverseproxy/server_selector.go
+++ b/edge/reverseproxy/server_selector.go
@@ -204,16 +204,12 @@
 	return remaining
 }
 
-// RetainServers drops the state of servers and services that the snapshot
-// lacks.
-func (s *ServerSelector) RetainServers(snapshot *catalog.Snapshot) {
-	wanted := make(map[uint64]bool, len(snapshot.Servers))
-	for _, b := range snapshot.Servers {
-		wanted[balancer.ServerKey(b)] = true
-	}
+// RetainServers drops the state of the servers for which keep returns false, and of the
+// services that the snapshot lacks.
+func (s *ServerSelector) RetainServers(snapshot *catalog.Snapshot, keep func(key uint64) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.balancer.RetainServers(func(key uint64) bool { return wanted[key] })
+	s.balancer.RetainServers(keep)
 	for name := range s.budgets {
 		if _, ok := snapshot.Service(name); !ok {
 			delete(s.budgets, name)
