Name the key of a request in the line of a failed attempt

The key is a hash of method, host, path with query, organisation and body, which repeats have in common. Nothing else changes.

--- a/edge/reverseproxy/request.go
+++ b/edge/reverseproxy/request.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"bergamotpin.example/bergamotpin/edge/backendclient"
@@ -36,6 +37,8 @@
 	apiKey string
 	header http.Header
 	body   []byte
+	// key stands for what a repeat of the request has in common with it.
+	key    uint64
 	prompt platform.Prompt
 	// sharedBlocks holds the keys of the prompt's prefix blocks without the last block,
 	// which only this request has.
@@ -97,7 +100,24 @@
 		return req, refuse(http.StatusRequestHeaderFieldsTooLarge, outcome.HeaderTooLarge, "the header is above the limit")
 	}
 	req.header = platform.ForwardedRequestHeader(r.Header)
-	return req, req.readBody(w, r, snapshot.Limits.BodyBytes)
+	if refused := req.readBody(w, r, snapshot.Limits.BodyBytes); refused != nil {
+		return req, refused
+	}
+	req.key = req.repeatKey()
+	return req, nil
+}
+
+// repeatKey returns the key that a request and its repeats share: they have the same method,
+// host, path with query, body and organisation. Each has its own ID. The key has 32 bits.
+func (req *request) repeatKey() uint64 {
+	h := xxhash.New()
+	// Writing to a hash never fails.
+	for _, text := range []string{req.method, req.host, req.target, req.org.Name} {
+		_, _ = h.WriteString(text)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(req.body)
+	return h.Sum64() >> 32
 }
 
 // requestTarget returns the path and query exactly as the caller sent them.
--- a/edge/reverseproxy/retry.go
+++ b/edge/reverseproxy/retry.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -235,7 +236,7 @@
 		"may_have_run", failed.mayHaveRun, "detail", detail, "route", f.request.route.Name,
 		"events", f.stream.eventCount, "silent_ms", sinceLastEvent.Milliseconds(),
 		"elapsed_ms", time.Since(f.request.arrived).Milliseconds(), "expected_ms", a.ExpectedDelay.Milliseconds(),
-		"blocks", blockNames(f.request.sharedBlocks))
+		"key", strconv.FormatUint(f.request.key, 16), "blocks", blockNames(f.request.sharedBlocks))
 }
 
 // attempt sends the request to a server, unless that was done before, and relays the
