--- a/edge/crashing_prompt_test.go
+++ b/edge/crashing_prompt_test.go
@@ -16,6 +16,8 @@
 const (
 	// crashingBlock is the prefix block under which the servers of crashingFleet end.
 	crashingBlock = "bad0:50"
+	// crashingBody is the body of requests under which they end.
+	crashingBody = "bad"
 	// restartDelay is how long the port of a server that ended refuses connections.
 	restartDelay = time.Second
 )
@@ -47,7 +49,7 @@
 
 // use registers a server and watches for its end. The caller holds mu, except at the start.
 func (f *crashingFleet) use(s *platformtest.BackendServer) {
-	s.SetBehaviour(platformtest.Behaviour{Events: 3, EventPause: 10 * time.Millisecond, CrashOnBlock: crashingBlock})
+	s.SetBehaviour(platformtest.Behaviour{Events: 3, EventPause: 10 * time.Millisecond, CrashOnBlock: crashingBlock, CrashOnBody: crashingBody})
 	f.current[s.Address] = s
 	f.runs = append(f.runs, s)
 	f.store.Put("servers", s.ID, s.Entry("ready"))
