Withhold a request under which several servers ended

Cause: the guard knew shared parts of prompts only.

Why this works: the request itself is a suspect of the same guard, by a hash of method, host, path with query, organisation and body. Three ends withhold it at all instances, which hear of each other's evidence within some tenths of a second; it is then tried by one instance after 10 s and, if that fails, after 10 minutes. Each send asks the guard, so that also the second server of an attempt is not tried. A request that was answered is never withheld. If a request and a part explain the same ends, the request is blamed, since fewer callers miss it. The memories of answered requests and the table of suspects are bounded apart from those of parts, since each end makes all requests in flight suspects.

--- a/edge/promptguard/answered_parts.go
+++ b/edge/promptguard/answered_keys.go
@@ -10,15 +10,15 @@
 	maxAnswered = 1000
 )
 
-// answeredParts is a bounded memory of the parts that were answered lately, in two
+// answeredKeys is a bounded memory of the parts or requests that were answered lately, in two
 // generations. The zero value is empty.
-type answeredParts struct {
+type answeredKeys struct {
 	current, previous map[uint64]struct{}
 	// began is when the current generation began.
 	began time.Time
 }
 
-func (a *answeredParts) add(part uint64, now time.Time) {
+func (a *answeredKeys) add(part uint64, now time.Time) {
 	a.expire(now)
 	if _, known := a.current[part]; known {
 		return
@@ -29,7 +29,7 @@
 	a.current[part] = struct{}{}
 }
 
-func (a *answeredParts) has(part uint64, now time.Time) bool {
+func (a *answeredKeys) has(part uint64, now time.Time) bool {
 	a.expire(now)
 	if _, ok := a.current[part]; ok {
 		return true
@@ -39,7 +39,7 @@
 }
 
 // expire begins a new generation if the current one is old.
-func (a *answeredParts) expire(now time.Time) {
+func (a *answeredKeys) expire(now time.Time) {
 	age := now.Sub(a.began)
 	if a.current != nil && age < answeredSpan {
 		return
@@ -50,6 +50,6 @@
 	}
 }
 
-func (a *answeredParts) rotate(now time.Time) {
+func (a *answeredKeys) rotate(now time.Time) {
 	a.previous, a.current, a.began = a.current, make(map[uint64]struct{}), now
 }
--- a/edge/promptguard/doc.go
+++ b/edge/promptguard/doc.go
@@ -1,5 +1,6 @@
-// Package promptguard finds the parts of prompts that crash servers, and says which
-// requests must not be sent because of them.
+// Package promptguard finds the parts of prompts and the requests that crash servers, and says which
+// requests must not be sent because of them. What holds for a part below holds for a request
+// that comes again, too.
 //
 // A part is a prefix block of a prompt that several requests share. When a server ends,
 // each part of the requests that it held is a suspect, unless the part was answered
@@ -7,7 +8,8 @@
 // instances try it in turn: an answer clears the part, and one more end withholds it for
 // longer. All instances share what they saw, since each of them sees few of the ends.
 //
-// The package does no I/O and reads no clock. Parts and servers are keys of 32 bits.
+// The package does no I/O and reads no clock. Parts and servers are keys of 32 bits, and the
+// key of a request has one bit more.
 //
 // Guarantees:
 //
--- a/edge/promptguard/guard.go
+++ b/edge/promptguard/guard.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// maxParts bounds the table of suspects.
-	maxParts = 64
+	// maxParts and maxRequests bound the suspects of each kind. Each end of a server makes all
+	// requests that it held suspects, and nearly all of these come only once.
+	maxParts    = 64
+	maxRequests = 512
 	// earlierMargin is how much earlier the ends under one part must have become known than
 	// those under another one to count as earlier. Ends at one server become known together.
 	earlierMargin = time.Second
@@ -33,7 +35,8 @@
 	mu       sync.Mutex
 	random   *rand.Rand
 	suspects map[uint64]*suspect
-	answered answeredParts
+	// answeredParts and answeredRequests are kept apart, since there are many more requests.
+	answeredParts, answeredRequests answeredKeys
 	// cleared holds the parts that other instances reported as answered, with the time
 	// until which this counts.
 	cleared map[uint64]time.Time
@@ -59,7 +62,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, part := range parts {
-		g.answered.add(part, now)
+		g.answered(part).add(part, now)
 		if _, suspected := g.suspects[part]; suspected {
 			delete(g.suspects, part)
 			g.tellAnswered(part, now)
@@ -67,6 +70,26 @@
 	}
 }
 
+// answered returns the memory of the answered keys of the same kind.
+func (g *Guard) answered(key uint64) *answeredKeys {
+	if IsRequest(key) {
+		return &g.answeredRequests
+	}
+	return &g.answeredParts
+}
+
+// Suspected reports whether a server ended lately under a request with one of the keys.
+func (g *Guard) Suspected(keys []uint64, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, key := range keys {
+		if s, ok := g.suspects[key]; ok && !s.expired(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // AllAnswered reports whether each of the parts is known to have been answered lately.
 func (g *Guard) AllAnswered(parts []uint64, now time.Time) bool {
 	g.mu.Lock()
@@ -133,7 +156,7 @@
 	var tried []*suspect
 	for _, part := range parts {
 		s, ok := g.suspects[part]
-		if !ok || s.expired(now) || !g.mustWithhold(s) {
+		if !ok || s.expired(now) || !g.mustWithhold(part, s) {
 			continue
 		}
 		if left := g.nextTry(part, s, instances, now).Sub(now); left > 0 {
@@ -165,15 +188,17 @@
 
 // mustWithhold reports whether a part is convicted, and no other part explains the ends. A
 // part explains an end if more servers ended under it, or as many, but earlier: requests that
-// happen to be at the same servers lend their parts to the evidence.
-func (g *Guard) mustWithhold(s *suspect) bool {
+// happen to be at the same servers lend their parts to the evidence. A request that comes
+// again explains as many ends as its parts do, since fewer callers would miss it.
+func (g *Guard) mustWithhold(key uint64, s *suspect) bool {
 	if s.level > 0 || !s.convicted() {
 		return s.convicted()
 	}
-	for _, other := range g.suspects {
-		asManyEarlier := len(other.servers) == len(s.servers) && s.newest.Sub(other.newest) >= earlierMargin
+	for otherKey, other := range g.suspects {
+		isNarrower := IsRequest(otherKey) && !IsRequest(key)
+		asMany := len(other.servers) == len(s.servers) && (isNarrower || s.newest.Sub(other.newest) >= earlierMargin)
 		moreEnded := other.level > 0 || len(other.servers) > len(s.servers)
-		if (moreEnded || asManyEarlier) && s.unexplainedBy(other) < withholdThreshold {
+		if (moreEnded || asMany) && s.unexplainedBy(other) < withholdThreshold {
 			return false
 		}
 	}
@@ -211,28 +236,37 @@
 		return
 	}
 	delete(g.suspects, part)
-	if g.makeRoom(&evidence, now) {
+	if g.makeRoom(part, &evidence, now) {
 		evidence.servers = normalise(evidence.servers)
 		g.suspects[part] = &evidence
 	}
 }
 
-// makeRoom makes room for a suspect. It forgets old ones. If the table is still full, it
-// drops the one with the fewest servers, the oldest of these. It returns false if that
-// would be the new one itself: otherwise two instances would go on putting what they
+// makeRoom makes room for a suspect. It forgets old ones. If there are still too many of its
+// kind, it drops the one with the fewest servers, the oldest of these. It returns false if
+// that would be the new one itself: otherwise two instances would go on putting what they
 // dropped back into each other's tables.
-func (g *Guard) makeRoom(added *suspect, now time.Time) bool {
+func (g *Guard) makeRoom(key uint64, added *suspect, now time.Time) bool {
 	g.expire(now)
-	if len(g.suspects) < maxParts {
-		return true
+	bound := maxParts
+	if IsRequest(key) {
+		bound = maxRequests
 	}
+	ofKind := 0
 	var victim uint64
 	var least *suspect
 	for part, s := range g.suspects {
+		if IsRequest(part) != IsRequest(key) {
+			continue
+		}
+		ofKind++
 		if least == nil || cmp.Or(compareStrength(s, least), s.newest.Compare(least.newest), cmp.Compare(part, victim)) < 0 {
 			victim, least = part, s
 		}
 	}
+	if ofKind < bound {
+		return true
+	}
 	if compareStrength(added, least) == 0 && added.newest.Before(least.newest) {
 		return false
 	}
--- a/edge/promptguard/guard_test.go
+++ b/edge/promptguard/guard_test.go
@@ -196,7 +196,7 @@
 	if size := len(g.suspects); size > maxParts {
 		t.Errorf("the table holds %d parts, want at most %d", size, maxParts)
 	}
-	if size := len(g.answered.current) + len(g.answered.previous); size > 2*maxAnswered {
+	if size := len(g.answeredParts.current) + len(g.answeredParts.previous); size > 2*maxAnswered {
 		t.Errorf("%d answered parts are remembered, want at most %d", size, 2*maxAnswered)
 	}
 	g.RecordCrash(3, []uint64{badPart}, at(11*time.Second))
--- a/edge/promptguard/reports.go
+++ b/edge/promptguard/reports.go
@@ -17,7 +17,7 @@
 	maxAnsweredReports = 8
 	rankedReports      = 6
 	// Upper bounds of the encoded bytes of a report without its servers, and of a server.
-	reportBytes, serverBytes = 17, 5
+	reportBytes, serverBytes = 21, 5
 	// tellFirstFor is how long a part under which one server ended is reported. Each
 	// instance gets several datagrams in that time. Nearly all such parts are sound.
 	tellFirstFor = 10 * time.Second
@@ -130,7 +130,7 @@
 }
 
 func (g *Guard) receiveSuspect(r Report, now time.Time) {
-	if g.answered.has(r.Part, now) {
+	if g.answered(r.Part).has(r.Part, now) {
 		g.tellAnswered(r.Part, now)
 		return
 	}
@@ -160,5 +160,5 @@
 
 // knownAnswered reports whether this instance or another one saw the part answered lately.
 func (g *Guard) knownAnswered(part uint64, now time.Time) bool {
-	return g.answered.has(part, now) || now.Before(g.cleared[part])
+	return g.answered(part).has(part, now) || now.Before(g.cleared[part])
 }
--- a/edge/reverseproxy/crash_check.go
+++ b/edge/reverseproxy/crash_check.go
@@ -8,6 +8,7 @@
 	"bergamotpin.example/bergamotpin/edge/backendclient"
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
+	"bergamotpin.example/bergamotpin/edge/promptguard"
 	"bergamotpin.example/bergamotpin/outcome"
 )
 
@@ -27,8 +28,9 @@
 
 // checkedRequest is a request whose connection ended.
 type checkedRequest struct {
-	id     string
-	blocks []uint64
+	id string
+	// keys are the request's guardKeys.
+	keys []uint64
 	// answered is set if its answer may be whole: it had no length, so a server that ends
 	// looks the same.
 	answered bool
@@ -122,7 +124,7 @@
 	}
 	for _, r := range requests {
 		if r.answered {
-			c.handler.Prompts.RecordAnswered(r.blocks, now)
+			c.handler.Prompts.RecordAnswered(r.keys, now)
 		}
 	}
 }
@@ -152,22 +154,23 @@
 			// The server was to end after its last answers, of which this was one.
 			continue
 		}
-		suspects := c.handler.Prompts.RecordCrash(key, r.blocks, now)
+		suspects := c.handler.Prompts.RecordCrash(key, r.keys, now)
 		c.handler.Failures.Warn("server ended under request", "request", r.id, "server", server.ID, "data_centre", server.DataCentre,
 			"suspects", suspectNames(suspects))
 	}
 }
 
-// recordAnswered records that the parts of the attempt's prompt were answered. delimited
+// recordAnswered records that the request was answered, and so the parts of its prompt. delimited
 // is false if only the end of the connection marked the end of the answer.
 func (f *forwarder) recordAnswered(a *balancer.Attempt, delimited bool) {
-	blocks := f.request.sharedBlocks
-	if len(blocks) == 0 {
-		return
-	}
+	req := f.request
 	now := time.Now()
 	if delimited {
-		f.handler.Prompts.RecordAnswered(blocks, now)
+		f.handler.Prompts.RecordAnswered(req.guardKeys, now)
+		return
+	}
+	if f.handler.Prompts.AllAnswered(req.sharedBlocks, now) && !f.handler.Prompts.Suspected([]uint64{req.key}, now) {
+		// That a request was answered is of use only if a server ended under it.
 		return
 	}
 	f.checkServer(a.Server, f.handler.connectionTarget(f.request, a), true)
@@ -182,31 +185,32 @@
 }
 
 // checkServer has a check find out whether a server ended, if that would tell something about
-// the parts of the prompt. It uses nothing of the request that further attempts change.
+// the request or the parts of its prompt. It uses nothing of the request that further attempts change.
 func (f *forwarder) checkServer(server catalog.BackendServer, target backendclient.Server, answered bool) {
 	req := f.request
-	if len(req.sharedBlocks) == 0 || f.handler.Prompts.AllAnswered(req.sharedBlocks, time.Now()) {
+	if f.handler.Prompts.AllAnswered(req.guardKeys, time.Now()) {
 		return
 	}
-	f.handler.crashes.begin(server, target, checkedRequest{id: req.id, blocks: req.sharedBlocks, answered: answered})
+	f.handler.crashes.begin(server, target, checkedRequest{id: req.id, keys: req.guardKeys, answered: answered})
 }
 
-// refuseWithheld refuses a request whose prompt holds a part under which servers ended. A
-// request that passes may be a try of such a part. If it then reaches no server, returnTry
+// refuseWithheld refuses a request under which servers ended, or whose prompt holds such a
+// part. A request that passes may be a try of it. If it then reaches no server, returnTry
 // must be called.
 func (h *Handler) refuseWithheld(req *request) *refusal {
-	if len(req.sharedBlocks) == 0 {
-		return nil
-	}
 	req.passedGuardAt = time.Now()
-	part, withheld := h.Prompts.Withheld(req.sharedBlocks, req.passedGuardAt)
+	part, withheld := h.Prompts.Withheld(req.guardKeys, req.passedGuardAt)
 	if !withheld {
 		return nil
 	}
-	refused := refuseNotRun(outcome.PromptWithheld, part.For)
+	reason := outcome.PromptWithheld
+	if promptguard.IsRequest(part.Part) {
+		reason = outcome.RequestWithheld
+	}
+	refused := refuseNotRun(reason, part.For)
 	refused.suspect = &part.Suspect
 	return refused
 }
 
 // returnTry takes back the try of a withheld part, if the request was one.
-func (h *Handler) returnTry(req *request) { h.Prompts.ReturnTry(req.sharedBlocks, req.passedGuardAt) }
+func (h *Handler) returnTry(req *request) { h.Prompts.ReturnTry(req.guardKeys, req.passedGuardAt) }
--- a/edge/reverseproxy/crash_evidence_test.go
+++ b/edge/reverseproxy/crash_evidence_test.go
@@ -34,10 +34,10 @@
 	server := catalog.BackendServer{ID: "i-0"}
 	target := backendclient.Server{Key: "i-0/1", Address: listener.Addr().(*net.TCPAddr).AddrPort(), MaxConnections: 10}
 	const sound, bad uint64 = 1, 2
-	f.handler.crashes.begin(server, target, checkedRequest{id: "sound", blocks: []uint64{sound}, answered: true})
+	f.handler.crashes.begin(server, target, checkedRequest{id: "sound", keys: []uint64{sound}, answered: true})
 	time.Sleep(joinsAfter)
 	f.handler.Client.CloseIdle(func(string) bool { return false })
-	f.handler.crashes.begin(server, target, checkedRequest{id: "bad", blocks: []uint64{bad}, answered: true})
+	f.handler.crashes.begin(server, target, checkedRequest{id: "bad", keys: []uint64{bad}, answered: true})
 	time.Sleep(closesAfter)
 	if err := listener.Close(); err != nil {
 		t.Fatal(err)
--- a/edge/reverseproxy/request.go
+++ b/edge/reverseproxy/request.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -12,6 +13,7 @@
 	"bergamotpin.example/bergamotpin/edge/backendclient"
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
+	"bergamotpin.example/bergamotpin/edge/promptguard"
 	"bergamotpin.example/bergamotpin/outcome"
 	"bergamotpin.example/bergamotpin/platform"
 )
@@ -37,12 +39,15 @@
 	apiKey string
 	header http.Header
 	body   []byte
-	// key stands for what a repeat of the request has in common with it.
-	key    uint64
 	prompt platform.Prompt
 	// sharedBlocks holds the keys of the prompt's prefix blocks without the last block,
 	// which only this request has.
 	sharedBlocks []uint64
+	// key stands for what a repeat of the request has in common with it. guardKeys holds this
+	// key and the sharedBlocks: what the request may have in common with others that end
+	// servers.
+	key       uint64
+	guardKeys []uint64
 	// lastEventID is the ID of the last stream event that the caller already
 	// has, or "" if it has none.
 	lastEventID string
@@ -103,13 +108,14 @@
 	if refused := req.readBody(w, r, snapshot.Limits.BodyBytes); refused != nil {
 		return req, refused
 	}
-	req.key = req.repeatKey()
+	req.key = promptguard.RequestKey(req.repeatHash())
+	req.guardKeys = append(slices.Clone(req.sharedBlocks), req.key)
 	return req, nil
 }
 
-// repeatKey returns the key that a request and its repeats share: they have the same method,
-// host, path with query, body and organisation. Each has its own ID. The key has 32 bits.
-func (req *request) repeatKey() uint64 {
+// repeatHash returns the hash that a request and its repeats share: they have the same method,
+// host, path with query, body and organisation. Each has its own ID. The hash has 32 bits.
+func (req *request) repeatHash() uint64 {
 	h := xxhash.New()
 	// Writing to a hash never fails.
 	for _, text := range []string{req.method, req.host, req.target, req.org.Name} {
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -110,6 +110,8 @@
 	// ServersLimited means that all servers that could run the request name limits, and
 	// that there is no room for it.
 	ServersLimited
+	// RequestWithheld means that several servers ended under the same request.
+	RequestWithheld
 	reasonCount
 )
 
@@ -125,7 +127,7 @@
 	"server_refused", "server_unreachable", "stream_cut", "server_timeout",
 	"server_error", "preempted", "caller_left", "pool_pressure", "continued", "resumed",
 	"body_timeout", "key_completed", "key_unknown",
-	"unknown_route", "garbled", "server_moved", "held_back", "prompt_withheld", "servers_limited",
+	"unknown_route", "garbled", "server_moved", "held_back", "prompt_withheld", "servers_limited", "request_withheld",
 }
 
 // String returns the reason's name in metrics, logs and responses.
