Rename promptguard to crashguard, and its reports to crash reports

The package now finds requests as well as parts of prompts; its name said only the latter. Only names and comments change: Part of a report or suspect is Key, Handler.Prompts is Handler.Crashes. The wire's field numbers stay, so that a rolling change works as before.

--- a/edge/promptguard/bad_request_test.go
+++ b/edge/crashguard/bad_request_test.go
@@ -1,4 +1,4 @@
-package promptguard
+package crashguard
 
 import (
 	"fmt"
--- a/edge/promptguard/fleet_test.go
+++ b/edge/crashguard/fleet_test.go
@@ -1,4 +1,4 @@
-package promptguard
+package crashguard
 
 import (
 	"fmt"
@@ -239,7 +239,7 @@
 						switch {
 						case !withheld:
 							g.RecordAnswered(prompt, f.now)
-						case part.Part == firstPart && n >= 10:
+						case part.Key == firstPart && n >= 10:
 							first++
 						case n >= triesEnd, inFlightElsewhere && n >= settled:
 							late++
--- a/edge/promptguard/guard.go
+++ b/edge/crashguard/guard.go
@@ -1,4 +1,4 @@
-package promptguard
+package crashguard
 
 import (
 	"cmp"
@@ -105,7 +105,7 @@
 // Suspect is a part with the number of servers that ended under it, and the number of
 // failed tries after it was withheld.
 type Suspect struct {
-	Part                 uint64
+	Key                  uint64
 	Servers, FailedTries int
 }
 
--- a/edge/promptguard/guard_test.go
+++ b/edge/crashguard/guard_test.go
@@ -1,4 +1,4 @@
-package promptguard
+package crashguard
 
 import (
 	"testing"
@@ -86,7 +86,7 @@
 	if isWithheld(g, otherPart, at(time.Second)) || isWithheld(other, otherPart, at(time.Second)) {
 		t.Error("withheld after an answer, want cleared at both instances")
 	}
-	other.Receive([]Report{{Part: otherPart, Servers: []uint64{7, 8, 9}}}, at(time.Second))
+	other.Receive([]Report{{Key: otherPart, Servers: []uint64{7, 8, 9}}}, at(time.Second))
 	if isWithheld(other, otherPart, at(time.Second)) {
 		t.Error("a late report withholds a part that was answered")
 	}
--- a/edge/promptguard/key.go
+++ b/edge/crashguard/key.go
@@ -1,4 +1,4 @@
-package promptguard
+package crashguard
 
 // requestKind is the bit that tells the keys of requests from those of parts of prompts,
 // which have 32 bits.
--- a/edge/promptguard/reports.go
+++ b/edge/crashguard/reports.go
@@ -1,4 +1,4 @@
-package promptguard
+package crashguard
 
 import (
 	"cmp"
@@ -30,8 +30,8 @@
 
 // Report is what an instance tells the others about a part.
 type Report struct {
-	_    struct{} `cbor:",toarray"`
-	Part uint64
+	_   struct{} `cbor:",toarray"`
+	Key uint64
 	// Level is the number of failed tries, and Servers are the keys of the servers that
 	// ended under the part since the last one. There are none if the part was answered.
 	Level   int
@@ -71,7 +71,7 @@
 	g.random.Shuffle(len(parts), func(i, j int) { parts[i], parts[j] = parts[j], parts[i] })
 	var reports []Report
 	for _, part := range parts[:min(len(parts), maxAnsweredReports)] {
-		reports = append(reports, Report{Part: part})
+		reports = append(reports, Report{Key: part})
 	}
 	return reports
 }
@@ -84,7 +84,7 @@
 		firsthand := s.own && (len(s.servers) > 1 || age < tellFirstFor)
 		if s.isNews(now) && (firsthand || s.convicted()) {
 			// Later changes replace the slice of servers as a whole.
-			report := Report{Part: part, Level: s.level, Servers: s.servers, AgeMs: age.Milliseconds()}
+			report := Report{Key: part, Level: s.level, Servers: s.servers, AgeMs: age.Milliseconds()}
 			if tryAge := now.Sub(s.ownTry); s.convicted() && tryAge < tryInterval {
 				report.TryAgeMs = max(tryAge.Milliseconds(), 1)
 			}
@@ -92,7 +92,7 @@
 		}
 	}
 	slices.SortFunc(reports, func(a, b Report) int {
-		return cmp.Or(cmp.Compare(b.Level, a.Level), cmp.Compare(len(b.Servers), len(a.Servers)), cmp.Compare(a.AgeMs, b.AgeMs), cmp.Compare(a.Part, b.Part))
+		return cmp.Or(cmp.Compare(b.Level, a.Level), cmp.Compare(len(b.Servers), len(a.Servers)), cmp.Compare(a.AgeMs, b.AgeMs), cmp.Compare(a.Key, b.Key))
 	})
 	if len(reports) > rankedReports {
 		rest := reports[rankedReports:]
@@ -110,7 +110,7 @@
 	defer g.mu.Unlock()
 	for _, report := range reports[:min(len(reports), maxReports)] {
 		if len(report.Servers) == 0 {
-			g.receiveAnswered(report.Part, now)
+			g.receiveAnswered(report.Key, now)
 		} else {
 			g.receiveSuspect(report, now)
 		}
@@ -130,17 +130,17 @@
 }
 
 func (g *Guard) receiveSuspect(r Report, now time.Time) {
-	if g.answered(r.Part).has(r.Part, now) {
-		g.tellAnswered(r.Part, now)
+	if g.answered(r.Key).has(r.Key, now) {
+		g.tellAnswered(r.Key, now)
 		return
 	}
 	const maxAge = int64(24 * time.Hour / time.Millisecond)
 	age := time.Duration(min(max(r.AgeMs, 0), maxAge)) * time.Millisecond
 	evidence := suspect{level: max(r.Level, 0), servers: r.Servers[:min(len(r.Servers), maxServers)], newest: now.Add(-age)}
-	if evidence.isNews(now) && !g.knownAnswered(r.Part, now) {
-		g.merge(r.Part, evidence, now)
+	if evidence.isNews(now) && !g.knownAnswered(r.Key, now) {
+		g.merge(r.Key, evidence, now)
 	}
-	if s, ok := g.suspects[r.Part]; ok && r.TryAgeMs > 0 {
+	if s, ok := g.suspects[r.Key]; ok && r.TryAgeMs > 0 {
 		try := now.Add(-time.Duration(min(r.TryAgeMs, maxAge)) * time.Millisecond)
 		if try.After(s.lastTry) {
 			s.lastTry = try
--- a/edge/promptguard/reports_test.go
+++ b/edge/crashguard/reports_test.go
@@ -1,4 +1,4 @@
-package promptguard
+package crashguard
 
 import (
 	"fmt"
@@ -130,8 +130,8 @@
 func TestOldReportsAreIgnored(t *testing.T) {
 	g := newGuard(0)
 	g.Receive([]Report{
-		{Part: badPart, Servers: []uint64{1, 2, 3}, AgeMs: (withholdPeriods[0] + convictedMemory).Milliseconds()},
-		{Part: otherPart, Servers: []uint64{1, 2, 3}, AgeMs: 1 << 62},
+		{Key: badPart, Servers: []uint64{1, 2, 3}, AgeMs: (withholdPeriods[0] + convictedMemory).Milliseconds()},
+		{Key: otherPart, Servers: []uint64{1, 2, 3}, AgeMs: 1 << 62},
 	}, at(0))
 	if len(g.suspects) > 0 {
 		t.Errorf("got %d suspects, want none", len(g.suspects))
@@ -173,7 +173,7 @@
 	told := map[uint64]bool{}
 	for range 60 {
 		for _, r := range g.Reports(at(time.Second)) {
-			told[r.Part] = true
+			told[r.Key] = true
 		}
 	}
 	if len(told) != 40 {
--- a/edge/gossip/prompt_reports_test.go
+++ b/edge/gossip/crash_reports_test.go
@@ -9,7 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"bergamotpin.example/bergamotpin/edge/balancer"
-	"bergamotpin.example/bergamotpin/edge/promptguard"
+	"bergamotpin.example/bergamotpin/edge/crashguard"
 )
 
 // TestPromptReportsReachOtherDataCentres guards against evidence that stays in a data
@@ -39,9 +39,9 @@
 	}
 }
 
-// fullPromptReports returns as many and as long reports as a datagram may hold.
-func fullPromptReports() []promptguard.Report {
-	g := promptguard.New(promptguard.Options{Instances: func() int { return 1 }})
+// fullCrashReports returns as many and as long reports as a datagram may hold.
+func fullCrashReports() []crashguard.Report {
+	g := crashguard.New(crashguard.Options{Instances: func() int { return 1 }})
 	now := time.Now()
 	for part := range uint64(64) {
 		for server := range part/4 + 1 {
@@ -57,7 +57,7 @@
 	m := message{
 		Cluster: "10.200.1.7:8223", Name: "edge-ro-central-a-1", DataCentre: "ro-central-a", Started: time.Now().UnixNano(),
 		Sequence: 1000, Address: netip.MustParseAddrPort("10.1.0.40:7340"), Revision: 50, ServersDigest: 1 << 60, StoreAgeMs: 300,
-		Prompts: fullPromptReports(), Limits: fullLimitReports(),
+		Crashes: fullCrashReports(), Limits: fullLimitReports(),
 	}
 	for range maxKnown {
 		m.Known = append(m.Known, netip.MustParseAddrPort("10.1.0.40:7340"))
@@ -75,17 +75,17 @@
 		t.Fatal(err)
 	}
 	got, err := decode(raw)
-	t.Logf("%d bytes, %d reports on servers, %d on parts of prompts", len(raw), len(got.Reports), len(got.Prompts))
-	if err != nil || len(raw) > maxDatagramBytes || len(got.Prompts) != len(m.Prompts) || len(got.Limits) != len(m.Limits) || len(got.Reports) < 5 {
+	t.Logf("%d bytes, %d reports on servers, %d on parts of prompts", len(raw), len(got.Reports), len(got.Crashes))
+	if err != nil || len(raw) > maxDatagramBytes || len(got.Crashes) != len(m.Crashes) || len(got.Limits) != len(m.Limits) || len(got.Reports) < 5 {
 		t.Errorf("got %d bytes with %d reports on parts of prompts, %d on limits and %d on servers, error %v; want at most %d bytes, %d, %d and at least 5",
-			len(raw), len(got.Prompts), len(got.Limits), len(got.Reports), err, maxDatagramBytes, len(m.Prompts), len(m.Limits))
+			len(raw), len(got.Crashes), len(got.Limits), len(got.Reports), err, maxDatagramBytes, len(m.Crashes), len(m.Limits))
 	}
 }
 
 // TestVersionBeforeIgnoresPromptReports guards against instances of the version before that
 // drop datagrams with a field that they don't know.
 func TestVersionBeforeIgnoresPromptReports(t *testing.T) {
-	raw, err := encode(message{Name: "a", Address: netip.MustParseAddrPort("10.0.0.1:1"), Prompts: fullPromptReports()})
+	raw, err := encode(message{Name: "a", Address: netip.MustParseAddrPort("10.0.0.1:1"), Crashes: fullCrashReports()})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/edge/gossip/message.go
+++ b/edge/gossip/message.go
@@ -7,7 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"bergamotpin.example/bergamotpin/edge/balancer"
-	"bergamotpin.example/bergamotpin/edge/promptguard"
+	"bergamotpin.example/bergamotpin/edge/crashguard"
 	"bergamotpin.example/bergamotpin/edge/serverlimit"
 )
 
@@ -46,8 +46,8 @@
 	Summary bool `cbor:"13,keyasint,omitempty"`
 	// Urgencies are reports on the sender's recent requests. A summary has none.
 	Urgencies []balancer.UrgencyReport `cbor:"14,keyasint,omitempty"`
-	// Prompts are reports on parts of prompts that crash servers. A summary has none.
-	Prompts []promptguard.Report `cbor:"15,keyasint,omitempty"`
+	// Crashes are reports on requests and parts of prompts that crash servers. A summary has none.
+	Crashes []crashguard.Report `cbor:"15,keyasint,omitempty"`
 	// Limits are reports on the limits that servers name. A summary has none.
 	Limits []serverlimit.Report `cbor:"19,keyasint,omitempty"`
 	stated
--- a/edge/gossip/node.go
+++ b/edge/gossip/node.go
@@ -14,7 +14,7 @@
 
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
-	"bergamotpin.example/bergamotpin/edge/promptguard"
+	"bergamotpin.example/bergamotpin/edge/crashguard"
 	"bergamotpin.example/bergamotpin/edge/serverlimit"
 	"bergamotpin.example/bergamotpin/objects"
 )
@@ -48,10 +48,10 @@
 	// ReceiveSummary is called with the sums of another data centre.
 	Summary        func(now time.Time) []balancer.ServerReport
 	ReceiveSummary func(dataCentre string, reports []balancer.ServerReport, now time.Time)
-	// PromptReports returns the reports on parts of prompts that crash servers.
-	// ReceivePromptReports is called with the reports of a peer.
-	PromptReports        func(now time.Time) []promptguard.Report
-	ReceivePromptReports func(reports []promptguard.Report, now time.Time)
+	// CrashReports returns the reports on requests and parts of prompts that crash servers.
+	// ReceiveCrashReports is called with the reports of a peer.
+	CrashReports        func(now time.Time) []crashguard.Report
+	ReceiveCrashReports func(reports []crashguard.Report, now time.Time)
 	// LimitReports returns the reports on the limits that servers name. ReceiveLimitReports
 	// is called with the reports of a peer.
 	LimitReports        func(now time.Time) []serverlimit.Report
@@ -203,7 +203,7 @@
 
 // sendRound sends this round's datagrams, and logs the peers that fell silent.
 func (n *Node) sendRound(now time.Time) {
-	reports, promptReports, limitReports := n.opts.Reports(now), n.opts.PromptReports(now), n.opts.LimitReports(now)
+	reports, crashReports, limitReports := n.opts.Reports(now), n.opts.CrashReports(now), n.opts.LimitReports(now)
 	digest := n.opts.Catalog.Digest()
 	storeAge := n.opts.StoreAge(now)
 	n.mu.Lock()
@@ -217,7 +217,7 @@
 		Address: n.opts.Address, Leaving: n.leaving, Revision: digest.Configuration.Store.Revision, ServersDigest: digest.Servers,
 		Known: n.members.knownAddresses(n.sequence, maxKnown), Reports: reports.Servers, DataCentre: n.opts.DataCentre,
 		StoreAgeMs: storeAge.Milliseconds(), Urgencies: reports.Urgencies,
-		Prompts: promptReports, Limits: limitReports, stated: newStated(digest),
+		Crashes: crashReports, Limits: limitReports, stated: newStated(digest),
 	}
 	withoutReports := complete
 	withoutReports.Reports, withoutReports.Urgencies, withoutReports.Known = nil, nil, n.members.knownAddresses(n.sequence, maxKnownRemote)
@@ -304,7 +304,7 @@
 		n.opts.Log.Info("peer became live", "peer", m.Name, "address", m.Address)
 	}
 	n.opts.ReceiveReports(m.Name, m.DataCentre, balancer.InstanceReports{Servers: m.Reports, Urgencies: m.Urgencies}, now)
-	n.opts.ReceivePromptReports(m.Prompts, now)
+	n.opts.ReceiveCrashReports(m.Crashes, now)
 	n.opts.ReceiveLimitReports(m.Limits, now)
 	n.opts.OnChange("peer "+m.Name, n.opts.Catalog.EnterEra(objects.Version{Era: digest.Era, Revision: m.Revision}, now))
 	n.fetchIfBehind(*peer)
--- a/edge/gossip/node_test.go
+++ b/edge/gossip/node_test.go
@@ -13,7 +13,7 @@
 
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
-	"bergamotpin.example/bergamotpin/edge/promptguard"
+	"bergamotpin.example/bergamotpin/edge/crashguard"
 	"bergamotpin.example/bergamotpin/edge/serverlimit"
 	"bergamotpin.example/bergamotpin/objects"
 )
@@ -40,7 +40,7 @@
 	reports   map[string][]balancer.ServerReport
 	summaries map[string][]balancer.ServerReport
 	urgencies map[string][]balancer.UrgencyReport
-	guard     *promptguard.Guard
+	guard     *crashguard.Guard
 	limits    *serverlimit.Table
 	stop      context.CancelFunc
 	done      chan struct{}
@@ -67,7 +67,7 @@
 		catalog: catalog.New(plainDecoder{}), storeAge: storeAge,
 		reports: make(map[string][]balancer.ServerReport), summaries: make(map[string][]balancer.ServerReport),
 		urgencies: make(map[string][]balancer.UrgencyReport),
-		guard:     promptguard.New(promptguard.Options{Instances: func() int { return 1 }}),
+		guard:     crashguard.New(crashguard.Options{Instances: func() int { return 1 }}),
 		done:      make(chan struct{}),
 	}
 	n.limits = serverlimit.New(serverlimit.Options{Name: name, View: func() serverlimit.View { return n.View() }})
@@ -93,7 +93,7 @@
 			defer n.mu.Unlock()
 			n.summaries[dataCentre] = reports
 		},
-		PromptReports: n.guard.Reports, ReceivePromptReports: n.guard.Receive,
+		CrashReports: n.guard.Reports, ReceiveCrashReports: n.guard.Receive,
 		LimitReports: n.limits.Reports, ReceiveLimitReports: n.limits.Receive,
 		OnChange: func(string, []catalog.Change) {}, Log: slog.New(slog.DiscardHandler),
 		StoreAge: n.currentStoreAge,
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -18,8 +18,8 @@
 	"bergamotpin.example/bergamotpin/edge/backendclient"
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
+	"bergamotpin.example/bergamotpin/edge/crashguard"
 	"bergamotpin.example/bergamotpin/edge/gossip"
-	"bergamotpin.example/bergamotpin/edge/promptguard"
 	"bergamotpin.example/bergamotpin/edge/reverseproxy"
 	"bergamotpin.example/bergamotpin/edge/serverlimit"
 	"bergamotpin.example/bergamotpin/eventlog"
@@ -104,7 +104,7 @@
 	i.limits = serverlimit.New(serverlimit.Options{Name: s.Name, Seed: randomSeed(s.Name), View: func() serverlimit.View { return i.gossip.View() }})
 	i.selector = reverseproxy.NewServerSelector(balancer.Options{DataCentre: s.DataCentre, Seed: randomSeed(s.Name)}, s.Retries, i.limits)
 	i.client = backendclient.NewClient(nil)
-	prompts := promptguard.New(promptguard.Options{Seed: randomSeed(s.Name), Instances: i.selector.Instances})
+	crashes := crashguard.New(crashguard.Options{Seed: randomSeed(s.Name), Instances: i.selector.Instances})
 	i.metrics = metrics.New(s.Name, s.DataCentre)
 	i.watcher = i.newWatcher(s.StoreAddress)
 	var err error
@@ -112,7 +112,7 @@
 		Name: s.Name, DataCentre: s.DataCentre, Cluster: s.StoreAddress.String(), Address: s.PeersAddress, Seeds: s.Seeds, Catalog: i.catalog,
 		Reports: i.selector.Reports, ReceiveReports: i.selector.ReceiveReports, OnChange: i.catalogChanged,
 		Summary: i.selector.Summary, ReceiveSummary: i.selector.ReceiveSummary,
-		PromptReports: prompts.Reports, ReceivePromptReports: prompts.Receive,
+		CrashReports: crashes.Reports, ReceiveCrashReports: crashes.Receive,
 		LimitReports: i.limits.Reports, ReceiveLimitReports: i.limits.Receive,
 		StoreAge: i.storeAge, Log: i.log.StateChanges,
 	})
@@ -121,7 +121,7 @@
 	}
 	i.selector.SetInstances(i.gossip.CountInstances)
 	i.handler = reverseproxy.New(reverseproxy.Options{
-		Catalog: i.catalog, Selector: i.selector, Client: i.client, Metrics: i.metrics, Prompts: prompts, Limits: i.limits,
+		Catalog: i.catalog, Selector: i.selector, Client: i.client, Metrics: i.metrics, Crashes: crashes, Limits: i.limits,
 		Successes: i.log.Successes, Failures: i.log.Failures,
 		BufferBytes: int64(bufferFraction * float64(s.MemoryBytes)),
 	})
--- a/edge/reverseproxy/crash_check.go
+++ b/edge/reverseproxy/crash_check.go
@@ -8,7 +8,7 @@
 	"bergamotpin.example/bergamotpin/edge/backendclient"
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
-	"bergamotpin.example/bergamotpin/edge/promptguard"
+	"bergamotpin.example/bergamotpin/edge/crashguard"
 	"bergamotpin.example/bergamotpin/outcome"
 )
 
@@ -124,7 +124,7 @@
 	}
 	for _, r := range requests {
 		if r.answered {
-			c.handler.Prompts.RecordAnswered(r.keys, now)
+			c.handler.Crashes.RecordAnswered(r.keys, now)
 		}
 	}
 }
@@ -154,7 +154,7 @@
 			// The server was to end after its last answers, of which this was one.
 			continue
 		}
-		suspects := c.handler.Prompts.RecordCrash(key, r.keys, now)
+		suspects := c.handler.Crashes.RecordCrash(key, r.keys, now)
 		c.handler.Failures.Warn("server ended under request", "request", r.id, "server", server.ID, "data_centre", server.DataCentre,
 			"suspects", suspectNames(suspects))
 	}
@@ -166,10 +166,10 @@
 	req := f.request
 	now := time.Now()
 	if delimited {
-		f.handler.Prompts.RecordAnswered(req.guardKeys, now)
+		f.handler.Crashes.RecordAnswered(req.guardKeys, now)
 		return
 	}
-	if f.handler.Prompts.AllAnswered(req.sharedBlocks, now) && !f.handler.Prompts.Suspected([]uint64{req.key}, now) {
+	if f.handler.Crashes.AllAnswered(req.sharedBlocks, now) && !f.handler.Crashes.Suspected([]uint64{req.key}, now) {
 		// That a request was answered is of use only if a server ended under it.
 		return
 	}
@@ -188,7 +188,7 @@
 // the request or the parts of its prompt. It uses nothing of the request that further attempts change.
 func (f *forwarder) checkServer(server catalog.BackendServer, target backendclient.Server, answered bool) {
 	req := f.request
-	if f.handler.Prompts.AllAnswered(req.guardKeys, time.Now()) {
+	if f.handler.Crashes.AllAnswered(req.guardKeys, time.Now()) {
 		return
 	}
 	f.handler.crashes.begin(server, target, checkedRequest{id: req.id, keys: req.guardKeys, answered: answered})
@@ -199,12 +199,12 @@
 // must be called.
 func (h *Handler) refuseWithheld(req *request) *refusal {
 	req.passedGuardAt = time.Now()
-	part, withheld := h.Prompts.Withheld(req.guardKeys, req.passedGuardAt)
+	part, withheld := h.Crashes.Withheld(req.guardKeys, req.passedGuardAt)
 	if !withheld {
 		return nil
 	}
 	reason := outcome.PromptWithheld
-	if promptguard.IsRequest(part.Part) {
+	if crashguard.IsRequest(part.Key) {
 		reason = outcome.RequestWithheld
 	}
 	refused := refuseNotRun(reason, part.For)
@@ -213,4 +213,4 @@
 }
 
 // returnTry takes back the try of a withheld part, if the request was one.
-func (h *Handler) returnTry(req *request) { h.Prompts.ReturnTry(req.guardKeys, req.passedGuardAt) }
+func (h *Handler) returnTry(req *request) { h.Crashes.ReturnTry(req.guardKeys, req.passedGuardAt) }
--- a/edge/reverseproxy/crash_check_test.go
+++ b/edge/reverseproxy/crash_check_test.go
@@ -31,7 +31,7 @@
 // accuse records the ends of three servers under the parts.
 func (f *fixture) accuse(parts []uint64) {
 	for server := range uint64(3) {
-		f.handler.Prompts.RecordCrash(server, parts, time.Now())
+		f.handler.Crashes.RecordCrash(server, parts, time.Now())
 	}
 }
 
@@ -41,7 +41,7 @@
 }
 
 func (f *fixture) isWithheld(parts []uint64) bool {
-	_, withheld := f.handler.Prompts.Withheld(parts, time.Now())
+	_, withheld := f.handler.Crashes.Withheld(parts, time.Now())
 	return withheld
 }
 
@@ -135,7 +135,7 @@
 			r := f.promptRequest(pathStream, "a1:100")
 			f.expectStatus(f.do(r), 200)
 			f.finishChecks()
-			if got := f.handler.Prompts.AllAnswered(partsOf(r), time.Now()); got == ends {
+			if got := f.handler.Crashes.AllAnswered(partsOf(r), time.Now()); got == ends {
 				t.Errorf("counts as answered: %v, want %v", got, !ends)
 			}
 		})
--- a/edge/reverseproxy/crash_evidence_test.go
+++ b/edge/reverseproxy/crash_evidence_test.go
@@ -43,7 +43,7 @@
 		t.Fatal(err)
 	}
 	f.finishChecks()
-	if f.handler.Prompts.AllAnswered([]uint64{bad}, time.Now()) {
+	if f.handler.Crashes.AllAnswered([]uint64{bad}, time.Now()) {
 		t.Error("the part under which the server ended counts as answered")
 	}
 }
@@ -55,7 +55,7 @@
 	r := f.promptRequest(pathSafe, "a1:100")
 	// The part was withheld for long enough that it is this instance's turn.
 	for server := range uint64(3) {
-		f.handler.Prompts.RecordCrash(server, partsOf(r), time.Now().Add(-30*time.Second))
+		f.handler.Crashes.RecordCrash(server, partsOf(r), time.Now().Add(-30*time.Second))
 	}
 	f.expectStatus(f.do(r), 503)
 	s := platformtest.NewBackendServer("i-0", "s")
@@ -76,7 +76,7 @@
 	f.handler.Failures = slog.New(slog.NewJSONHandler(&log, nil))
 	r := f.promptRequest(pathSafe, "a1:100")
 	for server := range uint64(3) {
-		f.handler.Prompts.RecordCrash(server, partsOf(r), time.Now().Add(-30*time.Second))
+		f.handler.Crashes.RecordCrash(server, partsOf(r), time.Now().Add(-30*time.Second))
 	}
 	f.expectStatus(f.do(r), 200)
 	if !strings.Contains(log.String(), "connection refused") {
@@ -181,8 +181,8 @@
 // suspectedServers returns the number of servers that are known to have ended under the
 // first of the parts.
 func (f *fixture) suspectedServers(parts []uint64) int {
-	for _, report := range f.handler.Prompts.Reports(time.Now()) {
-		if report.Part == parts[0] {
+	for _, report := range f.handler.Crashes.Reports(time.Now()) {
+		if report.Key == parts[0] {
 			return len(report.Servers)
 		}
 	}
--- a/edge/reverseproxy/doc.go
+++ b/edge/reverseproxy/doc.go
@@ -16,7 +16,9 @@
 //   - A request whose route does not allow retries is sent to a further server
 //     only if no earlier server can have run it. This is checked directly before
 //     each further send.
-//   - A request whose prompt holds a part that package promptguard withholds is not sent.
+//   - A request that package crashguard withholds, or whose prompt holds a part that it
+//     withholds, is not sent.
+//   - A server that names a limit gets no more than this instance's share of it.
 //   - API key and route are looked up again before each send, in the configuration
 //     that is in force at that time.
 //   - A successful response is passed on only if it has the server's stamp, and
--- a/edge/reverseproxy/fixture_test.go
+++ b/edge/reverseproxy/fixture_test.go
@@ -13,7 +13,7 @@
 	"bergamotpin.example/bergamotpin/edge/backendclient"
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
-	"bergamotpin.example/bergamotpin/edge/promptguard"
+	"bergamotpin.example/bergamotpin/edge/crashguard"
 	"bergamotpin.example/bergamotpin/edge/serverlimit"
 	"bergamotpin.example/bergamotpin/metrics"
 	"bergamotpin.example/bergamotpin/platform"
@@ -58,7 +58,7 @@
 	f.handler = New(Options{
 		Catalog: f.catalog, Selector: NewServerSelector(balancer.Options{DataCentre: "dc1", Seed: 1}, retries, limits),
 		Client: backendclient.NewClient(nil), Metrics: m,
-		Prompts: promptguard.New(promptguard.Options{Instances: func() int { return 1 }}), Successes: discard, Failures: discard,
+		Crashes: crashguard.New(crashguard.Options{Instances: func() int { return 1 }}), Successes: discard, Failures: discard,
 		Limits:      limits,
 		BufferBytes: smallestInstanceBytes / 8,
 	})
--- a/edge/reverseproxy/handler.go
+++ b/edge/reverseproxy/handler.go
@@ -12,7 +12,7 @@
 	"bergamotpin.example/bergamotpin/edge/backendclient"
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
-	"bergamotpin.example/bergamotpin/edge/promptguard"
+	"bergamotpin.example/bergamotpin/edge/crashguard"
 	"bergamotpin.example/bergamotpin/edge/serverlimit"
 	"bergamotpin.example/bergamotpin/metrics"
 )
@@ -33,8 +33,8 @@
 	Selector *ServerSelector
 	Client   *backendclient.Client
 	Metrics  *metrics.Metrics
-	// Prompts finds the parts of prompts that crash servers.
-	Prompts *promptguard.Guard
+	// Crashes finds the requests and the parts of prompts that crash servers.
+	Crashes *crashguard.Guard
 	// Limits holds the limits that servers name.
 	Limits *serverlimit.Table
 	// Successes logs each send of a request to a server, before its result is
@@ -95,7 +95,7 @@
 		"configuration", h.Catalog.Snapshot().Version,
 	}
 	if refused.suspect != nil {
-		attributes = append(attributes, "suspects", suspectNames([]promptguard.Suspect{*refused.suspect}))
+		attributes = append(attributes, "suspects", suspectNames([]crashguard.Suspect{*refused.suspect}))
 	}
 	if l := refused.limited; l != nil {
 		attributes = append(attributes, "rank", req.enginePriority(), "limited", l.servers, "per_s", l.perSecond)
--- a/edge/reverseproxy/prompt_blocks.go
+++ b/edge/reverseproxy/prompt_blocks.go
@@ -5,7 +5,7 @@
 	"strings"
 
 	"bergamotpin.example/bergamotpin/edge/balancer"
-	"bergamotpin.example/bergamotpin/edge/promptguard"
+	"bergamotpin.example/bergamotpin/edge/crashguard"
 	"bergamotpin.example/bergamotpin/platform"
 )
 
@@ -45,13 +45,13 @@
 
 // suspectNames returns the first suspects for a log line, each as KEY:SERVERS or, after
 // failed tries, KEY:SERVERS/TRIES.
-func suspectNames(suspects []promptguard.Suspect) string {
+func suspectNames(suspects []crashguard.Suspect) string {
 	var names strings.Builder
 	for i, s := range suspects[:min(len(suspects), maxLoggedBlocks)] {
 		if i > 0 {
 			names.WriteByte(',')
 		}
-		names.WriteString(strconv.FormatUint(s.Part, 16) + ":" + strconv.Itoa(s.Servers))
+		names.WriteString(strconv.FormatUint(s.Key, 16) + ":" + strconv.Itoa(s.Servers))
 		if s.FailedTries > 0 {
 			names.WriteString("/" + strconv.Itoa(s.FailedTries))
 		}
--- a/edge/reverseproxy/refusal.go
+++ b/edge/reverseproxy/refusal.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"bergamotpin.example/bergamotpin/edge/balancer"
-	"bergamotpin.example/bergamotpin/edge/promptguard"
+	"bergamotpin.example/bergamotpin/edge/crashguard"
 	"bergamotpin.example/bergamotpin/outcome"
 	"bergamotpin.example/bergamotpin/platform"
 )
@@ -33,7 +33,7 @@
 	// overload is set if the request was refused because of the servers' load.
 	overload *overloadDetails
 	// suspect is set if the request was refused because of a part of its prompt.
-	suspect *promptguard.Suspect
+	suspect *crashguard.Suspect
 	// limited is set if the request was refused because of the servers' limits.
 	limited *limitDetails
 }
--- a/edge/reverseproxy/request.go
+++ b/edge/reverseproxy/request.go
@@ -13,7 +13,7 @@
 	"bergamotpin.example/bergamotpin/edge/backendclient"
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
-	"bergamotpin.example/bergamotpin/edge/promptguard"
+	"bergamotpin.example/bergamotpin/edge/crashguard"
 	"bergamotpin.example/bergamotpin/outcome"
 	"bergamotpin.example/bergamotpin/platform"
 )
@@ -108,7 +108,7 @@
 	if refused := req.readBody(w, r, snapshot.Limits.BodyBytes); refused != nil {
 		return req, refused
 	}
-	req.key = promptguard.RequestKey(req.repeatHash())
+	req.key = crashguard.RequestKey(req.repeatHash())
 	req.guardKeys = append(slices.Clone(req.sharedBlocks), req.key)
 	return req, nil
 }
