Share the play of crashes and the sending of requests between tests

TestRequestThatCrashesServersIsSentOnAndOn and TestPromptPartThatCrashesServersIsWithheld had the same play, and three files a sender of their own. Checks, bounds and load are the same.

--- a/edge/crashing_prompt_test.go
+++ b/edge/crashing_prompt_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -107,36 +106,20 @@
 // sendPrompt sends a request for a stream whose prompt holds the given prefix blocks, and
 // returns the status of the response, or 0 if it was broken off.
 func (r *testInstance) sendPrompt(id, blocks string) int {
-	req, err := http.NewRequest(http.MethodGet, "http://"+r.settings.Load().CallersAddress.String()+platformtest.PathStream, nil)
-	if err != nil {
-		return 0
-	}
-	req.Host = platformtest.Host
-	req.Header.Set(platform.HeaderRequestID, id)
-	req.Header.Set(platform.HeaderPrefixBlocks, blocks)
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return 0
-	}
-	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return 0
-	}
-	return resp.StatusCode
+	return r.roundTrip(testRequest{path: platformtest.PathStream, id: id, blocks: blocks}).status
 }
 
-// TestPromptPartThatCrashesServersIsWithheld guards against prompts of one kind that end
-// servers one after the other, as each instance and each request meets them anew.
-func TestPromptPartThatCrashesServersIsWithheld(t *testing.T) {
-	const (
-		badRequests = 20
-		badInterval = 400 * time.Millisecond
-		// maxBad is the number of crashes and of further sends that the rules allow.
-		maxBad = 5 + 3
-	)
-	store := platformtest.NewStore()
-	t.Cleanup(store.Close)
-	fleet := newCrashingFleet(t, store, 6)
+// crashPlay is what became of requests that crash servers, and of sound ones beside them.
+type crashPlay struct {
+	// statuses are those of the bad requests, in the order in which they were sent.
+	statuses      []int
+	sound, served int
+}
+
+// playCrashes starts three instances and sends them bad requests in turn, one each badInterval,
+// beside sound ones.
+func playCrashes(t *testing.T, store *platformtest.Store, badRequests int, badInterval time.Duration, sendBad, sendSound func(i *testInstance, n int) int) crashPlay {
+	t.Helper()
 	store.Put("config", "main", configurationText(1))
 	port := freePort(t, "127.0.0.2")
 	var instances []*testInstance
@@ -146,8 +129,8 @@
 	for _, i := range instances {
 		await(t, "ready", i.isReady)
 	}
+	p := crashPlay{statuses: make([]int, badRequests)}
 	stop := make(chan struct{})
-	var sound, served int
 	var wait sync.WaitGroup
 	wait.Go(func() {
 		for n := 0; ; n++ {
@@ -156,29 +139,53 @@
 				return
 			case <-time.After(20 * time.Millisecond):
 			}
-			sound++
-			if instances[n%len(instances)].sendPrompt(fmt.Sprint("sound-", n), fmt.Sprintf("f1:100,%x:10,%x:7", 0x100+n%3, 0x10000+n)) == http.StatusOK {
-				served++
+			p.sound++
+			if sendSound(instances[n%len(instances)], n) == http.StatusOK {
+				p.served++
 			}
 		}
 	})
 	time.Sleep(time.Second)
-	statuses := make([]int, badRequests)
 	for n := range badRequests {
-		wait.Go(func() {
-			statuses[n] = instances[n%len(instances)].sendPrompt(fmt.Sprint("bad-", n), fmt.Sprintf("f1:100,%s,%x:7", crashingBlock, 0x20000+n))
-		})
+		wait.Go(func() { p.statuses[n] = sendBad(instances[n%len(instances)], n) })
 		time.Sleep(badInterval)
 	}
 	close(stop)
 	wait.Wait()
-	if got := fleet.bad(); got > maxBad {
-		t.Errorf("%d requests with the part reached servers, want at most %d; their statuses: %v", got, maxBad, statuses)
+	return p
+}
+
+// expectServed fails the test if the last bad request was not refused, or if fewer than nine
+// tenths of the sound ones were served.
+func (p crashPlay) expectServed(t *testing.T) {
+	t.Helper()
+	if last := p.statuses[len(p.statuses)-1]; last != http.StatusServiceUnavailable {
+		t.Errorf("the last bad request got status %d, want 503", last)
 	}
-	if last := statuses[badRequests-1]; last != http.StatusServiceUnavailable {
-		t.Errorf("the last request with the part got status %d, want 503", last)
+	if 10*p.served < 9*p.sound {
+		t.Errorf("%d of %d sound requests were served, want nine tenths", p.served, p.sound)
 	}
-	if 10*served < 9*sound {
-		t.Errorf("%d of %d sound requests with the same first part were served, want nine tenths", served, sound)
+}
+
+// TestPromptPartThatCrashesServersIsWithheld guards against prompts of one kind that end
+// servers one after the other, as each instance and each request meets them anew.
+func TestPromptPartThatCrashesServersIsWithheld(t *testing.T) {
+	const (
+		badRequests = 20
+		badInterval = 400 * time.Millisecond
+		// maxBad is the number of crashes and of further sends that the rules allow.
+		maxBad = 5 + 3
+	)
+	store := platformtest.NewStore()
+	t.Cleanup(store.Close)
+	fleet := newCrashingFleet(t, store, 6)
+	play := playCrashes(t, store, badRequests, badInterval, func(i *testInstance, n int) int {
+		return i.sendPrompt(fmt.Sprint("bad-", n), fmt.Sprintf("f1:100,%s,%x:7", crashingBlock, 0x20000+n))
+	}, func(i *testInstance, n int) int {
+		return i.sendPrompt(fmt.Sprint("sound-", n), fmt.Sprintf("f1:100,%x:10,%x:7", 0x100+n%3, 0x10000+n))
+	})
+	if got := fleet.bad(); got > maxBad {
+		t.Errorf("%d requests with the part reached servers, want at most %d; their statuses: %v", got, maxBad, play.statuses)
 	}
+	play.expectServed(t)
 }
--- a/edge/crashing_request_test.go
+++ b/edge/crashing_request_test.go
@@ -2,38 +2,13 @@
 
 import (
 	"fmt"
-	"io"
-	"net/http"
 	"slices"
-	"strings"
-	"sync"
 	"testing"
 	"time"
 
-	"bergamotpin.example/bergamotpin/platform"
 	"bergamotpin.example/bergamotpin/platform/platformtest"
 )
 
-// post sends a request with a body, and returns the status of the response, or 0 if it was
-// broken off.
-func (r *testInstance) post(path, id, body string) int {
-	req, err := http.NewRequest(http.MethodPost, "http://"+r.settings.Load().CallersAddress.String()+path, strings.NewReader(body))
-	if err != nil {
-		return 0
-	}
-	req.Host = platformtest.Host
-	req.Header.Set(platform.HeaderRequestID, id)
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return 0
-	}
-	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return 0
-	}
-	return resp.StatusCode
-}
-
 // badArrivals returns when requests with crashingBody began to run at servers, in order.
 func (f *crashingFleet) badArrivals() []time.Time {
 	f.mu.Lock()
@@ -67,39 +42,11 @@
 			store := platformtest.NewStore()
 			t.Cleanup(store.Close)
 			fleet := newCrashingFleet(t, store, 6)
-			store.Put("config", "main", configurationText(1))
-			port := freePort(t, "127.0.0.2")
-			var instances []*testInstance
-			for _, ip := range []string{"127.0.0.2", "127.0.0.3", "127.0.0.4"} {
-				instances = append(instances, startInstance(t, ip, port, store.URL, 1))
-			}
-			for _, i := range instances {
-				await(t, "ready", i.isReady)
-			}
-			stop := make(chan struct{})
-			var sound, served int
-			var wait sync.WaitGroup
-			wait.Go(func() {
-				for n := 0; ; n++ {
-					select {
-					case <-stop:
-						return
-					case <-time.After(20 * time.Millisecond):
-					}
-					sound++
-					if instances[n%len(instances)].post(path, fmt.Sprint("sound-", n), fmt.Sprint("body-", n)) == http.StatusOK {
-						served++
-					}
-				}
+			play := playCrashes(t, store, badRequests, badInterval, func(i *testInstance, n int) int {
+				return i.roundTrip(testRequest{path: path, id: fmt.Sprint("bad-", n), body: crashingBody}).status
+			}, func(i *testInstance, n int) int {
+				return i.roundTrip(testRequest{path: path, id: fmt.Sprint("sound-", n), body: fmt.Sprint("body-", n)}).status
 			})
-			time.Sleep(time.Second)
-			statuses := make([]int, badRequests)
-			for n := range badRequests {
-				wait.Go(func() { statuses[n] = instances[n%len(instances)].post(path, fmt.Sprint("bad-", n), crashingBody) })
-				time.Sleep(badInterval)
-			}
-			close(stop)
-			wait.Wait()
 			arrivals := fleet.badArrivals()
 			late := 0
 			for _, a := range arrivals {
@@ -108,14 +55,9 @@
 				}
 			}
 			if late > maxLate {
-				t.Errorf("%d of %d sends of the request came later than 3 s after the third end, want at most %d; statuses: %v", late, len(arrivals), maxLate, statuses)
-			}
-			if last := statuses[badRequests-1]; last != http.StatusServiceUnavailable {
-				t.Errorf("the last one got status %d, want 503", last)
-			}
-			if 10*served < 9*sound {
-				t.Errorf("%d of %d sound requests of the same route were served, want nine tenths", served, sound)
+				t.Errorf("%d of %d sends of the request came later than 3 s after the third end, want at most %d; statuses: %v", late, len(arrivals), maxLate, play.statuses)
 			}
+			play.expectServed(t)
 		})
 	}
 }
--- a/edge/instance_test.go
+++ b/edge/instance_test.go
@@ -135,6 +135,43 @@
 	return http.DefaultClient.Do(req)
 }
 
+// testRequest is a request of a test. A request with a body is a POST.
+type testRequest struct{ path, id, body, blocks string }
+
+// testResponse is a response, or one that was broken off if its status is 0.
+type testResponse struct {
+	status     int
+	retryAfter string
+	took       time.Duration
+}
+
+// roundTrip sends a request and reads the whole response.
+func (r *testInstance) roundTrip(request testRequest) testResponse {
+	began := time.Now()
+	method := http.MethodGet
+	if request.body != "" {
+		method = http.MethodPost
+	}
+	req, err := http.NewRequest(method, "http://"+r.settings.Load().CallersAddress.String()+request.path, strings.NewReader(request.body))
+	if err != nil {
+		return testResponse{}
+	}
+	req.Host = platformtest.Host
+	req.Header.Set(platform.HeaderRequestID, request.id)
+	if request.blocks != "" {
+		req.Header.Set(platform.HeaderPrefixBlocks, request.blocks)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return testResponse{}
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return testResponse{}
+	}
+	return testResponse{resp.StatusCode, resp.Header.Get("Retry-After"), time.Since(began)}
+}
+
 // await waits until a condition becomes true. It ends the test after 15 s.
 func await(t *testing.T, label string, condition func() bool) {
 	t.Helper()
--- a/edge/server_limits_test.go
+++ b/edge/server_limits_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -11,7 +10,6 @@
 	"testing"
 	"time"
 
-	"bergamotpin.example/bergamotpin/platform"
 	"bergamotpin.example/bergamotpin/platform/platformtest"
 )
 
@@ -82,10 +80,8 @@
 
 // limitedAnswer is a response to a request of limitedFleet.load.
 type limitedAnswer struct {
-	path       string
-	status     int
-	retryAfter string
-	took       time.Duration
+	path string
+	testResponse
 }
 
 // load sends requests of all kinds to all instances until ctx ends, one each interval.
@@ -97,7 +93,7 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		path, i := paths[n%len(paths)], f.instances[n/len(paths)%len(f.instances)]
 		wait.Go(func() {
-			a := sendTo(i, path, fmt.Sprint("load-", n))
+			a := limitedAnswer{path, i.roundTrip(testRequest{path: path, id: fmt.Sprint("load-", n)})}
 			mu.Lock()
 			defer mu.Unlock()
 			answers = append(answers, a)
@@ -108,25 +104,6 @@
 	return answers
 }
 
-func sendTo(i *testInstance, path, id string) limitedAnswer {
-	began := time.Now()
-	req, err := http.NewRequest(http.MethodGet, "http://"+i.settings.Load().CallersAddress.String()+path, nil)
-	if err != nil {
-		return limitedAnswer{path: path}
-	}
-	req.Host = platformtest.Host
-	req.Header.Set(platform.HeaderRequestID, id)
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return limitedAnswer{path: path}
-	}
-	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return limitedAnswer{path: path}
-	}
-	return limitedAnswer{path, resp.StatusCode, resp.Header.Get("Retry-After"), time.Since(began)}
-}
-
 // TestServerThatNamedLimitGetsMoreFromAllInstances guards against a limit that no instance
 // keeps, or that each keeps by itself, while other servers have room.
 func TestServerThatNamedLimitGetsMoreFromAllInstances(t *testing.T) {
