Log the software version of each send, and which stream a request takes up

The logs could not tell a next attempt at another version from a take-up by the caller, or from an entry with a stale version. The line 'sent' now has the engine's version, the event after which the stream goes on, and the attempt that the caller names in Resumes. No choice reads the version yet.

--- a/edge/catalog/types.go
+++ b/edge/catalog/types.go
@@ -120,8 +120,10 @@
 	ID              string
 	StartedAtMillis int64
 	Service         string
-	Address         netip.AddrPort
-	DataCentre      string
+	// Version is the version of the server's software. Versions have no order.
+	Version    string
+	Address    netip.AddrPort
+	DataCentre string
 	// Slots is how many requests the server runs concurrently.
 	Slots int
 	// Leaving is set once the server has announced its shutdown. A leaving server
--- a/edge/reverseproxy/request.go
+++ b/edge/reverseproxy/request.go
@@ -51,6 +51,9 @@
 	// lastEventID is the ID of the last stream event that the caller already
 	// has, or "" if it has none.
 	lastEventID string
+	// resumes is the ID of the caller's attempt that brought the first event of the stream
+	// that this request takes up, or "" if the caller states none.
+	resumes string
 
 	route    *catalog.Route
 	org      catalog.Organisation
@@ -77,6 +80,7 @@
 		id: r.Header.Get(platform.HeaderRequestID), arrived: time.Now(),
 		method: r.Method, host: r.Host, target: requestTarget(r), apiKey: r.Header.Get(platform.HeaderAPIKey),
 		prompt: platform.ParsePrompt(r.Header), lastEventID: r.Header.Get(platform.HeaderLastEvent),
+		resumes: r.Header.Get(platform.HeaderResumes),
 	}
 	req.path, _, _ = strings.Cut(req.target, "?")
 	req.sharedBlocks = sharedBlocks(req.prompt.PrefixBlocks)
--- a/edge/reverseproxy/retry.go
+++ b/edge/reverseproxy/retry.go
@@ -214,8 +214,8 @@
 func (f *forwarder) logSent(a *balancer.Attempt) {
 	req := f.request
 	f.handler.Successes.Info("sent",
-		"request", req.id, "route", req.route.Name, "server", a.Server.ID, "data_centre", a.Server.DataCentre, "send", req.sends,
-		"rank", req.enginePriority(), "route_rank", req.route.Priority, "left_ms", time.Until(req.deadline).Milliseconds(), "prompt", req.prompt.Tokens, "kept", a.CachedTokens,
+		"request", req.id, "route", req.route.Name, "server", a.Server.ID, "data_centre", a.Server.DataCentre, "version", a.Server.Version, "send", req.sends,
+		"after_event", f.stream.lastEventID(req), "resumes", req.resumes, "rank", req.enginePriority(), "route_rank", req.route.Priority, "left_ms", time.Until(req.deadline).Milliseconds(), "prompt", req.prompt.Tokens, "kept", a.CachedTokens,
 		"expected_ms", a.ExpectedDelay.Milliseconds(), "cost", a.Cost, "slowness", a.Slowness,
 		"running", a.Load.Running, "unread", a.Load.PrefillTokens, "candidates", a.Candidates)
 }
