Let a stream go on only at the software version that began it

Cause: the servers of a service counted as interchangeable for a stream that had begun. Its version was kept nowhere, neither in the request nor beyond the instance. Ways to cross: the next attempt after a cut, the further attempt beside a silent engine, a take-up at another instance, and a take-up after all instances were killed. Ruled out: an order among versions, or a preference (the record crosses in both directions).

Fix: edge/streamorigin. An answer goes on at the version of its first event. A take-up is bound by own memory, by a stored attempt, or by a stored listing with a single version, which holds each version before the first stream begins there; otherwise it is refused as not run. All attempts of a stream go to the same service of a split route.

--- a/edge/catalog/types.go
+++ b/edge/catalog/types.go
@@ -62,6 +62,9 @@
 	return r.Kind == Safe || r.Kind == Stream && r.Resumable
 }
 
+// IsResumable reports whether the route's responses are streams that may be taken up.
+func (r *Route) IsResumable() bool { return r.Kind == Stream && r.Resumable }
+
 // Target is one service of a route. It gets a share of the route's requests in
 // proportion to its Weight.
 type Target struct {
--- a/edge/gossip/message.go
+++ b/edge/gossip/message.go
@@ -50,6 +50,8 @@
 	Crashes []crashguard.Report `cbor:"15,keyasint,omitempty"`
 	// Limits are reports on the limits that servers name. A summary has none.
 	Limits []serverlimit.Report `cbor:"19,keyasint,omitempty"`
+	// Listed are hashes of the software versions at which streams may begin. A summary has none.
+	Listed []uint64 `cbor:"20,keyasint,omitempty"`
 	stated
 }
 
--- a/edge/gossip/node.go
+++ b/edge/gossip/node.go
@@ -56,6 +56,10 @@
 	// is called with the reports of a peer.
 	LimitReports        func(now time.Time) []serverlimit.Report
 	ReceiveLimitReports func(reports []serverlimit.Report, now time.Time)
+	// ListedVersions returns hashes of the software versions at which streams may begin.
+	// ReceiveListedVersions is called with those of a peer.
+	ListedVersions        func() []uint64
+	ReceiveListedVersions func(hashes []uint64)
 	// StoreAge returns how long ago the metadata store last responded to this instance.
 	StoreAge func(now time.Time) time.Duration
 	// OnChange is called with the changes that fetched records made to the catalog.
@@ -217,7 +221,7 @@
 		Address: n.opts.Address, Leaving: n.leaving, Revision: digest.Configuration.Store.Revision, ServersDigest: digest.Servers,
 		Known: n.members.knownAddresses(n.sequence, maxKnown), Reports: reports.Servers, DataCentre: n.opts.DataCentre,
 		StoreAgeMs: storeAge.Milliseconds(), Urgencies: reports.Urgencies,
-		Crashes: crashReports, Limits: limitReports, stated: newStated(digest),
+		Crashes: crashReports, Limits: limitReports, Listed: n.opts.ListedVersions(), stated: newStated(digest),
 	}
 	withoutReports := complete
 	withoutReports.Reports, withoutReports.Urgencies, withoutReports.Known = nil, nil, n.members.knownAddresses(n.sequence, maxKnownRemote)
@@ -306,6 +310,7 @@
 	n.opts.ReceiveReports(m.Name, m.DataCentre, balancer.InstanceReports{Servers: m.Reports, Urgencies: m.Urgencies}, now)
 	n.opts.ReceiveCrashReports(m.Crashes, now)
 	n.opts.ReceiveLimitReports(m.Limits, now)
+	n.opts.ReceiveListedVersions(m.Listed)
 	n.opts.OnChange("peer "+m.Name, n.opts.Catalog.EnterEra(objects.Version{Era: digest.Era, Revision: m.Revision}, now))
 	n.fetchIfBehind(*peer)
 }
--- a/edge/gossip/node_test.go
+++ b/edge/gossip/node_test.go
@@ -95,6 +95,7 @@
 		},
 		CrashReports: n.guard.Reports, ReceiveCrashReports: n.guard.Receive,
 		LimitReports: n.limits.Reports, ReceiveLimitReports: n.limits.Receive,
+		ListedVersions: func() []uint64 { return nil }, ReceiveListedVersions: func([]uint64) {},
 		OnChange: func(string, []catalog.Change) {}, Log: slog.New(slog.DiscardHandler),
 		StoreAge: n.currentStoreAge,
 	})
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -22,6 +22,7 @@
 	"bergamotpin.example/bergamotpin/edge/gossip"
 	"bergamotpin.example/bergamotpin/edge/reverseproxy"
 	"bergamotpin.example/bergamotpin/edge/serverlimit"
+	"bergamotpin.example/bergamotpin/edge/streamorigin"
 	"bergamotpin.example/bergamotpin/eventlog"
 	"bergamotpin.example/bergamotpin/metrics"
 	"bergamotpin.example/bergamotpin/objects"
@@ -51,6 +52,7 @@
 	selector       *reverseproxy.ServerSelector
 	client         *backendclient.Client
 	limits         *serverlimit.Table
+	origins        *streamorigin.Ledger
 	metrics        *metrics.Metrics
 	gossip         *gossip.Node
 	watcher        *catalog.Watcher
@@ -108,12 +110,14 @@
 	i.metrics = metrics.New(s.Name, s.DataCentre)
 	i.watcher = i.newWatcher(s.StoreAddress)
 	var err error
+	i.origins = i.newOrigins(s)
 	i.gossip, err = gossip.Listen(gossip.Options{
 		Name: s.Name, DataCentre: s.DataCentre, Cluster: s.StoreAddress.String(), Address: s.PeersAddress, Seeds: s.Seeds, Catalog: i.catalog,
 		Reports: i.selector.Reports, ReceiveReports: i.selector.ReceiveReports, OnChange: i.catalogChanged,
 		Summary: i.selector.Summary, ReceiveSummary: i.selector.ReceiveSummary,
 		CrashReports: crashes.Reports, ReceiveCrashReports: crashes.Receive,
 		LimitReports: i.limits.Reports, ReceiveLimitReports: i.limits.Receive,
+		ListedVersions: i.origins.Listed, ReceiveListedVersions: i.origins.Learn,
 		StoreAge: i.storeAge, Log: i.log.StateChanges,
 	})
 	if err != nil {
@@ -121,7 +125,7 @@
 	}
 	i.selector.SetInstances(i.gossip.CountInstances)
 	i.handler = reverseproxy.New(reverseproxy.Options{
-		Catalog: i.catalog, Selector: i.selector, Client: i.client, Metrics: i.metrics, Crashes: crashes, Limits: i.limits,
+		Catalog: i.catalog, Selector: i.selector, Client: i.client, Metrics: i.metrics, Crashes: crashes, Limits: i.limits, Origins: i.origins,
 		Successes: i.log.Successes, Failures: i.log.Failures,
 		BufferBytes: int64(bufferFraction * float64(s.MemoryBytes)),
 	})
@@ -170,6 +174,7 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { i.gossip.Run(background) })
 	tasks.Go(func() { i.watcher.Run(background) })
+	tasks.Go(func() { i.origins.Run(background) })
 	tasks.Go(func() { i.cleanUp(background) })
 	tasks.Go(func() { i.watchSettings(background, reload) })
 	tasks.Go(func() { i.metrics.NewCollector(i.readings).Run(background) })
@@ -233,6 +238,7 @@
 		i.log.StateChanges.Info("catalog changed", "kind", c.Kind.String(), "name", c.Name, "what", c.Type,
 			"revision", c.Revision, "version", c.Version, "source", source, "detail", detail)
 	}
+	i.observeOrigins(i.catalog.Snapshot(), time.Now())
 	i.gossip.SendNow()
 }
 
@@ -253,6 +259,7 @@
 		snapshot := i.catalog.Snapshot()
 		i.reportHealthChanges(snapshot, time.Now())
 		i.reportLimitChanges(snapshot, time.Now())
+		i.observeOrigins(snapshot, time.Now())
 		i.retainServers(snapshot)
 		currentServers := make(map[string]bool, len(snapshot.Servers))
 		for _, server := range snapshot.Servers {
--- a/edge/reverseproxy/fixture_test.go
+++ b/edge/reverseproxy/fixture_test.go
@@ -1,6 +1,7 @@
 package reverseproxy
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -15,6 +16,7 @@
 	"bergamotpin.example/bergamotpin/edge/catalog"
 	"bergamotpin.example/bergamotpin/edge/crashguard"
 	"bergamotpin.example/bergamotpin/edge/serverlimit"
+	"bergamotpin.example/bergamotpin/edge/streamorigin"
 	"bergamotpin.example/bergamotpin/metrics"
 	"bergamotpin.example/bergamotpin/platform"
 	"bergamotpin.example/bergamotpin/platform/platformtest"
@@ -60,6 +62,7 @@
 		Client: backendclient.NewClient(nil), Metrics: m,
 		Crashes: crashguard.New(crashguard.Options{Instances: func() int { return 1 }}), Successes: discard, Failures: discard,
 		Limits:      limits,
+		Origins:     newOrigins(t),
 		BufferBytes: smallestInstanceBytes / 8,
 	})
 	t.Cleanup(f.handler.Close)
@@ -76,6 +79,22 @@
 	return f
 }
 
+// newOrigins returns a ledger over a store of its own.
+func newOrigins(t testing.TB) *streamorigin.Ledger {
+	t.Helper()
+	store := platformtest.NewStore()
+	t.Cleanup(store.Close)
+	origins := streamorigin.New(streamorigin.Options{
+		Process: "test", Store: &platform.MetadataStore{BaseURL: store.URL, HTTP: http.DefaultClient},
+		FirstStart: true, IsWatcher: func() bool { return true }, WriteInterval: func() time.Duration { return time.Millisecond },
+		OnListed: func() {}, Log: slog.New(slog.DiscardHandler),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go origins.Run(ctx)
+	return origins
+}
+
 func (f *fixture) putRecord(kind catalog.RecordKind, name, spec string) {
 	f.revision++
 	f.catalog.Merge([]catalog.Record{{Kind: kind, Name: name, Revision: f.revision, Spec: []byte(spec)}}, time.Now())
--- a/edge/reverseproxy/handler.go
+++ b/edge/reverseproxy/handler.go
@@ -14,7 +14,9 @@
 	"bergamotpin.example/bergamotpin/edge/catalog"
 	"bergamotpin.example/bergamotpin/edge/crashguard"
 	"bergamotpin.example/bergamotpin/edge/serverlimit"
+	"bergamotpin.example/bergamotpin/edge/streamorigin"
 	"bergamotpin.example/bergamotpin/metrics"
+	"bergamotpin.example/bergamotpin/outcome"
 )
 
 const (
@@ -37,6 +39,8 @@
 	Crashes *crashguard.Guard
 	// Limits holds the limits that servers name.
 	Limits *serverlimit.Table
+	// Origins knows at which software versions streams began.
+	Origins *streamorigin.Ledger
 	// Successes logs each send of a request to a server, before its result is
 	// known, and each request that ended with a server's response. Failures logs
 	// each failed attempt, and each request that ended in another way.
@@ -81,7 +85,13 @@
 	h.Selector.CountRequest(req.service.Name)
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
-	fw := &forwarder{handler: h, request: req, w: w, callerCtx: r.Context(), class: h.Metrics.ForClass(req.className())}
+	class := h.Metrics.ForClass(req.className())
+	if refused := h.bindStream(ctx, req); refused != nil {
+		class.CountFinal(outcome.Refused)
+		h.writeRefusal(w, req, refused)
+		return
+	}
+	fw := &forwarder{handler: h, request: req, w: w, callerCtx: r.Context(), class: class}
 	fw.run(ctx)
 }
 
@@ -100,6 +110,7 @@
 	if l := refused.limited; l != nil {
 		attributes = append(attributes, "rank", req.enginePriority(), "limited", l.servers, "per_s", l.perSecond)
 	}
+	attributes = append(attributes, originAttributes(req, refused.origin)...)
 	h.Failures.Warn("refused", append(attributes, overloadAttributes(req, refused.overload)...)...)
 	h.recordUndelivered(req, refused.status, refused.write(w))
 }
@@ -133,7 +144,11 @@
 	if refused := h.refuseWithheld(req); refused != nil {
 		return balancer.Attempt{}, refused
 	}
-	candidates := serversNotTried(snapshot.AvailableServers(req.service.Name, time.Now()), req.tried)
+	candidates, refused := h.fittingVersions(req, serversNotTried(snapshot.AvailableServers(req.service.Name, time.Now()), req.tried))
+	if refused != nil {
+		h.returnTry(req)
+		return balancer.Attempt{}, refused
+	}
 	a, refused := begin(req.balancerRequest(snapshot), candidates)
 	if refused != nil {
 		h.returnTry(req)
--- a/edge/reverseproxy/refusal.go
+++ b/edge/reverseproxy/refusal.go
@@ -36,6 +36,8 @@
 	suspect *crashguard.Suspect
 	// limited is set if the request was refused because of the servers' limits.
 	limited *limitDetails
+	// origin is set if the request was refused because of a stream's software version.
+	origin *originDetails
 }
 
 // limitDetails holds the servers that could have run a refused request, all of which name a
--- a/edge/reverseproxy/request.go
+++ b/edge/reverseproxy/request.go
@@ -14,6 +14,7 @@
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
 	"bergamotpin.example/bergamotpin/edge/crashguard"
+	"bergamotpin.example/bergamotpin/edge/streamorigin"
 	"bergamotpin.example/bergamotpin/outcome"
 	"bergamotpin.example/bergamotpin/platform"
 )
@@ -55,6 +56,11 @@
 	// that this request takes up, or "" if the caller states none.
 	resumes string
 
+	// origin is that of the stream whose events the caller has, or nil if it has none.
+	origin *streamorigin.Origin
+	// callerWaits is until when the caller waits for the response, or for that of a repeat.
+	callerWaits time.Time
+
 	route    *catalog.Route
 	org      catalog.Organisation
 	service  catalog.Service
@@ -104,6 +110,7 @@
 	if err != nil {
 		return req, refuse(http.StatusBadRequest, outcome.BadRequest, err.Error())
 	}
+	req.callerWaits = req.arrived.Add(timeLeft)
 	req.deadline = req.arrived.Add(min(timeLeft, req.route.Timeout))
 	if limit := snapshot.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
 		return req, refuse(http.StatusRequestHeaderFieldsTooLarge, outcome.HeaderTooLarge, "the header is above the limit")
@@ -164,7 +171,7 @@
 			return refuse(http.StatusUnauthorized, outcome.Unauthorised, "the key is not known")
 		}
 	}
-	name, ok := route.PickService(req.id)
+	name, ok := route.PickService(req.firstID())
 	if !ok {
 		return refuseNotRun(outcome.NoBackendServer, retryWhenReady)
 	}
@@ -177,6 +184,18 @@
 	return nil
 }
 
+// firstID is the ID of the caller's attempt that began the stream, or else of this one. All of
+// a stream's attempts go to the same service.
+func (req *request) firstID() string {
+	if req.takesUp() && req.resumes != "" {
+		return req.resumes
+	}
+	return req.id
+}
+
+// takesUp reports whether the caller already has events of the stream.
+func (req *request) takesUp() bool { return req.lastEventID != "" }
+
 // readBody reads the whole body into memory, so that it can be sent again to
 // another server.
 func (req *request) readBody(w http.ResponseWriter, r *http.Request, limit int64) *refusal {
--- a/edge/reverseproxy/stream_relay.go
+++ b/edge/reverseproxy/stream_relay.go
@@ -137,6 +137,7 @@
 	f.handler.Selector.RecordFirstEvent(a)
 	if !s.started {
 		s.started = true
+		f.handler.recordOrigin(f.request, a)
 		s.firstAfter = time.Since(f.request.arrived)
 		f.class.ObserveFirstToken(s.firstAfter)
 		copyHeader(f.w, platform.ForwardedResponseHeader(response.Header))
--- a/edge/store_era.go
+++ b/edge/store_era.go
@@ -25,6 +25,7 @@
 	} else {
 		i.eraChanges.fromStore.Add(1)
 	}
+	i.origins.StoreCameBack()
 	i.log.StateChanges.Warn("store era changed", "was", c.Previous.Era.String(), "is", c.Current.Era.String(),
 		"revision_was", c.Previous.Revision, "revision", c.Current.Revision, "source", source)
 }
--- a/edge/stream_versions_test.go
+++ b/edge/stream_versions_test.go
@@ -141,28 +141,39 @@
 // takeUp takes up each stream at the instance after the one at which it began.
 func (f *versionFleet) takeUp(streams []takenUpStream) takeUps {
 	f.t.Helper()
-	var counts takeUps
+	results := make(chan takeUps)
 	for n, s := range streams {
-		resp, err := f.instances[(n+1)%len(f.instances)].open("again-"+s.id, &s)
-		if err != nil {
-			f.t.Error(err)
-			continue
-		}
-		body, err := io.ReadAll(resp.Body)
-		_ = resp.Body.Close()
-		_, event, _ := strings.Cut(string(body), "data: ")
-		switch {
-		case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != "":
-			counts.refused++
-		case resp.StatusCode != http.StatusOK || err != nil:
-			f.t.Errorf("a take-up got status %d, error %v; want 200 or 503 with Retry-After", resp.StatusCode, err)
-		case f.versionOf(event) != s.version:
-			counts.joined++
-		default:
-			counts.wentOn++
-		}
+		go func() { results <- f.takeUpOne(f.instances[(n+1)%len(f.instances)], s) }()
+	}
+	var sum takeUps
+	for range streams {
+		r := <-results
+		sum.wentOn += r.wentOn
+		sum.joined += r.joined
+		sum.refused += r.refused
+	}
+	return sum
+}
+
+func (f *versionFleet) takeUpOne(i *testInstance, s takenUpStream) takeUps {
+	resp, err := i.open("again-"+s.id, &s)
+	if err != nil {
+		f.t.Error(err)
+		return takeUps{}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	_, event, _ := strings.Cut(string(body), "data: ")
+	switch {
+	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != "":
+		return takeUps{refused: 1}
+	case resp.StatusCode != http.StatusOK || err != nil:
+		f.t.Errorf("a take-up got status %d, error %v; want 200 or 503 with Retry-After", resp.StatusCode, err)
+		return takeUps{}
+	case f.versionOf(event) != s.version:
+		return takeUps{joined: 1}
 	}
-	return counts
+	return takeUps{wentOn: 1}
 }
 
 // expectNotJoined checks that no stream was joined, and that at least half went on.
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -112,6 +112,12 @@
 	ServersLimited
 	// RequestWithheld means that several servers ended under the same request.
 	RequestWithheld
+	// StreamOriginUnknown means that it is not known which software version began the
+	// stream that a request takes up.
+	StreamOriginUnknown
+	// VersionNotListed means that no stream may begin yet at the software versions that
+	// there are, because the store doesn't list them.
+	VersionNotListed
 	reasonCount
 )
 
@@ -128,6 +134,7 @@
 	"server_error", "preempted", "caller_left", "pool_pressure", "continued", "resumed",
 	"body_timeout", "key_completed", "key_unknown",
 	"unknown_route", "garbled", "server_moved", "held_back", "prompt_withheld", "servers_limited", "request_withheld",
+	"stream_origin_unknown", "version_not_listed",
 }
 
 // String returns the reason's name in metrics, logs and responses.
