--- a/edge/instance.go
+++ b/edge/instance.go
@@ -23,6 +23,7 @@
 	"bergamotpin.example/bergamotpin/edge/reverseproxy"
 	"bergamotpin.example/bergamotpin/edge/serverlimit"
 	"bergamotpin.example/bergamotpin/edge/streamorigin"
+	"bergamotpin.example/bergamotpin/engineclient"
 	"bergamotpin.example/bergamotpin/eventlog"
 	"bergamotpin.example/bergamotpin/metrics"
 	"bergamotpin.example/bergamotpin/objects"
@@ -77,6 +78,8 @@
 	SettingsPath string
 	// LogOutput is where log lines are written.
 	LogOutput io.Writer
+	// DialServer connects to backend servers. If it is nil, TCP is used.
+	DialServer engineclient.DialFunc
 	// MetricsPort is the port on which metrics are served, or 0 if they are not.
 	MetricsPort uint16
 }
@@ -105,7 +108,7 @@
 	i.catalog = catalog.New(platform.Decoder{})
 	i.limits = serverlimit.New(serverlimit.Options{Name: s.Name, Seed: randomSeed(s.Name), View: func() serverlimit.View { return i.gossip.View() }})
 	i.selector = reverseproxy.NewServerSelector(balancer.Options{DataCentre: s.DataCentre, Seed: randomSeed(s.Name)}, s.Retries, i.limits)
-	i.client = backendclient.NewClient(nil)
+	i.client = backendclient.NewClient(i.options.DialServer)
 	crashes := crashguard.New(crashguard.Options{Seed: randomSeed(s.Name), Instances: i.selector.Instances})
 	i.metrics = metrics.New(s.Name, s.DataCentre)
 	i.watcher = i.newWatcher(s.StoreAddress)
--- a/edge/instance_test.go
+++ b/edge/instance_test.go
@@ -102,9 +102,16 @@
 
 // startInstanceWithLog starts an instance that logs to out.
 func startInstanceWithLog(t *testing.T, out io.Writer, ip string, peerPort uint16, storeURL string, graceSeconds int) *testInstance {
+	t.Helper()
+	return startInstanceWith(t, Options{LogOutput: out}, ip, peerPort, storeURL, graceSeconds)
+}
+
+// startInstanceWith starts an instance with the given options. It sets their SettingsPath.
+func startInstanceWith(t *testing.T, o Options, ip string, peerPort uint16, storeURL string, graceSeconds int) *testInstance {
 	t.Helper()
 	r := &testInstance{settingsPath: writeSettings(t, settingsText(t, ip, peerPort, storeURL, graceSeconds)), reload: make(chan struct{})}
-	i, err := Start(Options{SettingsPath: r.settingsPath, LogOutput: out})
+	o.SettingsPath = r.settingsPath
+	i, err := Start(o)
 	if err != nil {
 		t.Fatal(err)
 	}
