Hand requests on to other instances while this one reaches no server

Cause: an instance served a request by its own paths only, and took their loss for each server's own fault.

Fix: edge/reachability finds out, after a failure in the instance's own traffic, that no new connection to a sample of servers can be made, and finds the way back by itself. Datagrams say who is cut off. A request goes on unchanged, at most one hop, to an instance that is not, which checks and guards it as any other. What it may have got is never refused as not run, nor sent to a third one.

--- a/edge/backendclient/connection_pool.go
+++ b/edge/backendclient/connection_pool.go
@@ -20,6 +20,8 @@
 	// dialTimeout bounds the time to establish a connection. A server that is up
 	// accepts a connection within a few milliseconds.
 	dialTimeout = 250 * time.Millisecond
+	// slowDial is how long a connection may take before its path is suspected.
+	slowDial = 60 * time.Millisecond
 	// Settings of the TCP keepalive probes, which detect a broken connection while the
 	// server works on a request.
 	keepaliveIdle     = time.Second
@@ -49,6 +51,9 @@
 type Client struct {
 	// Counters may be read at any time.
 	Counters Counters
+	// OnConnected is called when a connection was made, OnSuspect when one takes long or
+	// fails. They may be nil, and must be set before use.
+	OnConnected, OnSuspect func()
 
 	dial  engineclient.DialFunc
 	mu    sync.Mutex
@@ -101,7 +106,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	netConn, err := c.dial(ctx, "tcp", s.Address.String())
+	netConn, err := c.watchedDial(ctx, s)
 	if err != nil {
 		c.releaseConnection(s.Key)
 		return nil, &engineclient.SendError{Reason: outcome.ServerUnreachable, NotStarted: true, Err: err}
@@ -110,6 +115,37 @@
 	return newConnection(netConn), nil
 }
 
+// watchedDial opens a connection and tells what that shows of the path.
+func (c *Client) watchedDial(ctx context.Context, s Server) (net.Conn, error) {
+	suspect := func() {
+		if c.OnSuspect != nil {
+			c.OnSuspect()
+		}
+	}
+	slow := time.AfterFunc(slowDial, suspect)
+	defer slow.Stop()
+	conn, err := c.dial(ctx, "tcp", s.Address.String())
+	switch {
+	case err == nil && c.OnConnected != nil:
+		c.OnConnected()
+	case err != nil && !errors.Is(ctx.Err(), context.Canceled):
+		suspect()
+	}
+	return conn, err
+}
+
+// Connects reports whether a server accepts a new connection.
+func (c *Client) Connects(ctx context.Context, s Server) bool {
+	conn, err := c.open(ctx, s)
+	if err != nil {
+		return false
+	}
+	// The connection is new, so a request may use it.
+	conn.idleTimeout = defaultIdleTimeout
+	c.putIdle(s.Key, conn)
+	return true
+}
+
 // takeIdle returns the most recently used idle connection that is still usable, or nil.
 // It closes the unusable connections that it finds before this one.
 func (c *Client) takeIdle(key string, atMostOnce bool) *connection {
--- a/edge/gossip/members.go
+++ b/edge/gossip/members.go
@@ -29,6 +29,10 @@
 	LastReceived time.Time
 	Live         bool
 	Leaving      bool
+	// CutOff is set if the member reaches no backend server. Callers is where it takes
+	// requests; it is not valid for a member of the version before.
+	CutOff  bool
+	Callers netip.AddrPort
 	// StoreResponseAt is when the metadata store last responded to the member.
 	StoreResponseAt time.Time
 	// Digest is the digest of the member's records.
@@ -77,6 +81,7 @@
 	peer.Name, peer.DataCentre = msg.Name, msg.DataCentre
 	peer.Started, peer.Sequence = msg.Started, msg.Sequence
 	peer.Leaving, peer.Digest = msg.Leaving, digest
+	peer.CutOff, peer.Callers = msg.CutOff, msg.Callers
 	peer.LastReceived, peer.Live = now, true
 	peer.StoreResponseAt = now.Add(-time.Duration(msg.StoreAgeMs) * time.Millisecond)
 	for _, a := range msg.Known {
--- a/edge/gossip/message.go
+++ b/edge/gossip/message.go
@@ -52,6 +52,10 @@
 	Limits []serverlimit.Report `cbor:"19,keyasint,omitempty"`
 	// Listed are hashes of the software versions at which streams may begin. A summary has none.
 	Listed []uint64 `cbor:"20,keyasint,omitempty"`
+	// CutOff is set if the sender reaches no backend server. Callers is the address at which
+	// it takes requests. A summary has neither.
+	CutOff  bool           `cbor:"21,keyasint,omitempty"`
+	Callers netip.AddrPort `cbor:"22,keyasint,omitzero"`
 	stated
 }
 
--- a/edge/gossip/node.go
+++ b/edge/gossip/node.go
@@ -60,6 +60,10 @@
 	// ReceiveListedVersions is called with those of a peer.
 	ListedVersions        func() []uint64
 	ReceiveListedVersions func(hashes []uint64)
+	// CutOff reports whether this instance reaches no backend server. Callers is the address
+	// at which it takes requests.
+	CutOff  func() bool
+	Callers netip.AddrPort
 	// StoreAge returns how long ago the metadata store last responded to this instance.
 	StoreAge func(now time.Time) time.Duration
 	// OnChange is called with the changes that fetched records made to the catalog.
@@ -221,7 +225,8 @@
 		Address: n.opts.Address, Leaving: n.leaving, Revision: digest.Configuration.Store.Revision, ServersDigest: digest.Servers,
 		Known: n.members.knownAddresses(n.sequence, maxKnown), Reports: reports.Servers, DataCentre: n.opts.DataCentre,
 		StoreAgeMs: storeAge.Milliseconds(), Urgencies: reports.Urgencies,
-		Crashes: crashReports, Limits: limitReports, Listed: n.opts.ListedVersions(), stated: newStated(digest),
+		Crashes: crashReports, Limits: limitReports, Listed: n.opts.ListedVersions(),
+		CutOff: n.opts.CutOff(), Callers: n.opts.Callers, stated: newStated(digest),
 	}
 	withoutReports := complete
 	withoutReports.Reports, withoutReports.Urgencies, withoutReports.Known = nil, nil, n.members.knownAddresses(n.sequence, maxKnownRemote)
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -20,6 +20,7 @@
 	"bergamotpin.example/bergamotpin/edge/catalog"
 	"bergamotpin.example/bergamotpin/edge/crashguard"
 	"bergamotpin.example/bergamotpin/edge/gossip"
+	"bergamotpin.example/bergamotpin/edge/reachability"
 	"bergamotpin.example/bergamotpin/edge/reverseproxy"
 	"bergamotpin.example/bergamotpin/edge/serverlimit"
 	"bergamotpin.example/bergamotpin/edge/streamorigin"
@@ -54,6 +55,7 @@
 	client         *backendclient.Client
 	limits         *serverlimit.Table
 	origins        *streamorigin.Ledger
+	reach          *reachability.Monitor
 	metrics        *metrics.Metrics
 	gossip         *gossip.Node
 	watcher        *catalog.Watcher
@@ -114,6 +116,7 @@
 	i.watcher = i.newWatcher(s.StoreAddress)
 	var err error
 	i.origins = i.newOrigins(s)
+	i.watchReachability()
 	i.gossip, err = gossip.Listen(gossip.Options{
 		Name: s.Name, DataCentre: s.DataCentre, Cluster: s.StoreAddress.String(), Address: s.PeersAddress, Seeds: s.Seeds, Catalog: i.catalog,
 		Reports: i.selector.Reports, ReceiveReports: i.selector.ReceiveReports, OnChange: i.catalogChanged,
@@ -121,6 +124,7 @@
 		CrashReports: crashes.Reports, ReceiveCrashReports: crashes.Receive,
 		LimitReports: i.limits.Reports, ReceiveLimitReports: i.limits.Receive,
 		ListedVersions: i.origins.Listed, ReceiveListedVersions: i.origins.Learn,
+		CutOff: i.reach.CutOff, Callers: s.CallersAddress,
 		StoreAge: i.storeAge, Log: i.log.StateChanges,
 	})
 	if err != nil {
@@ -129,6 +133,7 @@
 	i.selector.SetInstances(i.gossip.CountInstances)
 	i.handler = reverseproxy.New(reverseproxy.Options{
 		Catalog: i.catalog, Selector: i.selector, Client: i.client, Metrics: i.metrics, Crashes: crashes, Limits: i.limits, Origins: i.origins,
+		PeerRelay: reverseproxy.PeerRelay{Reach: i.reach, Relays: i.gossip.Relays, Client: backendclient.NewClient(nil)},
 		Successes: i.log.Successes, Failures: i.log.Failures,
 		BufferBytes: int64(bufferFraction * float64(s.MemoryBytes)),
 	})
@@ -204,6 +209,7 @@
 	_ = metricsServer.Close()
 	tasks.Wait()
 	i.handler.Close()
+	i.reach.Close()
 	_ = i.metrics.Close()
 	i.log.StateChanges.Info("stop")
 	i.log.Close()
--- a/edge/reverseproxy/fixture_test.go
+++ b/edge/reverseproxy/fixture_test.go
@@ -15,6 +15,8 @@
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
 	"bergamotpin.example/bergamotpin/edge/crashguard"
+	"bergamotpin.example/bergamotpin/edge/gossip"
+	"bergamotpin.example/bergamotpin/edge/reachability"
 	"bergamotpin.example/bergamotpin/edge/serverlimit"
 	"bergamotpin.example/bergamotpin/edge/streamorigin"
 	"bergamotpin.example/bergamotpin/metrics"
@@ -31,6 +33,7 @@
 	url          string
 	catalog      *catalog.Catalog
 	handler      *Handler
+	callers      *httptest.Server
 	servers      []*platformtest.BackendServer
 	revision     int64
 	requestCount int
@@ -61,14 +64,19 @@
 		Catalog: f.catalog, Selector: NewServerSelector(balancer.Options{DataCentre: "dc1", Seed: 1}, retries, limits),
 		Client: backendclient.NewClient(nil), Metrics: m,
 		Crashes: crashguard.New(crashguard.Options{Instances: func() int { return 1 }}), Successes: discard, Failures: discard,
-		Limits:      limits,
-		Origins:     newOrigins(t),
+		Limits:  limits,
+		Origins: newOrigins(t),
+		PeerRelay: PeerRelay{
+			Reach:  newReach(t),
+			Relays: func() []gossip.Relay { return nil },
+			Client: backendclient.NewClient(nil),
+		},
 		BufferBytes: smallestInstanceBytes / 8,
 	})
 	t.Cleanup(f.handler.Close)
 	server := httptest.NewServer(f.handler)
 	t.Cleanup(server.Close)
-	f.url = server.URL
+	f.url, f.callers = server.URL, server
 	for n := range serverCount {
 		s := platformtest.NewBackendServer(fmt.Sprintf("i-%d", n), "s")
 		t.Cleanup(s.Close)
@@ -79,6 +87,17 @@
 	return f
 }
 
+// newReach returns a monitor without servers, so that nothing is ever cut off.
+func newReach(t testing.TB) *reachability.Monitor {
+	t.Helper()
+	m := reachability.New(reachability.Options{
+		Servers: func() []backendclient.Server { return nil },
+		Connect: func(context.Context, backendclient.Server) bool { return true }, OnChange: func() {}, Log: slog.New(slog.DiscardHandler),
+	})
+	t.Cleanup(m.Close)
+	return m
+}
+
 // newOrigins returns a ledger over a store of its own.
 func newOrigins(t testing.TB) *streamorigin.Ledger {
 	t.Helper()
@@ -106,6 +125,9 @@
 	f.putRecord(catalog.KindConfiguration, "main", platformtest.Configuration(version, streamTimeoutMs, key))
 }
 
+// breakConnections closes the connections of all callers.
+func (f *fixture) breakConnections() { f.callers.CloseClientConnections() }
+
 // setBehaviour sets the behaviour of all backend servers.
 func (f *fixture) setBehaviour(b platformtest.Behaviour) {
 	for _, s := range f.servers {
--- a/edge/reverseproxy/further_attempts.go
+++ b/edge/reverseproxy/further_attempts.go
@@ -132,6 +132,7 @@
 	if refused != nil {
 		return
 	}
+	h.PeerRelay.Reach.Suspect()
 	h.Metrics.CountRetry(outcome.ServerTimeout)
 	h.Failures.Info("silent", "request", req.id, "server", r.current.attempt.Server.ID,
 		"silent_ms", time.Since(r.lastHeard).Milliseconds(), "second", s.attempt.Server.ID)
--- a/edge/reverseproxy/handler.go
+++ b/edge/reverseproxy/handler.go
@@ -16,7 +16,6 @@
 	"bergamotpin.example/bergamotpin/edge/serverlimit"
 	"bergamotpin.example/bergamotpin/edge/streamorigin"
 	"bergamotpin.example/bergamotpin/metrics"
-	"bergamotpin.example/bergamotpin/outcome"
 )
 
 const (
@@ -41,6 +40,8 @@
 	Limits *serverlimit.Table
 	// Origins knows at which software versions streams began.
 	Origins *streamorigin.Ledger
+	// PeerRelay hands requests on while this instance reaches no server.
+	PeerRelay PeerRelay
 	// Successes logs each send of a request to a server, before its result is
 	// known, and each request that ended with a server's response. Failures logs
 	// each failed attempt, and each request that ended in another way.
@@ -82,16 +83,13 @@
 	}
 	// The error is ignored: only response writers in tests don't support deadlines.
 	_ = http.NewResponseController(w).SetWriteDeadline(req.writeDeadline())
-	h.Selector.CountRequest(req.service.Name)
+	if !req.relayed {
+		// The instance that handed a request on has counted it.
+		h.Selector.CountRequest(req.service.Name)
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
-	class := h.Metrics.ForClass(req.className())
-	if refused := h.bindStream(ctx, req); refused != nil {
-		class.CountFinal(outcome.Refused)
-		h.writeRefusal(w, req, refused)
-		return
-	}
-	fw := &forwarder{handler: h, request: req, w: w, callerCtx: r.Context(), class: class}
+	fw := &forwarder{handler: h, request: req, w: w, callerCtx: r.Context(), class: h.Metrics.ForClass(req.className())}
 	fw.run(ctx)
 }
 
--- a/edge/reverseproxy/request.go
+++ b/edge/reverseproxy/request.go
@@ -39,8 +39,12 @@
 	path   string
 	apiKey string
 	header http.Header
-	body   []byte
-	prompt platform.Prompt
+	// callerHeader is the header as it came. relayed is set if another instance, which
+	// reaches no server, handed the request on.
+	callerHeader http.Header
+	relayed      bool
+	body         []byte
+	prompt       platform.Prompt
 	// sharedBlocks holds the keys of the prompt's prefix blocks without the last block,
 	// which only this request has.
 	sharedBlocks []uint64
@@ -86,7 +90,7 @@
 		id: r.Header.Get(platform.HeaderRequestID), arrived: time.Now(),
 		method: r.Method, host: r.Host, target: requestTarget(r), apiKey: r.Header.Get(platform.HeaderAPIKey),
 		prompt: platform.ParsePrompt(r.Header), lastEventID: r.Header.Get(platform.HeaderLastEvent),
-		resumes: r.Header.Get(platform.HeaderResumes),
+		resumes: r.Header.Get(platform.HeaderResumes), callerHeader: r.Header, relayed: r.Header.Get(platform.HeaderRelayed) != "",
 	}
 	req.path, _, _ = strings.Cut(req.target, "?")
 	req.sharedBlocks = sharedBlocks(req.prompt.PrefixBlocks)
--- a/edge/reverseproxy/retry.go
+++ b/edge/reverseproxy/retry.go
@@ -67,6 +67,13 @@
 	f.request.tried = make(map[string]bool)
 	f.wholeBody.budget = f.handler.buffers
 	defer f.wholeBody.release()
+	if f.relayAtOnce() {
+		return
+	}
+	if refused := f.handler.bindStream(ctx, f.request); refused != nil {
+		f.giveUp(refused)
+		return
+	}
 	f.others = furtherAttempts{f: f, ctx: ctx}
 	defer f.dropUnused()
 	for {
@@ -92,6 +99,9 @@
 		if f.goesOn != nil {
 			continue
 		}
+		if f.relayAfter(ctx, failed) {
+			return
+		}
 		if !f.mayRetry(ctx) {
 			f.giveUp(nil)
 			return
@@ -249,6 +259,9 @@
 	switch {
 	case s.err != nil:
 		failed = sendFailure(s.err)
+		if f.callerCtx.Err() == nil && failed.reason != outcome.ServerRefused {
+			f.handler.PeerRelay.Reach.Suspect()
+		}
 	case f.isUsable(s):
 		done, failed = f.relayUsable(s)
 	default:
--- a/edge/reverseproxy/stream_relay.go
+++ b/edge/reverseproxy/stream_relay.go
@@ -135,23 +135,33 @@
 		}
 	}
 	f.handler.Selector.RecordFirstEvent(a)
+	if s.started {
+		f.handler.Selector.RecordEvent(a)
+	} else {
+		f.handler.recordOrigin(f.request, a)
+	}
+	if numbered {
+		s.lastNumber = number
+	}
+	return f.passEvent(response, event)
+}
+
+// passEvent writes an event to the caller, with the response's header before the first one. It
+// returns false if the caller has left.
+func (f *forwarder) passEvent(response *backendclient.Response, event []byte) (failure, bool) {
+	s := &f.stream
 	if !s.started {
 		s.started = true
-		f.handler.recordOrigin(f.request, a)
 		s.firstAfter = time.Since(f.request.arrived)
 		f.class.ObserveFirstToken(s.firstAfter)
 		copyHeader(f.w, platform.ForwardedResponseHeader(response.Header))
 		f.w.WriteHeader(response.StatusCode)
 	} else {
-		f.handler.Selector.RecordEvent(a)
 		gap := time.Since(s.lastAt)
 		s.longestGap = max(s.longestGap, gap)
 		f.class.ObserveGap(gap)
 	}
 	s.lastAt = time.Now()
-	if numbered {
-		s.lastNumber = number
-	}
 	s.eventCount++
 	if _, err := f.w.Write(event); err != nil {
 		f.writeErr = err
--- a/edge/reverseproxy/whole_relay.go
+++ b/edge/reverseproxy/whole_relay.go
@@ -61,8 +61,14 @@
 	return outcome.StreamCut
 }
 
-// writeWhole writes a server's response to the caller.
+// writeWhole writes a server's response to the caller, whose request is thereby completed.
 func (f *forwarder) writeWhole(whole *wholeResponse) {
+	f.deliverWhole(whole)
+	f.recordCompleted(whole.server, whole.status)
+}
+
+// deliverWhole writes a response to the caller.
+func (f *forwarder) deliverWhole(whole *wholeResponse) {
 	copyHeader(f.w, whole.header)
 	if !hasNoBody(f.request.method, whole.status) {
 		f.w.Header().Set("Content-Length", strconv.Itoa(len(whole.body)))
@@ -73,7 +79,6 @@
 		err = flushResponse(f.w)
 	}
 	f.handler.recordUndelivered(f.request, whole.status, err)
-	f.recordCompleted(whole.server, whole.status)
 }
 
 func hasNoBody(method string, status int) bool {
