Send nothing to servers that say that they leave, or ask for time

Callers: requests went on to a server whose answers said that it leaves, until the store said so too (DRAIN), and to servers whose 503 said when to come back (BUDGET).

Cause: neither header was read. Ruled out: failures already keep the load away; that holds only while other servers have room (one of three resting: none arrived late, all three: 44 to 48).

Fix: edge/serverstate, one home for both, read at the one place that chooses servers. Leaving is told to peers, since a relayed answer doesn't say which server gave it.

--- a/edge/gossip/message.go
+++ b/edge/gossip/message.go
@@ -52,6 +52,8 @@
 	Limits []serverlimit.Report `cbor:"19,keyasint,omitempty"`
 	// Listed are hashes of the software versions at which streams may begin. A summary has none.
 	Listed []uint64 `cbor:"20,keyasint,omitempty"`
+	// LeavingServers are the servers that said that they leave. A summary has none.
+	LeavingServers []uint64 `cbor:"23,keyasint,omitempty"`
 	// CutOff is set if the sender reaches no backend server. Callers is the address at which
 	// it takes requests. A summary has neither.
 	CutOff  bool           `cbor:"21,keyasint,omitempty"`
--- a/edge/gossip/node.go
+++ b/edge/gossip/node.go
@@ -60,6 +60,10 @@
 	// ReceiveListedVersions is called with those of a peer.
 	ListedVersions        func() []uint64
 	ReceiveListedVersions func(hashes []uint64)
+	// LeavingServers returns the servers that said that they leave. ReceiveLeavingServers is
+	// called with those of which a peer says so.
+	LeavingServers        func(now time.Time) []uint64
+	ReceiveLeavingServers func(keys []uint64, now time.Time)
 	// CutOff reports whether this instance reaches no backend server. Callers is the address
 	// at which it takes requests.
 	CutOff  func() bool
@@ -225,7 +229,7 @@
 		Address: n.opts.Address, Leaving: n.leaving, Revision: digest.Configuration.Store.Revision, ServersDigest: digest.Servers,
 		Known: n.members.knownAddresses(n.sequence, maxKnown), Reports: reports.Servers, DataCentre: n.opts.DataCentre,
 		StoreAgeMs: storeAge.Milliseconds(), Urgencies: reports.Urgencies,
-		Crashes: crashReports, Limits: limitReports, Listed: n.opts.ListedVersions(),
+		Crashes: crashReports, Limits: limitReports, Listed: n.opts.ListedVersions(), LeavingServers: n.opts.LeavingServers(now),
 		CutOff: n.opts.CutOff(), Callers: n.opts.Callers, stated: newStated(digest),
 	}
 	withoutReports := complete
@@ -316,6 +320,7 @@
 	n.opts.ReceiveCrashReports(m.Crashes, now)
 	n.opts.ReceiveLimitReports(m.Limits, now)
 	n.opts.ReceiveListedVersions(m.Listed)
+	n.opts.ReceiveLeavingServers(m.LeavingServers, now)
 	n.opts.OnChange("peer "+m.Name, n.opts.Catalog.EnterEra(objects.Version{Era: digest.Era, Revision: m.Revision}, now))
 	n.fetchIfBehind(*peer)
 }
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -23,6 +23,7 @@
 	"bergamotpin.example/bergamotpin/edge/reachability"
 	"bergamotpin.example/bergamotpin/edge/reverseproxy"
 	"bergamotpin.example/bergamotpin/edge/serverlimit"
+	"bergamotpin.example/bergamotpin/edge/serverstate"
 	"bergamotpin.example/bergamotpin/edge/streamorigin"
 	"bergamotpin.example/bergamotpin/engineclient"
 	"bergamotpin.example/bergamotpin/eventlog"
@@ -56,6 +57,7 @@
 	limits         *serverlimit.Table
 	origins        *streamorigin.Ledger
 	reach          *reachability.Monitor
+	states         *serverstate.Table
 	metrics        *metrics.Metrics
 	gossip         *gossip.Node
 	watcher        *catalog.Watcher
@@ -115,6 +117,7 @@
 	i.metrics = metrics.New(s.Name, s.DataCentre)
 	i.watcher = i.newWatcher(s.StoreAddress)
 	var err error
+	i.states = serverstate.New(i.log.StateChanges)
 	i.origins = i.newOrigins(s)
 	i.watchReachability()
 	i.gossip, err = gossip.Listen(gossip.Options{
@@ -124,6 +127,7 @@
 		CrashReports: crashes.Reports, ReceiveCrashReports: crashes.Receive,
 		LimitReports: i.limits.Reports, ReceiveLimitReports: i.limits.Receive,
 		ListedVersions: i.origins.Listed, ReceiveListedVersions: i.origins.Learn,
+		LeavingServers: i.states.Leaving, ReceiveLeavingServers: i.states.Learn,
 		CutOff: i.reach.CutOff, Callers: s.CallersAddress,
 		StoreAge: i.storeAge, Log: i.log.StateChanges,
 	})
@@ -132,7 +136,7 @@
 	}
 	i.selector.SetInstances(i.gossip.CountInstances)
 	i.handler = reverseproxy.New(reverseproxy.Options{
-		Catalog: i.catalog, Selector: i.selector, Client: i.client, Metrics: i.metrics, Crashes: crashes, Limits: i.limits, Origins: i.origins,
+		Catalog: i.catalog, Selector: i.selector, Client: i.client, Metrics: i.metrics, Crashes: crashes, Limits: i.limits, Origins: i.origins, States: i.states,
 		PeerRelay: reverseproxy.PeerRelay{Reach: i.reach, Relays: i.gossip.Relays, Client: backendclient.NewClient(nil)},
 		Successes: i.log.Successes, Failures: i.log.Failures,
 		BufferBytes: int64(bufferFraction * float64(s.MemoryBytes)),
@@ -269,6 +273,7 @@
 		i.reportHealthChanges(snapshot, time.Now())
 		i.reportLimitChanges(snapshot, time.Now())
 		i.observeOrigins(snapshot, time.Now())
+		i.states.Expire(time.Now())
 		i.retainServers(snapshot)
 		currentServers := make(map[string]bool, len(snapshot.Servers))
 		for _, server := range snapshot.Servers {
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -47,7 +47,10 @@
 	for _, remaining := range i.selector.RetryBudgetsLeft(now) {
 		out = append(out, metrics.GaugeReading("retries_left", "service", remaining.Service, int64(remaining.Retries)))
 	}
+	leaving, resting := i.states.Counts()
 	return append(out,
+		metrics.GaugeReading("servers_that_leave", "", "", int64(leaving)),
+		metrics.GaugeReading("servers_that_ask_for_time", "", "", int64(resting)),
 		metrics.GaugeReading("configuration_version", "", "", int64(i.catalog.Snapshot().Version)),
 		metrics.GaugeReading("configuration_age_ms", "", "", i.gossip.ConfigurationAge(now).Milliseconds()),
 		metrics.GaugeReading("servers_limited", "", "", int64(i.limits.Count())),
--- a/edge/reverseproxy/fixture_test.go
+++ b/edge/reverseproxy/fixture_test.go
@@ -18,6 +18,7 @@
 	"bergamotpin.example/bergamotpin/edge/gossip"
 	"bergamotpin.example/bergamotpin/edge/reachability"
 	"bergamotpin.example/bergamotpin/edge/serverlimit"
+	"bergamotpin.example/bergamotpin/edge/serverstate"
 	"bergamotpin.example/bergamotpin/edge/streamorigin"
 	"bergamotpin.example/bergamotpin/metrics"
 	"bergamotpin.example/bergamotpin/platform"
@@ -66,6 +67,7 @@
 		Crashes: crashguard.New(crashguard.Options{Instances: func() int { return 1 }}), Successes: discard, Failures: discard,
 		Limits:  limits,
 		Origins: newOrigins(t),
+		States:  serverstate.New(discard),
 		PeerRelay: PeerRelay{
 			Reach:  newReach(t),
 			Relays: func() []gossip.Relay { return nil },
--- a/edge/reverseproxy/handler.go
+++ b/edge/reverseproxy/handler.go
@@ -14,6 +14,7 @@
 	"bergamotpin.example/bergamotpin/edge/catalog"
 	"bergamotpin.example/bergamotpin/edge/crashguard"
 	"bergamotpin.example/bergamotpin/edge/serverlimit"
+	"bergamotpin.example/bergamotpin/edge/serverstate"
 	"bergamotpin.example/bergamotpin/edge/streamorigin"
 	"bergamotpin.example/bergamotpin/metrics"
 )
@@ -38,6 +39,8 @@
 	Crashes *crashguard.Guard
 	// Limits holds the limits that servers name.
 	Limits *serverlimit.Table
+	// States holds what servers say of themselves.
+	States *serverstate.Table
 	// Origins knows at which software versions streams began.
 	Origins *streamorigin.Ledger
 	// PeerRelay hands requests on while this instance reaches no server.
@@ -143,6 +146,9 @@
 		return balancer.Attempt{}, refused
 	}
 	candidates, refused := h.fittingVersions(req, serversNotTried(snapshot.AvailableServers(req.service.Name, time.Now()), req.tried))
+	if refused == nil {
+		candidates, refused = h.openServers(candidates, time.Now())
+	}
 	if refused != nil {
 		h.returnTry(req)
 		return balancer.Attempt{}, refused
--- a/edge/reverseproxy/sending.go
+++ b/edge/reverseproxy/sending.go
@@ -62,7 +62,7 @@
 	s.response, s.err = h.Client.Send(s.ctx, s.target, s.request)
 	s.sent = true
 	if s.err == nil {
-		h.recordServerLimit(&s.attempt, s.response, sentAt)
+		h.recordStatements(&s.attempt, s.response, sentAt)
 	}
 }
 
--- a/edge/reverseproxy/server_limits.go
+++ b/edge/reverseproxy/server_limits.go
@@ -40,10 +40,6 @@
 
 // recordServerLimit records what a response states about its server's limit.
 func (h *Handler) recordServerLimit(a *balancer.Attempt, response *backendclient.Response, sentAt time.Time) {
-	if platform.StatesServerMoved(response.Response) {
-		// The response is that of another server.
-		return
-	}
 	perSecond, named, err := platform.ParseServerLimit(response.Header)
 	if err != nil {
 		h.Failures.Warn("server limit unreadable", "server", a.Server.ID, "error", err.Error())
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -118,6 +118,8 @@
 	// VersionNotListed means that no stream may begin yet at the software versions that
 	// there are, because the store doesn't list them.
 	VersionNotListed
+	// ServersRest means that all servers that could run the request asked for time.
+	ServersRest
 	reasonCount
 )
 
@@ -134,7 +136,7 @@
 	"server_error", "preempted", "caller_left", "pool_pressure", "continued", "resumed",
 	"body_timeout", "key_completed", "key_unknown",
 	"unknown_route", "garbled", "server_moved", "held_back", "prompt_withheld", "servers_limited", "request_withheld",
-	"stream_origin_unknown", "version_not_listed",
+	"stream_origin_unknown", "version_not_listed", "servers_rest",
 }
 
 // String returns the reason's name in metrics, logs and responses.
