Keep brittle servers from falling over

Callers: a brittle service's servers are away for seconds, after instances had them turn away more requests a second than they bear (LIMIT).

Cause: Server-Brittle was not read; a refusal sent the request to the next server, and the next request to the same one. Equal shares of the slots were ruled out: with more instances than slots they refuse sound load.

Fix: edge/serverstate keeps it as a third statement. A brittle server gets nothing beyond 0.85 of its slots, as far as instances reported, and after a refusal this instance leaves it alone, for so long that all instances together cause half of what it bears.

Before and after: TestBrittleServersFallOver, five instances, 500 requests a second at four servers with six places that bear five refusals a second: 78 to 85 refusals a second before, five or fewer after, with half of the servers' capacity or more in use.

--- a/edge/balancer/balancer.go
+++ b/edge/balancer/balancer.go
@@ -292,3 +292,12 @@
 		dc.lastNoResponse = now
 	}
 }
+
+// Running returns how many requests of all instances run at a server, as far as they reported.
+func (b *Balancer) Running(key uint64) int {
+	s, ok := b.servers[key]
+	if !ok {
+		return 0
+	}
+	return s.totalLoad().Running
+}
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -111,13 +111,13 @@
 func (i *Instance) assemble(s platform.Settings) error {
 	i.catalog = catalog.New(platform.Decoder{})
 	i.limits = serverlimit.New(serverlimit.Options{Name: s.Name, Seed: randomSeed(s.Name), View: func() serverlimit.View { return i.gossip.View() }})
-	i.selector = reverseproxy.NewServerSelector(balancer.Options{DataCentre: s.DataCentre, Seed: randomSeed(s.Name)}, s.Retries, i.limits)
+	i.states = serverstate.New(i.log.StateChanges, func() int { return i.selector.Instances() })
+	i.selector = reverseproxy.NewServerSelector(balancer.Options{DataCentre: s.DataCentre, Seed: randomSeed(s.Name)}, s.Retries, i.limits, i.states)
 	i.client = backendclient.NewClient(i.options.DialServer)
 	crashes := crashguard.New(crashguard.Options{Seed: randomSeed(s.Name), Instances: i.selector.Instances})
 	i.metrics = metrics.New(s.Name, s.DataCentre)
 	i.watcher = i.newWatcher(s.StoreAddress)
 	var err error
-	i.states = serverstate.New(i.log.StateChanges)
 	i.origins = i.newOrigins(s)
 	i.watchReachability()
 	i.gossip, err = gossip.Listen(gossip.Options{
--- a/edge/reverseproxy/fixture_test.go
+++ b/edge/reverseproxy/fixture_test.go
@@ -58,16 +58,17 @@
 	t.Cleanup(func() { _ = m.Close() })
 	retries := platform.RetryLimits{Ratio: 0.2, Allowance: 54, Window: 10 * time.Second}
 	discard := slog.New(slog.DiscardHandler)
+	states := serverstate.New(discard, func() int { return 1 })
 	limits := serverlimit.New(serverlimit.Options{Name: "test", View: func() serverlimit.View {
 		return serverlimit.View{Live: []string{"test"}, Complete: true}
 	}})
 	f.handler = New(Options{
-		Catalog: f.catalog, Selector: NewServerSelector(balancer.Options{DataCentre: "dc1", Seed: 1}, retries, limits),
+		Catalog: f.catalog, Selector: NewServerSelector(balancer.Options{DataCentre: "dc1", Seed: 1}, retries, limits, states),
 		Client: backendclient.NewClient(nil), Metrics: m,
 		Crashes: crashguard.New(crashguard.Options{Instances: func() int { return 1 }}), Successes: discard, Failures: discard,
 		Limits:  limits,
 		Origins: newOrigins(t),
-		States:  serverstate.New(discard),
+		States:  states,
 		PeerRelay: PeerRelay{
 			Reach:  newReach(t),
 			Relays: func() []gossip.Relay { return nil },
--- a/edge/reverseproxy/server_selector.go
+++ b/edge/reverseproxy/server_selector.go
@@ -7,6 +7,7 @@
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
 	"bergamotpin.example/bergamotpin/edge/serverlimit"
+	"bergamotpin.example/bergamotpin/edge/serverstate"
 	"bergamotpin.example/bergamotpin/outcome"
 	"bergamotpin.example/bergamotpin/platform"
 )
@@ -21,6 +22,7 @@
 	// were live a short time ago.
 	instances func() (live, known int)
 	limits    *serverlimit.Table
+	states    *serverstate.Table
 
 	mu       sync.Mutex
 	balancer *balancer.Balancer
@@ -28,10 +30,11 @@
 }
 
 // NewServerSelector returns a selector over an empty balancer. It keeps to the limits.
-func NewServerSelector(o balancer.Options, retries platform.RetryLimits, limits *serverlimit.Table) *ServerSelector {
+func NewServerSelector(o balancer.Options, retries platform.RetryLimits, limits *serverlimit.Table, states *serverstate.Table) *ServerSelector {
 	return &ServerSelector{
 		retries:   retries,
 		limits:    limits,
+		states:    states,
 		instances: func() (int, int) { return 1, 1 },
 		balancer:  balancer.New(o),
 		budgets:   make(map[string]*balancer.RetryBudget),
@@ -86,7 +89,11 @@
 func (s *ServerSelector) begin(r balancer.Request, candidates []catalog.BackendServer, instances int) (balancer.Attempt, *refusal) {
 	now := time.Now()
 	s.balancer.SetInstances(instances)
-	candidates, refused := s.withRoom(r, candidates, now)
+	candidates, refused := s.notFull(candidates)
+	if refused != nil {
+		return balancer.Attempt{}, refused
+	}
+	candidates, refused = s.withRoom(r, candidates, now)
 	if refused != nil {
 		return balancer.Attempt{}, refused
 	}
--- a/edge/reverseproxy/server_statements.go
+++ b/edge/reverseproxy/server_statements.go
@@ -29,6 +29,26 @@
 	h.States.Record(a.Key, a.Server.ID, statement, time.Now())
 }
 
+// brittleRoom is the share of a brittle server's slots that is used. What other instances have
+// running there is known a little late.
+const brittleRoom = 0.85
+
+// notFull returns the servers that are not brittle, or have room. It refuses the request if all
+// are full.
+func (s *ServerSelector) notFull(servers []catalog.BackendServer) ([]catalog.BackendServer, *refusal) {
+	var open []catalog.BackendServer
+	for _, c := range servers {
+		key := balancer.ServerKey(c)
+		if !s.states.Brittle(key) || float64(s.balancer.Running(key)) < brittleRoom*float64(c.Slots) {
+			open = append(open, c)
+		}
+	}
+	if len(open) > 0 || len(servers) == 0 {
+		return open, nil
+	}
+	return nil, refuseNotRun(outcome.ServersRest, retrySoon)
+}
+
 // openServers returns the servers that neither leave nor rest. It refuses the request if all do.
 func (h *Handler) openServers(servers []catalog.BackendServer, now time.Time) ([]catalog.BackendServer, *refusal) {
 	var open []catalog.BackendServer
--- a/edge/server_limits_test.go
+++ b/edge/server_limits_test.go
@@ -50,7 +50,9 @@
 	servers   []*platformtest.BackendServer
 }
 
-func newLimitedFleet(t *testing.T, instances, servers int) *limitedFleet {
+// newLimitedFleet starts the instances and the servers. slots, if given, is the number of each
+// server's slots.
+func newLimitedFleet(t *testing.T, instances, servers int, slots ...int) *limitedFleet {
 	t.Helper()
 	store := platformtest.NewStore()
 	t.Cleanup(store.Close)
@@ -58,6 +60,9 @@
 	for n := range servers {
 		s := platformtest.NewBackendServer(fmt.Sprint("i-", n), "s")
 		t.Cleanup(s.Close)
+		if len(slots) > 0 {
+			s.Slots = slots[0]
+		}
 		store.Put("servers", s.ID, s.Entry("ready"))
 		f.servers = append(f.servers, s)
 	}
--- a/edge/serverstate/table_test.go
+++ b/edge/serverstate/table_test.go
@@ -9,7 +9,7 @@
 // TestLaterStatementShortensNothing guards against a server that is sent to before the time that
 // it asked for is over, or after it said that it leaves.
 func TestLaterStatementShortensNothing(t *testing.T) {
-	table := New(slog.New(slog.DiscardHandler))
+	table := New(slog.New(slog.DiscardHandler), func() int { return 1 })
 	now := time.Now()
 	table.Record(1, "i-1", Statement{RetryAfter: 3 * time.Second}, now)
 	table.Record(1, "i-1", Statement{RetryAfter: time.Second}, now)
@@ -34,7 +34,7 @@
 // TestPeerLearnsThatServerLeaves guards against an instance that passed such an answer on for
 // another one, and doesn't know which server gave it.
 func TestPeerLearnsThatServerLeaves(t *testing.T) {
-	first, second := New(slog.New(slog.DiscardHandler)), New(slog.New(slog.DiscardHandler))
+	first, second := New(slog.New(slog.DiscardHandler), func() int { return 1 }), New(slog.New(slog.DiscardHandler), func() int { return 1 })
 	now := time.Now()
 	first.Record(7, "i-7", Statement{Leaving: true}, now)
 	second.Learn(first.Leaving(now), now)
