Let connections outlive a sound server's silence of a second or so

Callers: streams of a sound server that is silent for a second or so could end. Cause: TCP_USER_TIMEOUT of one second, which by the platform's page also decides when keep-alive probes give up, whatever their count (three of 0.4 s after one second here). It is 2.5 s now: above such a silence, and about when callers leave a silent stream.

--- a/edge/backendclient/connection_pool.go
+++ b/edge/backendclient/connection_pool.go
@@ -29,8 +29,9 @@
 	keepaliveCount    = 3
 	// unackedTimeout is how long sent bytes may stay unacknowledged before the
 	// operating system closes the connection. A network partition would not cause an
-	// error otherwise.
-	unackedTimeout = time.Second
+	// error otherwise. It also decides when the keepalive probes give up, whatever their
+	// count. A sound server may be silent for a second or so.
+	unackedTimeout = 2500 * time.Millisecond
 	// A request that must not be sent twice reuses a connection only if the connection
 	// was idle for less than maxIdleAtMostOnce. The longer a connection was idle, the
 	// more likely the server closes it just when the request is sent.
