Hand requests on only to instances whose configuration is as new

A relayed request could be handled by an older configuration than the one whose effect its instance had shown before (CONFIG, never back). The test failed before: the instance with the older configuration was among the relays.

--- a/edge/gossip/relays.go
+++ b/edge/gossip/relays.go
@@ -14,8 +14,10 @@
 
 // Relays returns the live instances that reach backend servers, in random order. Those of this
 // data centre come first, unless most instances there are cut off: the few others would then
-// get the requests of all of them.
+// get the requests of all of them. Instances with an older configuration than this one's are
+// left out, so that no caller sees it go back.
 func (n *Node) Relays() []Relay {
+	own := n.opts.Catalog.Digest().Configuration
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var local, remote []Relay
@@ -23,7 +25,7 @@
 	for _, peer := range n.members.all {
 		isLocal := peer.DataCentre == n.opts.DataCentre
 		switch {
-		case !peer.Live || peer.Leaving || !peer.Callers.IsValid():
+		case !peer.Live || peer.Leaving || !peer.Callers.IsValid(), own.After(peer.Digest.Configuration):
 		case peer.CutOff && isLocal:
 			localCutOff++
 		case peer.CutOff:
