--- a/edge/instance.go
+++ b/edge/instance.go
@@ -48,12 +48,14 @@
 
 // Instance is an entry instance. Start creates it, and Run serves.
 type Instance struct {
-	options        Options
-	settings       atomic.Pointer[platform.Settings]
-	log            *eventlog.Log
-	catalog        *catalog.Catalog
-	selector       *reverseproxy.ServerSelector
-	client         *backendclient.Client
+	options  Options
+	settings atomic.Pointer[platform.Settings]
+	log      *eventlog.Log
+	catalog  *catalog.Catalog
+	selector *reverseproxy.ServerSelector
+	client   *backendclient.Client
+	// peerClient holds the connections over which requests are handed on to other instances.
+	peerClient     *backendclient.Client
 	limits         *serverlimit.Table
 	origins        *streamorigin.Ledger
 	reach          *reachability.Monitor
@@ -114,6 +116,7 @@
 	i.states = serverstate.New(i.log.StateChanges, func() int { return i.selector.Instances() })
 	i.selector = reverseproxy.NewServerSelector(balancer.Options{DataCentre: s.DataCentre, Seed: randomSeed(s.Name)}, s.Retries, i.limits, i.states)
 	i.client = backendclient.NewClient(i.options.DialServer)
+	i.peerClient = backendclient.NewClient(nil)
 	crashes := crashguard.New(crashguard.Options{Seed: randomSeed(s.Name), Instances: i.selector.Instances})
 	i.metrics = metrics.New(s.Name, s.DataCentre)
 	i.watcher = i.newWatcher(s.StoreAddress)
@@ -137,7 +140,7 @@
 	i.selector.SetInstances(i.gossip.CountInstances)
 	i.handler = reverseproxy.New(reverseproxy.Options{
 		Catalog: i.catalog, Selector: i.selector, Client: i.client, Metrics: i.metrics, Crashes: crashes, Limits: i.limits, Origins: i.origins, States: i.states,
-		PeerRelay: reverseproxy.PeerRelay{Reach: i.reach, Relays: i.gossip.Relays, Client: backendclient.NewClient(nil)},
+		PeerRelay: reverseproxy.PeerRelay{Reach: i.reach, Relays: i.gossip.Relays, Client: i.peerClient},
 		Successes: i.log.Successes, Failures: i.log.Failures,
 		BufferBytes: int64(bufferFraction * float64(s.MemoryBytes)),
 	})
@@ -257,7 +260,7 @@
 
 // cleanUp periodically reports health changes and drops the state of removed servers. It
 // closes the idle connections to removed servers. It also closes other connections, to
-// servers or from callers, that were idle for too long.
+// servers and other instances or from callers, that were idle for too long.
 func (i *Instance) cleanUp(ctx context.Context) {
 	ticker := time.NewTicker(cleanUpInterval)
 	defer ticker.Stop()
@@ -282,6 +285,7 @@
 			}
 		}
 		i.client.CloseIdle(func(key string) bool { return currentServers[key] })
+		i.peerClient.CloseIdle(func(string) bool { return true })
 		i.closeIdleCallers(snapshot.Limits.IdleTimeout, time.Now())
 	}
 }
