Don't let a reload signal end an instance that is stopping

Callers: an instance that had been told to stop, and still answered open requests, ended at once and cut 8 to 15 answers (LOST, planned work only).

Cause: the handler of SIGHUP was taken away when SIGTERM came, so a later SIGHUP had its default effect, the end of the process.

Fix: the handler stays until the process ends.

--- a/cmd/bergamotpin/edge.go
+++ b/cmd/bergamotpin/edge.go
@@ -25,14 +25,13 @@
 	}}
 }
 
-// reloadSignals returns a channel that receives a value for each SIGHUP, until
-// ctx ends.
+// reloadSignals returns a channel that receives a value for each SIGHUP, until ctx ends. Later
+// ones are ignored: by default they would end a process that still answers open requests.
 func reloadSignals(ctx context.Context) <-chan struct{} {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
 	out := make(chan struct{})
 	go func() {
-		defer signal.Stop(signals)
 		for {
 			select {
 			case <-ctx.Done():
