Share a brittle server's room equally, instead of by reports that are late

Callers: under heavy load a brittle server could still be made to fall over (LIMIT).

Cause: the room was counted from reports of what runs, which are 0.1 s old and more, as old as the requests. Ruled out: the machine alone.

Fix: each instance has an equal share of 0.85 of the slots, which needs no reports; only where there are more instances than places, one request each while reports leave room.

The package also claimed more than it holds: beyond five instances for each refusal a second that a server bears the rest after a refusal is too short.

--- a/edge/balancer/balancer.go
+++ b/edge/balancer/balancer.go
@@ -293,11 +293,12 @@
 	}
 }
 
-// Running returns how many requests of all instances run at a server, as far as they reported.
-func (b *Balancer) Running(key uint64) int {
+// Running returns how many requests of this instance run at a server, and how many of all
+// instances, as far as they reported.
+func (b *Balancer) Running(key uint64) (own, all int) {
 	s, ok := b.servers[key]
 	if !ok {
-		return 0
+		return 0, 0
 	}
-	return s.totalLoad().Running
+	return s.localLoad.Running, s.totalLoad().Running
 }
--- a/edge/reverseproxy/server_selector.go
+++ b/edge/reverseproxy/server_selector.go
@@ -89,7 +89,7 @@
 func (s *ServerSelector) begin(r balancer.Request, candidates []catalog.BackendServer, instances int) (balancer.Attempt, *refusal) {
 	now := time.Now()
 	s.balancer.SetInstances(instances)
-	candidates, refused := s.notFull(candidates)
+	candidates, refused := s.notFull(candidates, instances)
 	if refused != nil {
 		return balancer.Attempt{}, refused
 	}
--- a/edge/reverseproxy/server_statements.go
+++ b/edge/reverseproxy/server_statements.go
@@ -29,17 +29,17 @@
 	h.States.Record(a.Key, a.Server.ID, statement, time.Now())
 }
 
-// brittleRoom is the share of a brittle server's slots that is used. What other instances have
-// running there is known a little late.
+// brittleRoom is the share of a brittle server's slots that is used. The rest is for instances
+// whose view of the others differs for a while.
 const brittleRoom = 0.85
 
 // notFull returns the servers that are not brittle, or have room. It refuses the request if all
 // are full.
-func (s *ServerSelector) notFull(servers []catalog.BackendServer) ([]catalog.BackendServer, *refusal) {
+func (s *ServerSelector) notFull(servers []catalog.BackendServer, instances int) ([]catalog.BackendServer, *refusal) {
 	var open []catalog.BackendServer
 	for _, c := range servers {
 		key := balancer.ServerKey(c)
-		if !s.states.Brittle(key) || float64(s.balancer.Running(key)) < brittleRoom*float64(c.Slots) {
+		if !s.states.Brittle(key) || s.hasBrittleRoom(key, c.Slots, instances) {
 			open = append(open, c)
 		}
 	}
@@ -49,6 +49,18 @@
 	return nil, refuseNotRun(outcome.ServersRest, retrySoon)
 }
 
+// hasBrittleRoom reports whether this instance may send a brittle server one more request. Its
+// equal share of the room needs no reports. With more instances than places, each may have one
+// request there, as long as the reports of the others leave room.
+func (s *ServerSelector) hasBrittleRoom(key uint64, slots, instances int) bool {
+	room := brittleRoom * float64(slots)
+	own, all := s.balancer.Running(key)
+	if share := int(room / float64(instances)); share >= 1 {
+		return own < share
+	}
+	return own < 1 && float64(all) < room
+}
+
 // openServers returns the servers that neither leave nor rest. It refuses the request if all do.
 func (h *Handler) openServers(servers []catalog.BackendServer, now time.Time) ([]catalog.BackendServer, *refusal) {
 	var open []catalog.BackendServer
--- a/edge/serverstate/table.go
+++ b/edge/serverstate/table.go
@@ -4,9 +4,10 @@
 // Guarantees: a run of a server that said that it leaves gets nothing new from this instance,
 // also if the metadata store still lists it, or lists it again. A server that asked for time
 // gets nothing from this instance until that time is over, whatever its later responses say. A
-// brittle server that turned a request away gets nothing from this instance for so long that
-// all instances together have it turn away half of what it bears; before that, what is on its
-// way may be turned away too.
+// brittle server that turned a request away gets nothing from this instance for a time that
+// grows with the number of instances. Up to maxBrittleRest, all instances together then have it
+// turn away half of what it bears; with more than five instances for each refusal a second that
+// it bears, that bound is lost. What is on its way may be turned away in any case.
 package serverstate
 
 import (
@@ -35,8 +36,8 @@
 	// it turned a request away.
 	minBrittleRest = 500 * time.Millisecond
 	maxBrittleRest = 5 * time.Second
-	// restSpread is the part of that time that is drawn at random on top of it.
-	restSpread = 0.5
+	// brittleRestSpread is the part of that time that is drawn at random on top of it.
+	brittleRestSpread = 0.5
 )
 
 // Statement is what one response says of its server.
@@ -117,14 +118,15 @@
 }
 
 // restOfBrittle is how long an instance leaves a brittle server alone that turned a request
-// away. If each instance does so, all of them together have it turn away half of what it bears.
+// away. If each instance does so, all of them together have it turn away half of what it bears,
+// unless that would take longer than maxBrittleRest.
 func restOfBrittle(bears float64, instances int) time.Duration {
 	perInstance := bears / 2 / float64(max(instances, 1))
 	if perInstance <= 0 {
 		return maxBrittleRest
 	}
 	rest := time.Duration(float64(time.Second) / perInstance)
-	spread := 1 + restSpread*rand.Float64()
+	spread := 1 + brittleRestSpread*rand.Float64()
 	return min(max(time.Duration(float64(rest)*spread), minBrittleRest), maxBrittleRest)
 }
 
