Open a connection that is kept for a request in one place

Ruled out: one function for both questions, since Listens must also tell a refusal from a broken path, and may answer from an idle connection, which a check of the paths must not. No behaviour changes; before and after, the tests of edge/backendclient and TestCallersOfInstancesWithoutLinksAreNotServed pass.

--- a/edge/backendclient/connection_pool.go
+++ b/edge/backendclient/connection_pool.go
@@ -135,18 +135,6 @@
 	return conn, err
 }
 
-// Connects reports whether a server accepts a new connection.
-func (c *Client) Connects(ctx context.Context, s Server) bool {
-	conn, err := c.open(ctx, s)
-	if err != nil {
-		return false
-	}
-	// The connection is new, so a request may use it.
-	conn.idleTimeout = defaultIdleTimeout
-	c.putIdle(s.Key, conn)
-	return true
-}
-
 // takeIdle returns the most recently used idle connection that is still usable, or nil.
 // It closes the unusable connections that it finds before this one.
 func (c *Client) takeIdle(key string, atMostOnce bool) *connection {
--- a/edge/backendclient/listens.go
+++ b/edge/backendclient/listens.go
@@ -14,14 +14,24 @@
 	if c.hasOpenIdle(s.Key) {
 		return true, true
 	}
+	if err := c.connect(ctx, s); err != nil {
+		return false, errors.Is(err, syscall.ECONNREFUSED)
+	}
+	return true, true
+}
+
+// Connects reports whether a server accepts a new connection.
+func (c *Client) Connects(ctx context.Context, s Server) bool { return c.connect(ctx, s) == nil }
+
+// connect opens a connection to a server, and keeps it for a request.
+func (c *Client) connect(ctx context.Context, s Server) error {
 	conn, err := c.open(ctx, s)
 	if err != nil {
-		return false, errors.Is(err, syscall.ECONNREFUSED)
+		return err
 	}
-	// The connection is new, so a request may use it.
 	conn.idleTimeout = defaultIdleTimeout
 	c.putIdle(s.Key, conn)
-	return true, true
+	return nil
 }
 
 // hasOpenIdle reports whether an idle connection to the server is open.
