--- a/edge/gossip/doc.go
+++ b/edge/gossip/doc.go
@@ -1,6 +1,7 @@
 // Package gossip exchanges state between entry instances: which instances exist, how
-// many requests each has at which backend server, how often attempts failed there, and
-// which records of the catalog each instance holds.
+// many requests each has at which backend server, how often attempts failed there, what servers
+// said of themselves, at which software versions streams may begin, which instances reach no
+// server, and which records of the catalog each instance holds.
 //
 // In each round, every tenth of a second, an instance sends one datagram to each of a
 // few others, in rotation. A datagram holds the sender's whole current state, so the
--- a/edge/reverseproxy/doc.go
+++ b/edge/reverseproxy/doc.go
@@ -18,6 +18,12 @@
 //     each further send.
 //   - A request that package crashguard withholds, or whose prompt holds a part that it
 //     withholds, is not sent.
+//   - A stream goes on only at servers of the software version that made its first event. A
+//     request that takes up a stream whose version is not known is refused.
+//   - A server that said that it leaves, or that asked for time, is not sent to.
+//   - While this instance reaches no server, a request is handed on to another instance, which
+//     gives all of these guarantees for it. It is handed on once, and goes to no third instance
+//     if the second one may have got it.
 //   - A server that names a limit gets no more than this instance's share of it.
 //   - API key and route are looked up again before each send, in the configuration
 //     that is in force at that time.
