Refuse requests that may outlive an instance that stops

Users' report: during a planned stop under load, requests that had just been accepted were cut off without a whole answer. Shown here: a request that follows a stream from before the stop on its kept connection was begun 3 s after the stop signal, and cut at the end of the grace period (LOST).

Cause: the response of that stream had its header out before the stop, so it could not announce the end of the connection. Requests on such connections were begun like any other, whatever time was left. Ruled out: connections that are idle or unused, which are closed without reading.

Now, once connections are no longer accepted, a request whose time ends after the instance's is refused as not run, with a time to return. Before that point all are begun as before: the platform still sends them.

--- a/edge/connections.go
+++ b/edge/connections.go
@@ -83,8 +83,9 @@
 
 // shutDown announces to the other instances that this one leaves. It goes on accepting
 // connections and requests for up to unreadyDelay, and announces the end of the connection in
-// each response. Then it waits until all connections have ended or the grace period is nearly
-// over. The requests that are still open then get their final responses.
+// each response. Then it refuses requests that may outlive it, and waits until all connections
+// have ended or the grace period is nearly over. The requests that are still open then get their
+// final responses.
 func (i *Instance) shutDown() {
 	i.stopping.Store(true)
 	i.gossip.Leave()
@@ -94,6 +95,7 @@
 	deadline := startTime.Add(grace - cutMargin)
 	i.connections.AnnounceFromNowOn()
 	time.Sleep(min(unreadyDelay, grace/3))
+	i.handler.EndAt(deadline)
 	_ = i.callerListener.Close()
 	i.connections.CloseWhenIdle()
 	i.connections.CloseUnused()
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -67,7 +67,7 @@
 	// may have run and is not idempotent.
 	SchedulerLost
 	// InstanceLeaving means that the instance is leaving and accepts no
-	// request.
+	// request, or none that may outlive it.
 	InstanceLeaving
 	// NotReady means that the instance does not know the configuration yet.
 	NotReady
