Let an odd entry of another writer cost only itself

Operators' report: another writer left one odd entry among the servers (nested very deeply, a number too large, a port out of range); machines that read the list ended, or stopped following it.

Cause: a response of the store was decoded whole, and encoding/json refuses a document for any value in it. Ruled out: the decoder of specs, which had its own errors, and datagrams, which carry hashes.

- shallowjson takes a response apart; each object is decoded by itself, in platform and in objects (lists, pages, events, own kinds).
- An unreadable listing of stream versions kept streams from beginning at new versions for good; it is written again, with unnamed versions.
- Such entries are logged once each, cut to 200 bytes, and counted.

--- a/edge/gossip/record_fetch.go
+++ b/edge/gossip/record_fetch.go
@@ -162,9 +162,21 @@
 	if err != nil {
 		return nil, err
 	}
-	var records []catalog.Record
-	if err := cbor.Unmarshal(raw, &records); err != nil {
+	return decodeRecords(raw)
+}
+
+// decodeRecords decodes the records of a peer. Those that can't be decoded are left out.
+func decodeRecords(raw []byte) ([]catalog.Record, error) {
+	var items []cbor.RawMessage
+	if err := cbor.Unmarshal(raw, &items); err != nil {
 		return nil, errors.Wrap(errMalformed, err.Error())
 	}
+	records := make([]catalog.Record, 0, len(items))
+	for _, item := range items {
+		var r catalog.Record
+		if cbor.Unmarshal(item, &r) == nil {
+			records = append(records, r)
+		}
+	}
 	return records, nil
 }
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -76,6 +76,7 @@
 	storeCalls    storeCalls
 	healthChanges healthChangeCounts
 	eraChanges    eraChanges
+	unreadable    *unreadableEntries
 }
 
 // Options configures an instance.
@@ -99,6 +100,7 @@
 	debug.SetGCPercent(heapGrowth)
 	debug.SetMemoryLimit(int64(memoryFraction * float64(s.MemoryBytes)))
 	i := &Instance{options: o, log: eventlog.New(o.LogOutput), connections: callerconn.New()}
+	i.unreadable = newUnreadableEntries(i.log.StateChanges)
 	i.requests, i.cutRequests = context.WithCancelCause(context.Background())
 	i.settings.Store(&s)
 	if err := i.assemble(s); err != nil {
@@ -229,7 +231,15 @@
 	return &catalog.Watcher{
 		Catalog: i.catalog, OnChange: i.catalogChanged, OnCall: i.storeCalls.add, Log: i.log.StateChanges,
 		ShouldWatch: func() bool { return i.gossip.ShouldWatchStore(time.Now()) },
-		Source:      &platform.MetadataStore{BaseURL: "http://" + store.String(), HTTP: objects.NewHTTPClient(dialStore)},
+		Source:      i.newStore(store),
+	}
+}
+
+// newStore returns a client of the metadata store at the given address.
+func (i *Instance) newStore(address netip.AddrPort) *platform.MetadataStore {
+	return &platform.MetadataStore{
+		BaseURL: "http://" + address.String(), HTTP: objects.NewHTTPClient(dialStore),
+		OnUnreadable: func(path, name string, err error) { i.unreadable.add(path, name, 0, err) },
 	}
 }
 
@@ -247,12 +257,12 @@
 			i.eraChanged(source, c)
 			continue
 		}
-		detail := ""
-		if c.Err != nil {
-			detail = c.Err.Error()
+		if c.Type == catalog.ChangedUnreadable {
+			i.unreadable.add(c.Kind.String(), c.Name, c.Revision, c.Err)
+			continue
 		}
-		i.log.StateChanges.Info("catalog changed", "kind", c.Kind.String(), "name", c.Name, "what", c.Type,
-			"revision", c.Revision, "version", c.Version, "source", source, "detail", detail)
+		i.log.StateChanges.Info("catalog changed", "kind", c.Kind.String(), "name", shorten(c.Name), "what", c.Type,
+			"revision", c.Revision, "version", c.Version, "source", source)
 	}
 	i.observeOrigins(i.catalog.Snapshot(), time.Now())
 	i.gossip.SendNow()
--- a/edge/stream_origins.go
+++ b/edge/stream_origins.go
@@ -7,7 +7,6 @@
 	"bergamotpin.example/bergamotpin/edge/catalog"
 	"bergamotpin.example/bergamotpin/edge/streamorigin"
 	"bergamotpin.example/bergamotpin/metrics"
-	"bergamotpin.example/bergamotpin/objects"
 	"bergamotpin.example/bergamotpin/platform"
 )
 
@@ -23,7 +22,7 @@
 func (i *Instance) newOrigins(s platform.Settings) *streamorigin.Ledger {
 	return streamorigin.New(streamorigin.Options{
 		Process:    s.Name + "." + strconv.FormatInt(time.Now().UnixMilli(), 10),
-		Store:      &platform.MetadataStore{BaseURL: "http://" + s.StoreAddress.String(), HTTP: objects.NewHTTPClient(dialStore)},
+		Store:      i.newStore(s.StoreAddress),
 		FirstStart: s.FirstStart,
 		IsWatcher:  func() bool { return i.gossip.ShouldWatchStore(time.Now()) },
 		WriteInterval: func() time.Duration {
--- a/edge/streamorigin/find.go
+++ b/edge/streamorigin/find.go
@@ -45,8 +45,9 @@
 // FoundCounts holds how many origins were searched, by the source of the result.
 type FoundCounts [sourceCount]int64
 
-// errStale reports that the listing is older than the store's last return from a copy.
-var errStale = errors.New("the listing was not written since the store came back from an older copy")
+// errUntrusted reports that the listing is older than the store's last return from a copy, or
+// that another writer replaced it.
+var errUntrusted = errors.New("the listing was replaced, or not written since the store came back from an older copy")
 
 // Find returns the origin of a stream of the service that began with the given attempt of its
 // caller. The attempt is "" if the caller named none.
@@ -112,8 +113,8 @@
 		return found
 	}
 	switch {
-	case s.listingIsStale():
-		found.Err = errStale
+	case s.listingMayLack():
+		found.Err = errUntrusted
 	case len(origins) == 1 && origins[0].Version != "":
 		found.Origin, found.Source = origins[0], SingleVersion
 	}
@@ -135,10 +136,10 @@
 	return Origin{}, false
 }
 
-// listingIsStale reports whether the listing may lack what was listed later, because the
-// store came back from an older copy since.
-func (s *Stored) listingIsStale() bool {
-	return s.Listing.Era != objects.EraUnstated && s.Era != objects.EraUnstated && s.Listing.Era < s.Era
+// listingMayLack reports whether the listing may lack what was listed, because the store came
+// back from an older copy since, or because another writer replaced the listing.
+func (s *Stored) listingMayLack() bool {
+	return s.ListingUnreadable || s.Listing.Era != objects.EraUnstated && s.Era != objects.EraUnstated && s.Listing.Era < s.Era
 }
 
 // of returns the listed origins of a service.
--- a/edge/streamorigin/ledger_test.go
+++ b/edge/streamorigin/ledger_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -179,3 +180,21 @@
 		t.Errorf("the listing holds %d versions, want 3", got.Versions)
 	}
 }
+
+// TestUnreadableListingIsWrittenAgain guards against a listing of another writer, which nobody can
+// read: no stream could begin at a new version, for good. What it held is not guessed.
+func TestUnreadableListingIsWrittenAgain(t *testing.T) {
+	for _, odd := range []string{strings.Repeat("[", 20000) + strings.Repeat("]", 20000), `{"versions":7}`, "null", `{"era":1e400}`} {
+		store := newStore(t)
+		first := startProcess(t, store, "a", true)
+		first.begin(t, "1", old)
+		first.kill()
+		store.Put("streams", "versions", odd)
+		store.Put("streams", "attempts.odd", odd)
+		second := startProcess(t, store, "b", false)
+		second.expect(t, "1", streamorigin.Unknown, streamorigin.Origin{})
+		second.begin(t, "2", newer)
+		second.expect(t, "1", streamorigin.Unknown, streamorigin.Origin{})
+		second.expect(t, "2", streamorigin.OwnMemory, newer)
+	}
+}
--- a/edge/streamorigin/origin.go
+++ b/edge/streamorigin/origin.go
@@ -41,10 +41,13 @@
 
 // Stored is all that the store holds. Revision is that of the listing, or 0 if there is none.
 type Stored struct {
-	Era       objects.Era
-	Revision  int64
-	Listing   Listing
-	Processes []ProcessAttempts
+	Era      objects.Era
+	Revision int64
+	Listing  Listing
+	// ListingUnreadable is set if another writer left bytes in place of the listing that are
+	// none. Listing is then empty.
+	ListingUnreadable bool
+	Processes         []ProcessAttempts
 }
 
 // Store keeps listing and attempts. Its errors are those of package objects.
--- a/edge/streamorigin/sync.go
+++ b/edge/streamorigin/sync.go
@@ -181,15 +181,18 @@
 	}
 	next = Listing{Era: stored.Era, Origins: slices.Clone(stored.Listing.Origins)}
 	origins, _ := l.versions.unlisted(now)
+	if stored.ListingUnreadable {
+		origins = l.versions.named()
+	}
 	next.Origins = append(next.Origins, origins...)
-	if stored.listingIsStale() || stored.Revision == 0 && (!l.options.FirstStart || stored.Era != l.firstEra) {
+	if stored.listingMayLack() || stored.Revision == 0 && (!l.options.FirstStart || stored.Era != l.firstEra) {
 		next.addUnnamed()
 	}
 	if watcher {
 		retired := l.versions.retired(now)
 		next.Origins = slices.DeleteFunc(next.Origins, func(o Origin) bool { return slices.Contains(retired, o) })
 	}
-	return next, stored.listingIsStale() || !slices.Equal(next.Origins, stored.Listing.Origins)
+	return next, stored.listingMayLack() || !slices.Equal(next.Origins, stored.Listing.Origins)
 }
 
 // addUnnamed adds versions that are not known to each service: streams may have begun there.
--- a/edge/streamorigin/versions.go
+++ b/edge/streamorigin/versions.go
@@ -82,6 +82,17 @@
 	return origins, since
 }
 
+// named returns all origins that this instance knows, but for versions that are not known.
+func (v *versions) named() []Origin {
+	var origins []Origin
+	for o := range v.known {
+		if o.Version != "" {
+			origins = append(origins, o)
+		}
+	}
+	return origins
+}
+
 // retired returns the origins whose servers were seen too long ago to stay listed.
 func (v *versions) retired(now time.Time) []Origin {
 	var origins []Origin
--- a/objects/client.go
+++ b/objects/client.go
@@ -55,6 +55,8 @@
 // failures of calls and watches by error.
 type Counters struct {
 	Calls, Watches, Conflicts, RateLimited, Unavailable, Uncertain atomic.Int64
+	// Unreadable counts objects in lists and events of watches that can't be read.
+	Unreadable atomic.Int64
 }
 
 // Client calls the object API. It is safe for concurrent use.
@@ -117,12 +119,18 @@
 	return obj, err
 }
 
-// List returns all objects of a kind. The result may be older than the last
-// write.
+// List returns all objects of a kind, but for those that can't be read. The result may be older
+// than the last write.
 func (c *Client) List(ctx context.Context, kind api.Kind) (api.List, error) {
 	var list api.List
 	path := api.PathObjects + url.PathEscape(string(kind))
-	err := c.do(ctx, apiCall{method: http.MethodGet, path: path, maxResponseBytes: maxListResponseBytes}, &list)
+	call := apiCall{method: http.MethodGet, path: path, maxResponseBytes: maxListResponseBytes}
+	call.decode = func(raw []byte) error {
+		unreadable, err := decodeList(raw, &list)
+		c.Counters.Unreadable.Add(int64(unreadable))
+		return err
+	}
+	err := c.do(ctx, call, nil)
 	return list, err
 }
 
@@ -173,12 +181,13 @@
 }
 
 // apiCall is one request to the object API. If the request has no body, body is
-// nil.
+// nil. If decode is set, it decodes the response instead of encoding/json.
 type apiCall struct {
 	method           string
 	path             string
 	body             []byte
 	maxResponseBytes int64
+	decode           func(raw []byte) error
 }
 
 func (c apiCall) isWrite() bool { return c.method != http.MethodGet }
@@ -222,10 +231,13 @@
 	if err != nil {
 		return noResponseError(call.isWrite(), err)
 	}
-	if out == nil {
-		return nil
+	switch {
+	case call.decode != nil:
+		err = call.decode(raw)
+	case out != nil:
+		err = json.Unmarshal(raw, out)
 	}
-	if err := json.Unmarshal(raw, out); err != nil {
+	if err != nil {
 		return noResponseError(call.isWrite(), err)
 	}
 	return nil
--- a/objects/watch.go
+++ b/objects/watch.go
@@ -2,8 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"net/url"
@@ -48,13 +48,14 @@
 		return responseError(resp, false)
 	}
 	resetIdleTimer := func() { idleTimer.Reset(c.watchIdleTimeout) }
-	return readEvents(parent, resp.Body, resetIdleTimer, handle)
+	return c.readEvents(parent, resp.Body, resetIdleTimer, handle)
 }
 
 // readEvents calls handle for each event of a newline-delimited stream until the
 // stream ends or handle fails. It calls resetIdleTimer for each line. An empty line
-// holds no event but also resets the timer.
-func readEvents(ctx context.Context, r io.Reader, resetIdleTimer func(), handle func(api.WatchEvent) error) error {
+// holds no event but also resets the timer. An event whose object can't be read is counted and
+// left out.
+func (c *Client) readEvents(ctx context.Context, r io.Reader, resetIdleTimer func(), handle func(api.WatchEvent) error) error {
 	lines := bufio.NewScanner(r)
 	lines.Buffer(make([]byte, 0, 4096), maxObjectResponseBytes)
 	for lines.Scan() {
@@ -62,10 +63,14 @@
 		if len(lines.Bytes()) == 0 {
 			continue
 		}
-		var event api.WatchEvent
-		if err := json.Unmarshal(lines.Bytes(), &event); err != nil {
+		event, err := decodeEvent(bytes.Clone(lines.Bytes()))
+		if err != nil && event.Type == "" {
 			return errors.Wrap(ErrUnavailable, err.Error())
 		}
+		if err != nil {
+			c.Counters.Unreadable.Add(1)
+			continue
+		}
 		if err := handle(event); err != nil {
 			return err
 		}
