--- a/objects/decode.go
+++ b/objects/decode.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 
-	"github.com/go-faster/errors"
-
 	"bergamotpin.example/bergamotpin/api"
 	"bergamotpin.example/bergamotpin/shallowjson"
 )
@@ -18,7 +16,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if err := decodeMember(members, "version", &list.Version); err != nil {
+	if err := shallowjson.Decode(members, "version", &list.Version); err != nil {
 		return 0, err
 	}
 	items, ok := members["items"]
@@ -47,7 +45,7 @@
 	if err != nil {
 		return event, err
 	}
-	if err := decodeMember(members, "type", &event.Type); err != nil {
+	if err := shallowjson.Decode(members, "type", &event.Type); err != nil {
 		return event, err
 	}
 	event.Object, err = decodeObject(members["object"])
@@ -63,7 +61,7 @@
 		return obj, err
 	}
 	for name, field := range map[string]any{"kind": &obj.Kind, "name": &obj.Name, "version": &obj.Version, "specVersion": &obj.SpecVersion} {
-		if err := decodeMember(members, name, field); err != nil {
+		if err := shallowjson.Decode(members, name, field); err != nil {
 			return obj, err
 		}
 	}
@@ -78,15 +76,3 @@
 	}
 	return raw
 }
-
-// decodeMember decodes a member into out. It leaves out unchanged if there is no such member.
-func decodeMember(members map[string]json.RawMessage, name string, out any) error {
-	raw, ok := members[name]
-	if !ok {
-		return nil
-	}
-	if err := json.Unmarshal(raw, out); err != nil {
-		return errors.Wrap(err, name)
-	}
-	return nil
-}
--- a/shallowjson/shallowjson.go
+++ b/shallowjson/shallowjson.go
@@ -57,6 +57,18 @@
 	return elements, err
 }
 
+// Decode decodes a member into out. It leaves out unchanged if there is no such member.
+func Decode(members map[string]json.RawMessage, name string, out any) error {
+	raw, ok := members[name]
+	if !ok {
+		return nil
+	}
+	if err := json.Unmarshal(raw, out); err != nil {
+		return errors.Wrap(err, name)
+	}
+	return nil
+}
+
 // scanner reads raw from the position next.
 type scanner struct {
 	raw  []byte
