Keep the members of a round in order instead of sorting them again

Cause, first part, from profiles of 96 instances in one process: a round sorted all members four times and hashed all names; the ledger of stream origins asked for the number of instances ten times a second, which sorted a copy of them; the collector of garbage took a quarter. Ruled out as the largest: catalog, limits, logs.

--- a/edge/gossip/fanout.go
+++ b/edge/gossip/fanout.go
@@ -5,8 +5,6 @@
 	"net/netip"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -33,35 +31,36 @@
 // representative. Representatives are the live instances whose names have the
 // lowest hashes.
 func (n *Node) summaryTargets() []netip.AddrPort {
+	index, represents := n.representativeIndex()
+	if !represents {
+		return nil
+	}
 	membersByDataCentre := map[string][]*member{}
 	for _, peer := range n.members.all {
-		if peer.Live && !peer.Leaving {
+		if peer.Live && !peer.Leaving && peer.DataCentre != n.opts.DataCentre {
 			membersByDataCentre[peer.DataCentre] = append(membersByDataCentre[peer.DataCentre], peer)
 		}
 	}
-	index := 0
-	ownHash := xxhash.Sum64String(n.opts.Name)
-	for _, peer := range membersByDataCentre[n.opts.DataCentre] {
-		if xxhash.Sum64String(peer.Name) < ownHash {
-			index++
-		}
-	}
-	if index >= representativeCount {
-		return nil
-	}
 	var targets []netip.AddrPort
-	for dataCentre, peers := range membersByDataCentre {
-		if dataCentre == n.opts.DataCentre {
-			continue
-		}
-		slices.SortFunc(peers, func(a, b *member) int {
-			return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
-		})
+	for _, peers := range membersByDataCentre {
+		slices.SortFunc(peers, func(a, b *member) int { return cmp.Compare(a.nameHash, b.nameHash) })
 		targets = append(targets, peers[index%len(peers)].Address)
 	}
 	return targets
 }
 
+// representativeIndex returns this instance's position among the representatives of its data
+// centre, or false if it is none of them.
+func (n *Node) representativeIndex() (index int, represents bool) {
+	for _, a := range n.members.ordered().local {
+		peer := n.members.all[a]
+		if peer.Live && !peer.Leaving && peer.nameHash < n.nameHash {
+			index++
+		}
+	}
+	return index, index < representativeCount
+}
+
 // plan lists the recipients of a round's datagrams.
 type plan struct {
 	// complete lists the instances that get the whole message, withoutReports those
@@ -72,11 +71,9 @@
 
 // planRound chooses the recipients of this round.
 func (n *Node) planRound(storeAge time.Duration) plan {
-	local, remote := n.members.byDataCentre(n.opts.DataCentre)
-	total := len(local) + len(remote)
-	if total <= maxDirectPeers {
-		order := n.members.sorted()
-		return plan{complete: n.members.local.next(order, max(fanout, int(float64(total)/cycleRounds)))}
+	order := n.members.ordered()
+	if total := len(order.all); total <= maxDirectPeers {
+		return plan{complete: n.members.local.next(order.all, max(fanout, int(float64(total)/cycleRounds)))}
 	}
 	cycle := float64(remoteCycleRounds)
 	if storeAge < maxWatcherStoreAge {
@@ -86,8 +83,8 @@
 		cycle = cycleRounds
 	}
 	p := plan{
-		complete:       local,
-		withoutReports: n.members.remote.next(remote, int(float64(len(remote))/cycle)+1),
+		complete:       order.local,
+		withoutReports: n.members.remote.next(order.remote, int(float64(len(order.remote))/cycle)+1),
 	}
 	if n.sequence%representativeCount == 0 {
 		p.summary = n.summaryTargets()
@@ -107,7 +104,7 @@
 		return
 	}
 	n.mu.Lock()
-	local, _ := n.members.byDataCentre(n.opts.DataCentre)
+	local := n.members.ordered().local
 	n.mu.Unlock()
 	for _, to := range local {
 		n.send(raw, to)
--- a/edge/gossip/members.go
+++ b/edge/gossip/members.go
@@ -1,11 +1,12 @@
 package gossip
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bergamotpin.example/bergamotpin/edge/catalog"
 )
 
@@ -21,7 +22,9 @@
 
 // member is what this instance knows of another instance.
 type member struct {
-	Name         string
+	Name string
+	// nameHash is the hash of Name, which decides on duties.
+	nameHash     uint64
 	DataCentre   string
 	Address      netip.AddrPort
 	Started      int64
@@ -44,18 +47,25 @@
 
 // members holds the other instances by address.
 type members struct {
-	self netip.AddrPort
-	all  map[netip.AddrPort]*member
+	self       netip.AddrPort
+	dataCentre string
+	all        map[netip.AddrPort]*member
+	// orders holds the addresses in order, or nil if they must be sorted again.
+	orders *orders
 	// local and remote are the rotations over the members of this data centre and over
 	// all other members.
 	local, remote rotation
 }
 
+// orders holds the addresses of all members, of those of this data centre, and of all others. A
+// member that has not sent a message yet is among the others.
+type orders struct{ all, local, remote []netip.AddrPort }
+
 // rotation is a position in a round-robin order of members.
 type rotation struct{ cursor int }
 
-func newMembers(self netip.AddrPort) *members {
-	return &members{self: self, all: make(map[netip.AddrPort]*member)}
+func newMembers(self netip.AddrPort, dataCentre string) *members {
+	return &members{self: self, dataCentre: dataCentre, all: make(map[netip.AddrPort]*member)}
 }
 
 // add adds an address that came from a seed or from another instance.
@@ -64,6 +74,7 @@
 		return
 	}
 	m.all[a] = &member{Address: a, LastReceived: now}
+	m.orders = nil
 }
 
 // receive records a message and the digest that it states. It returns the sender, whether the message is newer
@@ -78,6 +89,12 @@
 		return peer, false, false
 	}
 	becameLive = !peer.Live
+	if peer.DataCentre != msg.DataCentre {
+		m.orders = nil
+	}
+	if peer.Name != msg.Name {
+		peer.nameHash = xxhash.Sum64String(msg.Name)
+	}
 	peer.Name, peer.DataCentre = msg.Name, msg.DataCentre
 	peer.Started, peer.Sequence = msg.Started, msg.Sequence
 	peer.Leaving, peer.Digest = msg.Leaving, digest
@@ -102,6 +119,7 @@
 		}
 		if age > silentRetention {
 			delete(m.all, a)
+			m.orders = nil
 		}
 	}
 	return silent
@@ -121,54 +139,47 @@
 	return out
 }
 
-// byDataCentre returns the addresses of the members of a data centre, and those of all
-// other members. A member that has not sent a message yet is among the others.
-func (m *members) byDataCentre(dataCentre string) (local, remote []netip.AddrPort) {
-	for _, a := range m.sorted() {
-		if m.all[a].DataCentre == dataCentre {
-			local = append(local, a)
+// ordered returns the addresses in order. The caller must not modify them.
+func (m *members) ordered() *orders {
+	if m.orders != nil {
+		return m.orders
+	}
+	o := &orders{all: make([]netip.AddrPort, 0, len(m.all))}
+	for a := range m.all {
+		o.all = append(o.all, a)
+	}
+	slices.SortFunc(o.all, netip.AddrPort.Compare)
+	for _, a := range o.all {
+		if m.all[a].DataCentre == m.dataCentre {
+			o.local = append(o.local, a)
 			continue
 		}
-		remote = append(remote, a)
+		o.remote = append(o.remote, a)
 	}
-	return local, remote
+	m.orders = o
+	return o
 }
 
 // knownAddresses returns up to limit addresses of live members for a message. If there
 // are more live members, each round gets a different selection.
 func (m *members) knownAddresses(round uint64, limit int) []netip.AddrPort {
-	var live []netip.AddrPort
-	for _, a := range m.sorted() {
-		if m.all[a].Live {
-			live = append(live, a)
+	order := m.ordered().all
+	known := make([]netip.AddrPort, 0, limit)
+	if len(order) == 0 {
+		return known
+	}
+	// Successive rounds begin limit members later, so that all of them have their turn.
+	start := int(round * uint64(limit) % uint64(len(order)))
+	for n := range order {
+		a := order[(start+n)%len(order)]
+		if len(known) == limit {
+			break
 		}
-	}
-	if len(live) <= limit {
-		return live
-	}
-	start := int(round % uint64(len(live)))
-	return slices.Concat(live[start:], live[:start])[:limit]
-}
-
-func (m *members) sorted() []netip.AddrPort {
-	out := make([]netip.AddrPort, 0, len(m.all))
-	for a := range m.all {
-		out = append(out, a)
-	}
-	slices.SortFunc(out, netip.AddrPort.Compare)
-	return out
-}
-
-// live returns the live members, ordered by name.
-func (m *members) live() []member {
-	var out []member
-	for _, peer := range m.all {
-		if peer.Live {
-			out = append(out, *peer)
+		if m.all[a].Live {
+			known = append(known, a)
 		}
 	}
-	slices.SortFunc(out, func(a, b member) int { return cmp.Compare(a.Name, b.Name) })
-	return out
+	return known
 }
 
 // sharing returns the names of the live members that don't leave. complete is false if some
@@ -224,15 +235,3 @@
 	}
 	return newest
 }
-
-// countContacted counts the members that sent at least one message and have not
-// been removed.
-func (m *members) countContacted() int {
-	n := 0
-	for _, peer := range m.all {
-		if peer.Name != "" {
-			n++
-		}
-	}
-	return n
-}
--- a/edge/gossip/node.go
+++ b/edge/gossip/node.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"bergamotpin.example/bergamotpin/edge/balancer"
@@ -78,7 +79,9 @@
 // Node sends this instance's state to other instances and receives theirs. It is safe
 // for concurrent use.
 type Node struct {
-	opts     Options
+	opts Options
+	// nameHash is the hash of the instance's name.
+	nameHash uint64
 	started  int64
 	socket   *net.UDPConn
 	listener net.Listener
@@ -108,9 +111,9 @@
 		return nil, errors.Wrap(err, "beacon")
 	}
 	n := &Node{
-		opts: o, started: time.Now().UnixNano(), socket: socket, listener: listener,
+		opts: o, nameHash: xxhash.Sum64String(o.Name), started: time.Now().UnixNano(), socket: socket, listener: listener,
 		client:  newFetchClient(),
-		members: newMembers(o.Address),
+		members: newMembers(o.Address, o.DataCentre),
 		sendNow: make(chan struct{}, 1),
 	}
 	n.AddSeeds(o.Seeds)
@@ -165,7 +168,9 @@
 func (n *Node) CountInstances() (live, known int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return len(n.members.live()) + 1, n.members.countContacted() + 1
+	counts := n.members.counts()
+	live = counts.Live + counts.Leaving
+	return live + 1, live + counts.Silent + 1
 }
 
 // View returns the instances that share what servers take from all of them together.
--- a/edge/gossip/node_test.go
+++ b/edge/gossip/node_test.go
@@ -257,7 +257,7 @@
 // order, messages from before the sender's restart, messages of the instance itself,
 // and malformed datagrams. All must be rejected.
 func TestStaleAndMalformedMessagesAreIgnored(t *testing.T) {
-	m := newMembers(netip.MustParseAddrPort("10.0.0.1:1"))
+	m := newMembers(netip.MustParseAddrPort("10.0.0.1:1"), "dc")
 	now := time.Unix(100, 0)
 	from := netip.MustParseAddrPort("10.0.0.2:1")
 	accepts := func(started int64, sequence uint64) bool {
@@ -330,13 +330,13 @@
 // TestRotationReachesEachMemberEqually runs one round for each member. Each member
 // must be chosen fanout times in total.
 func TestRotationReachesEachMemberEqually(t *testing.T) {
-	m := newMembers(netip.MustParseAddrPort("10.0.0.1:1"))
+	m := newMembers(netip.MustParseAddrPort("10.0.0.1:1"), "dc")
 	for n := range 50 {
 		m.add(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(n)}), 1), time.Unix(1, 0))
 	}
 	sent := make(map[netip.AddrPort]int)
 	for range 50 {
-		for _, a := range m.local.next(m.sorted(), fanout) {
+		for _, a := range m.local.next(m.ordered().all, fanout) {
 			sent[a]++
 		}
 	}
--- a/edge/gossip/relays_test.go
+++ b/edge/gossip/relays_test.go
@@ -14,7 +14,7 @@
 
 // relayNode returns a node in dc0 that knows the given members.
 func relayNode(members ...member) *Node {
-	n := &Node{opts: Options{DataCentre: "dc0", Catalog: catalog.New(platform.Decoder{})}, members: newMembers(netip.AddrPort{})}
+	n := &Node{opts: Options{DataCentre: "dc0", Catalog: catalog.New(platform.Decoder{})}, members: newMembers(netip.AddrPort{}, "dc0")}
 	for k, m := range members {
 		m.Address = netip.MustParseAddrPort(fmt.Sprint("10.0.0.", k+1, ":1"))
 		m.Name, m.Callers = fmt.Sprint(m.DataCentre, "-", k), m.Address
--- /dev/null
+++ b/edge/gossip/round_cost_test.go
@@ -0,0 +1,65 @@
+package gossip
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// simulatedNode returns a node that knows the given number of instances, all live, in six data
+// centres.
+func simulatedNode(instances int) *Node {
+	now := time.Now()
+	var others []member
+	for n := range instances {
+		others = append(others, member{DataCentre: fmt.Sprint("dc", n%6), Live: true, LastReceived: now, StoreResponseAt: now.Add(-time.Hour)})
+	}
+	n := relayNode()
+	n.opts.Name = "self"
+	n.nameHash = xxhash.Sum64String(n.opts.Name)
+	for k, m := range others {
+		m.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(k >> 8), byte(k)}), 1)
+		m.Name = fmt.Sprint("node", k)
+		m.nameHash = xxhash.Sum64String(m.Name)
+		n.members.all[m.Address] = &m
+	}
+	return n
+}
+
+// round does what a round does apart from datagrams, reports and the catalog, and what is asked of
+// the members beside it.
+func (n *Node) round(now time.Time) {
+	n.sequence++
+	n.planRound(time.Hour)
+	n.members.expire(now)
+	n.members.knownAddresses(n.sequence, maxKnown)
+	n.members.knownAddresses(n.sequence, maxKnownRemote)
+	n.CountInstances()
+	n.ShouldWatchStore(now)
+	n.ShouldWatchStore(now)
+}
+
+// TestRoundSortsAllInstancesAgainAndAgain guards against rounds whose garbage grows with the number
+// of instances: at hundreds of them the collector took a quarter of the processor time.
+func TestRoundSortsAllInstancesAgainAndAgain(t *testing.T) {
+	for _, instances := range []int{200, 400} {
+		n := simulatedNode(instances)
+		now := time.Now()
+		n.round(now)
+		result := testing.Benchmark(func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				n.round(now)
+			}
+		})
+		// The recipients of a round are a slice of 24 bytes each.
+		limit := int64(2000 + 8*instances)
+		t.Logf("%d instances: %v a round, %d bytes", instances, time.Duration(result.NsPerOp()), result.AllocedBytesPerOp())
+		if got := result.AllocedBytesPerOp(); got > limit {
+			t.Errorf("a round at %d instances allocates %d bytes, want at most %d", instances, got, limit)
+		}
+	}
+}
--- a/edge/gossip/store_watchers.go
+++ b/edge/gossip/store_watchers.go
@@ -1,11 +1,6 @@
 package gossip
 
-import (
-	"cmp"
-	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "time"
 
 const (
 	// watcherCount is how many instances watch the metadata store. The others fetch
@@ -29,11 +24,10 @@
 	if !n.behindSince.IsZero() && now.Sub(n.behindSince) > maxBehindTime {
 		return true
 	}
-	ownHash := xxhash.Sum64String(n.opts.Name)
 	watchersBefore := 0
 	for _, peer := range n.members.all {
 		getsResponses := peer.Live && !peer.Leaving && now.Sub(peer.StoreResponseAt) < maxWatcherStoreAge
-		if getsResponses && cmp.Compare(xxhash.Sum64String(peer.Name), ownHash) < 0 {
+		if getsResponses && peer.nameHash < n.nameHash {
 			watchersBefore++
 		}
 	}
