Send half as many datagrams where there are many instances

Cause: each instance sent its state to all others of its data centre in each round of 0.1 s, and to all of other data centres within 0.5 s: 65 datagrams a round at 195, and as many to receive. Summaries of five other data centres came ten times a second each.

Beyond 16 others: half of the own data centre in a round, but 16 at least; the rest within 1 s, and they count as live for 3 s instead of 1.5; two data centres' summaries a round. Up to 16 others nothing changes. Weighed: sending only what changed (an instance with load changes in most rounds), sums by representatives within a data centre (one more hop, own load counted twice). What it costs: reports of the own data centre are up to 0.2 s old when they are sent, those of six data centres 0.2 s instead of 0.1, and an instance of another data centre that dies counts 1.5 s longer for shares of limits and connections.

TestEachRoundReachesMostInstances holds it at 200 and 400.

--- a/edge/gossip/fanout.go
+++ b/edge/gossip/fanout.go
@@ -17,10 +17,18 @@
 	// centre. With several representatives, summaries still arrive if one crashes or
 	// freezes, and none has to send too many datagrams.
 	representativeCount = 4
+	// In a round, an instance sends its reports to at least minLocalFanout instances of its
+	// data centre, and to at least one in localCycleRounds of them. So reports are at most
+	// two rounds old when they are sent.
+	minLocalFanout   = 16
+	localCycleRounds = 2
 	// remoteCycleRounds is the number of rounds that a full rotation over the instances
-	// of other data centres takes. Several rotations have to fit into LiveTimeout, so
+	// of other data centres takes. Several rotations have to fit into remoteLiveTimeout, so
 	// that the loss of one datagram does not make the sender count as silent.
-	remoteCycleRounds = 5
+	remoteCycleRounds = 10
+	// dataCentresPerRound is the number of other data centres whose summaries each instance
+	// gets in one round.
+	dataCentresPerRound = 2
 	// maxKnownRemote bounds how many addresses of other instances a datagram to another
 	// data centre holds.
 	maxKnownRemote = 2
@@ -83,15 +91,23 @@
 		cycle = cycleRounds
 	}
 	p := plan{
-		complete:       order.local,
+		complete:       n.members.local.next(order.local, max(minLocalFanout, (len(order.local)+localCycleRounds-1)/localCycleRounds)),
 		withoutReports: n.members.remote.next(order.remote, int(float64(len(order.remote))/cycle)+1),
 	}
-	if n.sequence%representativeCount == 0 {
+	if n.sequence%n.summaryRounds() == 0 {
 		p.summary = n.summaryTargets()
 	}
 	return p
 }
 
+// summaryRounds returns the number of rounds between two summaries of one representative. All
+// representatives of a data centre together send one each round, or less often if there are many
+// data centres.
+func (n *Node) summaryRounds() uint64 {
+	others := n.members.ordered().otherDataCentres
+	return representativeCount * uint64(max((others+dataCentresPerRound-1)/dataCentresPerRound, 1))
+}
+
 // handleSummary processes a summary of another data centre. If the datagram came from
 // the instance that made the summary, this instance forwards it to the other instances
 // of its own data centre.
--- a/edge/gossip/members.go
+++ b/edge/gossip/members.go
@@ -11,8 +11,12 @@
 )
 
 const (
-	// LiveTimeout is how long an instance counts as live after its last message.
+	// LiveTimeout is how long an instance counts as live after its last message. For one of
+	// another data centre see remoteLiveTimeout.
 	LiveTimeout = 1500 * time.Millisecond
+	// remoteLiveTimeout is the same for an instance of another data centre while there are more
+	// than maxDirectPeers others, which then get datagrams less often: see remoteCycleRounds.
+	remoteLiveTimeout = 3 * time.Second
 	// silentRetention is how long datagrams are still sent to an instance after its
 	// last message.
 	silentRetention = 10 * time.Minute
@@ -58,8 +62,12 @@
 }
 
 // orders holds the addresses of all members, of those of this data centre, and of all others. A
-// member that has not sent a message yet is among the others.
-type orders struct{ all, local, remote []netip.AddrPort }
+// member that has not sent a message yet is among the others. otherDataCentres is the number of
+// data centres of the others.
+type orders struct {
+	all, local, remote []netip.AddrPort
+	otherDataCentres   int
+}
 
 // rotation is a position in a round-robin order of members.
 type rotation struct{ cursor int }
@@ -113,7 +121,7 @@
 	var silent []*member
 	for a, peer := range m.all {
 		age := now.Sub(peer.LastReceived)
-		if peer.Live && age > LiveTimeout {
+		if peer.Live && age > m.timeout(peer) {
 			peer.Live = false
 			silent = append(silent, peer)
 		}
@@ -125,6 +133,14 @@
 	return silent
 }
 
+// timeout returns how long a member counts as live after its last message.
+func (m *members) timeout(peer *member) time.Duration {
+	if len(m.all) > maxDirectPeers && peer.DataCentre != m.dataCentre {
+		return remoteLiveTimeout
+	}
+	return LiveTimeout
+}
+
 // next returns the next n addresses in a rotation over order, or all of them if there
 // are at most n.
 func (r *rotation) next(order []netip.AddrPort, n int) []netip.AddrPort {
@@ -149,13 +165,19 @@
 		o.all = append(o.all, a)
 	}
 	slices.SortFunc(o.all, netip.AddrPort.Compare)
+	others := make(map[string]bool)
 	for _, a := range o.all {
-		if m.all[a].DataCentre == m.dataCentre {
+		dataCentre := m.all[a].DataCentre
+		if dataCentre == m.dataCentre {
 			o.local = append(o.local, a)
 			continue
 		}
 		o.remote = append(o.remote, a)
+		if dataCentre != "" {
+			others[dataCentre] = true
+		}
 	}
+	o.otherDataCentres = len(others)
 	m.orders = o
 	return o
 }
--- a/edge/gossip/round_cost_test.go
+++ b/edge/gossip/round_cost_test.go
@@ -63,3 +63,38 @@
 		}
 	}
 }
+
+// TestEachRoundReachesMostInstances guards against a number of datagrams that grows with the square
+// of the instances: receiving them took most of the processor time at 195. Every other instance
+// still hears of this one often enough to count it as live.
+func TestEachRoundReachesMostInstances(t *testing.T) {
+	for _, instances := range []int{200, 400} {
+		n := simulatedNode(instances)
+		order := n.members.ordered()
+		received := make(map[netip.AddrPort]int)
+		sent := 0
+		rounds := int(LiveTimeout / interval)
+		for range rounds {
+			n.sequence++
+			p := n.planRound(time.Hour)
+			sent += len(p.complete) + len(p.withoutReports)
+			for _, a := range append(p.complete, p.withoutReports...) {
+				received[a]++
+			}
+		}
+		limit := len(order.local)/localCycleRounds + len(order.remote)/remoteCycleRounds + 2
+		if perRound := sent / rounds; perRound > limit {
+			t.Errorf("%d instances: %d datagrams a round, want at most %d", instances, perRound, limit)
+		}
+		for _, a := range order.local {
+			if received[a] < 3 {
+				t.Errorf("%d instances: one of the same data centre got %d datagrams in %v, want 3 or more", instances, received[a], LiveTimeout)
+			}
+		}
+		for _, a := range order.remote {
+			if received[a] < 1 {
+				t.Errorf("%d instances: one of another data centre got none in %v", instances, LiveTimeout)
+			}
+		}
+	}
+}
