--- a/edge/gossip/node.go
+++ b/edge/gossip/node.go
@@ -309,12 +309,21 @@
 	}
 }
 
+// receive records a message, and returns the sender as it is known now. See members.receive.
+func (n *Node) receive(m message, digest catalog.Digest, now time.Time) (peer member, isNew, becameLive bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	known, isNew, becameLive := n.members.receive(m, digest, now)
+	if !isNew {
+		return member{}, false, false
+	}
+	return *known, true, becameLive
+}
+
 // handleMessage processes a message that is not a summary.
 func (n *Node) handleMessage(m message, now time.Time) {
 	digest := m.digest(n.opts.Catalog.Digest())
-	n.mu.Lock()
-	peer, isNew, becameLive := n.members.receive(m, digest, now)
-	n.mu.Unlock()
+	peer, isNew, becameLive := n.receive(m, digest, now)
 	if !isNew {
 		return
 	}
@@ -327,5 +336,5 @@
 	n.opts.ReceiveListedVersions(m.Listed)
 	n.opts.ReceiveLeavingServers(m.LeavingServers, now)
 	n.opts.OnChange("peer "+m.Name, n.opts.Catalog.EnterEra(objects.Version{Era: digest.Era, Revision: m.Revision}, now))
-	n.fetchIfBehind(*peer)
+	n.fetchIfBehind(peer)
 }
