Mend what a reading of the whole change found in tests and stand-ins

Cause: found when the change since was read as a newcomer would, with each new check tried against a broken copy of the code.

- The odd entries stood in edge with the platform's wire names; they are in platform/platformtest now.

Ruled out: a change of behaviour.

Conclusion: no fault of the product was found; no bound was loosened.

--- a/edge/gossip/round_cost_test.go
+++ b/edge/gossip/round_cost_test.go
@@ -68,7 +68,7 @@
 // of the instances: receiving them took most of the processor time at 195. Every other instance
 // still hears of this one often enough to count it as live.
 func TestEachRoundReachesMostInstances(t *testing.T) {
-	for _, instances := range []int{200, 400} {
+	for instances, limit := range map[int]int{200: 35, 400: 68} {
 		n := simulatedNode(instances)
 		order := n.members.ordered()
 		received := make(map[netip.AddrPort]int)
@@ -82,7 +82,6 @@
 				received[a]++
 			}
 		}
-		limit := len(order.local)/localCycleRounds + len(order.remote)/remoteCycleRounds + 2
 		if perRound := sent / rounds; perRound > limit {
 			t.Errorf("%d instances: %d datagrams a round, want at most %d", instances, perRound, limit)
 		}
--- a/edge/odd_entries_test.go
+++ b/edge/odd_entries_test.go
@@ -9,49 +9,6 @@
 	"bergamotpin.example/bergamotpin/platform/platformtest"
 )
 
-// oddSpecs are specs of another writer, none of which names a server to use. %s is the address
-// of a server that runs.
-var oddSpecs = map[string]string{
-	"deep":         strings.Repeat("[", 20000) + strings.Repeat("]", 20000),
-	"deep-member":  `{"service":"s","x":` + strings.Repeat(`{"a":`, 20000) + "1" + strings.Repeat("}", 20000) + "}",
-	"null":         "null",
-	"text":         `"servers"`,
-	"bytes":        "{\"service\":\"\x00\xff\"}",
-	"slots-1e400":  oddEntry("127.0.0.9:1", "v1", "dc1", "1e400"),
-	"slots-1e18":   oddEntry("127.0.0.9:1", "v1", "dc1", "1000000000000000000"),
-	"slots-max":    oddEntry("127.0.0.9:1", "v1", "dc1", "9223372036854775807"),
-	"port-70000":   oddEntry("127.0.0.9:70000", "v1", "dc1", "64"),
-	"port-0":       oddEntry("127.0.0.9:0", "v1", "dc1", "64"),
-	"port-minus":   oddEntry("127.0.0.9:-1", "v1", "dc1", "64"),
-	"any-address":  oddEntry("0.0.0.0:80", "v1", "dc1", "64"),
-	"long-address": oddEntry(strings.Repeat("9", 70000), "v1", "dc1", "64"),
-	"long-version": oddEntry("127.0.0.9:1", strings.Repeat("v", 70000), "dc1", "64"),
-	"long-zone":    oddEntry("127.0.0.9:1", "v1", strings.Repeat("z", 70000), "64"),
-}
-
-func oddEntry(address, version, dataCentre, slots string) string {
-	return fmt.Sprintf(`{"service":"s","address":"%s","zone":"%s","version":"%s","slots":%s,"state":"ready","warmup_left_ms":0,"seq":1,"born":1}`,
-		address, dataCentre, version, slots)
-}
-
-// oddObjects are whole objects that can't be read.
-var oddObjects = map[string]string{
-	"no-object":    "7",
-	"null-object":  "null",
-	"odd-revision": `{"metadata":{"name":"odd-revision","revision":1e400},"spec":{}}`,
-	"deep-status":  `{"metadata":{"name":"deep-status","revision":1},"spec":{},"status":` + strings.Repeat("[", 20000) + strings.Repeat("]", 20000) + "}",
-}
-
-func putOddEntries(store *platformtest.Store, kind string) {
-	for name, spec := range oddSpecs {
-		store.Put(kind, name, spec)
-	}
-	store.Put(kind, strings.Repeat("n", 3000), oddSpecs["slots-1e400"])
-	for name, raw := range oddObjects {
-		store.PutOdd(kind, name, raw)
-	}
-}
-
 // TestOddEntryKeepsInstancesFromFollowingServers guards against one entry of another writer for
 // which all others can't be read: instances that run no longer follow the servers, and those that
 // start never become ready.
@@ -63,9 +20,11 @@
 	for _, i := range instances {
 		await(t, "ready", i.isReady)
 	}
-	putOddEntries(store, "servers")
-	putOddEntries(store, "config")
-	putOddEntries(store, "streams")
+	for _, kind := range []string{"servers", "config", "streams"} {
+		store.PutOddEntries(kind)
+	}
+	// Each of them is written again, so that all instances read it more than once.
+	store.PutOddEntries("servers")
 	joined := platformtest.NewBackendServer("i-2", "s")
 	t.Cleanup(joined.Close)
 	joined.SetBehaviour(platformtest.Behaviour{Events: 2})
@@ -97,4 +56,14 @@
 			t.Errorf("instance %d: got status %d, want 200", n, got.status)
 		}
 	}
+	log := instances[0].log.String()
+	if got := strings.Count(log, `"kind":"server","name":"deep"`); got != 1 {
+		t.Errorf("the deep entry is logged %d times, want once", got)
+	}
+	for line := range strings.Lines(log) {
+		const maxLine = 1000
+		if len(line) > maxLine {
+			t.Errorf("a log line of %d bytes begins %q, want %d at most", len(line), line[:100], maxLine)
+		}
+	}
 }
