Show that a deletion is lost when the watchers are killed beside it

Cause: only two instances follow the store. If both die with a deletion that they had not passed on, their next processes know nothing of the entry, and hold no tombstone. The others keep it: a fetch from a peer takes nothing away, and after an empty fetch nobody lists again.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,217 +1,154 @@
-// Command 1 sends prompts of the largest size that the operator allows. With the disruption, one
-// tenant sends several times its usual.
+// Command 1 kills four of seven instances, and takes a replica away while they start again.
 package main
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bergamotpin.example/bergamotpin/review/stand"
 )
 
 const (
-	instances = 2
-	// usualClients is the number of a tenant's clients at each instance, hotFactor what the
-	// disruption multiplies it with for hotTime.
-	usualClients = 10
-	hotFactor    = 7.5
-	hotTime      = 6500 * time.Millisecond
-	hotTimes     = 3
-	// maxPause is the longest pause of a client before it connects again.
-	maxPause = time.Second
-	// joinTime is the time over which the further clients come.
-	joinTime   = 1500 * time.Millisecond
-	usualTime  = 5 * time.Second
-	bodyBytes  = 4 << 20
-	chunkBytes = 64 << 10
-	// clientBits is what all clients of an instance send a second, in bits. It is below the
-	// 1,000 Mbit/s of the machine's link, so that no packet waits there.
-	clientBits = 800e6
-	// memoryMB is limits.memory_mb. The platform kills a process above it and starts it
-	// again after restartDelay.
-	memoryMB     = 284
+	// instances are those of the site. A share of 0.55 of them is killed: killed includes the two
+	// that follow the store, which are those with the lowest hashes of their names.
+	instances = 7
+	killed    = 4
+	replicas  = 4
+	// usualTime is longer than contact_ms, so that the machines are in touch.
+	usualTime = 5 * time.Second
+	// restartDelay is the time from the kill until the platform starts the processes again, as at
+	// the bench. removalDelay is that until the replica's entry is gone.
 	restartDelay = 500 * time.Millisecond
-	// prefillTime and eventTime are those of the stand-in engine, which makes eventCount events.
-	prefillTime = 400 * time.Millisecond
-	eventTime   = 40 * time.Millisecond
-	eventCount  = 30
-	// maxUnanswered is how many requests the rule LOST lets go unanswered. Under the rule
-	// Fault no day counts on which processes end by themselves maxEnds times, on a tenth of the
-	// machines and two at least.
-	maxUnanswered = 3
-	maxEnds       = 3
+	removalDelay = 250 * time.Millisecond
+	// drainTime is drain_ms. The replica goes on serving for serveTime after its entry is gone, and
+	// then ends.
+	drainTime = 2000 * time.Millisecond
+	serveTime = 10 * time.Second
+	afterTime = 3 * time.Second
+	// clients is the number at each instance. A replica works on an order for orderTime, and a
+	// client pauses for pauseTime before its next one.
+	clients   = 3
+	orderTime = 60 * time.Millisecond
+	pauseTime = 100 * time.Millisecond
 )
 
 const configuration = `{"version":1,"routes":[
-{"name":"dossier","host":"h.example","path_prefix":"/dossier/","type":"stream","timeout_ms":10000,"slo_ms":1500,"priority":2,"service":"loom","max_attempts":1,"public":false,"sticky":true,"resumable":false,"gap_target_ms":800}],
-"services":[{"name":"loom","health_path":"/healthz","max_conns":360,"engine":{"slots":64,"kv_capacity":654473,"stride":4}}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
-"tenants":[{"name":"museum","api_keys":["key-of-museum"],"priority":1}]}`
-
-// reached holds the IDs of the requests that a replica has received whole.
-type reached struct {
-	mu  sync.Mutex
-	ids map[string]bool
-}
+{"name":"certificate","host":"h.example","path_prefix":"/certificate/","type":"unsafe","timeout_ms":800,"slo_ms":100,"priority":2,"service":"ledger","max_attempts":1,"public":true}],
+"services":[{"name":"ledger","health_path":"/healthz","max_conns":100}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
 
-func (r *reached) add(id string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.ids[id] = true
+// world is what clients and replicas share.
+type world struct {
+	record *stand.Record
+	stop   chan struct{}
+
+	mu     sync.Mutex
+	number int
+	// removed is when the store acknowledged that the replica's entry is gone, or zero.
+	removed time.Time
+	// via holds the instance that took each request from its client, sent when it was sent.
+	via  map[string]*stand.Instance
+	sent map[string]time.Time
+	// calm are the instances that nothing was done to.
+	calm     map[*stand.Instance]bool
+	late     int
+	latest   time.Duration
+	statuses map[string]int
 }
 
-func (r *reached) has(id string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.ids[id]
+// note records that the replica that leaves got a request.
+func (w *world) note(request string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.removed.IsZero() || !w.sent[request].After(w.removed.Add(drainTime)) {
+		return
+	}
+	age := time.Since(w.removed)
+	via := w.via[request]
+	w.record.Linef("the replica that left got %s from %s %d ms after its entry was gone", request, via.Name, age.Milliseconds())
+	if w.calm[via] {
+		w.late++
+		w.latest = max(w.latest, age)
+	}
 }
 
-// engine is a sound model replica: it reads the prompt and then makes events.
-func engine(id string, got *reached, record *stand.Record) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
+// replica is a sound replica. leaving is the one that leaves.
+func (w *world) replica(id string, leaving bool) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		request := r.Header.Get("X-Bergamotpin-Request-Id")
-		w.Header().Set("X-Bergamotpin-Request-Id", request)
+		rw.Header().Set("X-Bergamotpin-Request-Id", request)
 		if r.Header.Get("X-Bergamotpin-Expect-Instance") != id {
-			w.WriteHeader(http.StatusMisdirectedRequest)
+			rw.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		if n, err := io.Copy(io.Discard, r.Body); err != nil || n != bodyBytes {
-			return
-		}
-		got.add(request)
-		record.Linef("replica %s got %s whole", id, request)
-		time.Sleep(prefillTime)
-		w.Header().Set("X-Bergamotpin-Server-Stamp", "stamp-"+id)
-		w.Header().Set("Content-Type", "text/event-stream")
-		for n := 1; n <= eventCount && r.Context().Err() == nil; n++ {
-			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, request)
-			_ = http.NewResponseController(w).Flush()
-			time.Sleep(eventTime)
+		_, _ = io.Copy(io.Discard, r.Body)
+		if leaving {
+			w.note(request)
 		}
-	}
-}
-
-// link paces what the clients of one instance send.
-type link struct {
-	mu   sync.Mutex
-	next time.Time
+		time.Sleep(orderTime)
+		rw.Header().Set("X-Bergamotpin-Server-Stamp", "stamp-"+id)
+		_, _ = fmt.Fprintf(rw, "certificate of %s", request)
+	})
 }
 
-func (l *link) wait(bytes int) {
-	l.mu.Lock()
-	now := time.Now()
-	if l.next.Before(now) {
-		l.next = now
-	}
-	l.next = l.next.Add(time.Duration(float64(bytes) * 8 / clientBits * float64(time.Second)))
-	at := l.next
-	l.mu.Unlock()
-	time.Sleep(time.Until(at))
-}
-
-// world is what the clients share.
-type world struct {
-	record     *stand.Record
-	got        *reached
-	sent       atomic.Int64
-	whole      atomic.Int64
-	unanswered atomic.Int64
-	cut        atomic.Int64
-	refused    atomic.Int64
-	kills      [instances]atomic.Int64
-	done       chan struct{}
-}
-
-// client sends one request after the other on a kept connection until stop is closed.
-func (w *world) client(address string, l *link, stop <-chan struct{}) {
-	for !closed(stop) {
-		conn, err := net.DialTimeout("tcp4", address, time.Second)
+// client sends one request after the other on kept connections to an instance.
+func (w *world) client(i *stand.Instance) {
+	for !w.stopped() {
+		conn, err := net.DialTimeout("tcp4", i.Callers, time.Second)
 		if err != nil {
-			time.Sleep(100 * time.Millisecond)
+			time.Sleep(pauseTime)
 			continue
 		}
 		reader := bufio.NewReader(conn)
-		for kept := false; !closed(stop) && w.send(conn, reader, l, kept); {
-			kept = true
+		for !w.stopped() && w.send(i, conn, reader) {
+			time.Sleep(pauseTime)
 		}
 		_ = conn.Close()
-		time.Sleep(rand.N(maxPause))
 	}
 }
 
 // send sends one request and returns whether the connection can be used again.
-func (w *world) send(conn net.Conn, reader *bufio.Reader, l *link, kept bool) bool {
-	id := fmt.Sprintf("request-%d", w.sent.Add(1))
-	_ = conn.SetDeadline(time.Now().Add(11 * time.Second))
-	_, err := fmt.Fprintf(conn, "POST /dossier/1 HTTP/1.1\r\nHost: h.example\r\nX-Bergamotpin-Request-Id: %s\r\nX-Bergamotpin-Model: m\r\nX-Bergamotpin-Token-Count: 17020,120\r\nX-Bergamotpin-Prefix-Hash: 5c1e07a2:13300,91bd3f06:3720\r\nX-Bergamotpin-Deadline-Ms: 10000\r\nX-Api-Key: key-of-museum\r\nTransfer-Encoding: chunked\r\n\r\n", id)
-	chunk := make([]byte, chunkBytes)
-	for sent := 0; sent < bodyBytes && err == nil; sent += chunkBytes {
-		l.wait(chunkBytes)
-		if _, err = fmt.Fprintf(conn, "%x\r\n", chunkBytes); err == nil {
-			_, err = conn.Write(append(chunk, '\r', '\n'))
-		}
-	}
+func (w *world) send(i *stand.Instance, conn net.Conn, reader *bufio.Reader) bool {
+	w.mu.Lock()
+	w.number++
+	id := fmt.Sprint("certificate-", w.number)
+	w.via[id], w.sent[id] = i, time.Now()
+	w.mu.Unlock()
+	body := "about " + id
+	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
+	_, err := fmt.Fprintf(conn, "POST /certificate/1 HTTP/1.1\r\nHost: h.example\r\nX-Bergamotpin-Request-Id: %s\r\nX-Bergamotpin-Deadline-Ms: 1500\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+	var response *http.Response
 	if err == nil {
-		_, err = io.WriteString(conn, "0\r\n\r\n")
+		response, err = http.ReadResponse(reader, nil)
 	}
-	w.record.Linef("client sent %s whole, kept connection %v, error %v", id, kept, err)
-	response, err := http.ReadResponse(reader, nil)
-	if err != nil {
-		passedOn := w.got.has(id)
-		w.record.Linef("client got no answer to %s, kept connection %v, passed on to a replica %v: %v", id, kept, passedOn, err)
-		if kept && passedOn {
-			w.unanswered.Add(1)
-		}
-		return false
+	status := "no answer"
+	if err == nil {
+		status = fmt.Sprint(response.StatusCode)
+		_, err = io.Copy(io.Discard, response.Body)
 	}
-	_, err = io.Copy(io.Discard, response.Body)
-	w.record.Linef("client got status %d to %s, error %v", response.StatusCode, id, err)
-	switch {
-	case err != nil:
-		w.cut.Add(1)
-	case response.StatusCode == http.StatusOK:
-		w.whole.Add(1)
-	default:
-		w.refused.Add(1)
+	w.record.Linef("%s sent to %s: %s, error %v", id, i.Name, status, err)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.calm[i] {
+		w.statuses[status]++
 	}
 	return err == nil && !response.Close
 }
 
-// enforceMemory is the platform's part: it kills the process above its memory, and starts it again.
-func (w *world) enforceMemory(n int, i *stand.Instance) {
-	peak := 0
-	for !closed(w.done) {
-		used := i.MemoryKB() / 1024
-		peak = max(peak, used)
-		if used > memoryMB {
-			w.record.Linef("platform: %s uses %d MB, limits.memory_mb is %d: killed", i.Name, used, memoryMB)
-			w.kills[n].Add(1)
-			i.Signal(syscall.SIGKILL)
-			for !i.Ended() {
-				time.Sleep(time.Millisecond)
-			}
-			time.Sleep(restartDelay)
-			if i.Start() != nil {
-				return
-			}
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
-	w.record.Resultf("%s: killed %d times, peak %d MB", i.Name, w.kills[n].Load(), peak)
-}
-
-func closed(c <-chan struct{}) bool {
+func (w *world) stopped() bool {
 	select {
-	case <-c:
+	case <-w.stop:
 		return true
 	default:
 		return false
@@ -219,19 +156,24 @@
 }
 
 func run() int {
-	w := &world{record: stand.NewRecord("1"), got: &reached{ids: make(map[string]bool)}, done: make(chan struct{})}
+	w := &world{
+		record: stand.NewRecord("1"), stop: make(chan struct{}), via: make(map[string]*stand.Instance), sent: make(map[string]time.Time),
+		calm: make(map[*stand.Instance]bool), statuses: make(map[string]int),
+	}
 	store, err := stand.StartStore()
 	if err != nil {
 		return stand.ExitNotRun
 	}
-	for n := range 4 {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	var leaving *stand.Replica
+	for n := range replicas {
+		id := fmt.Sprint("ledger-", n)
+		replica, err := stand.StartReplica(store, id, "ledger", 6, w.replica(id, n == 0))
 		if err != nil {
 			return stand.ExitNotRun
 		}
-		id := fmt.Sprintf("i-%d", n)
-		go func() { _ = http.Serve(listener, engine(id, w.got, w.record)) }()
-		store.Put("servers", id, fmt.Sprintf(`{"service":"loom","address":%q,"zone":"ro-central-a","version":"v1","slots":64,"state":"ready","warmup_left_ms":0,"seq":1,"born":1}`, listener.Addr().String()))
+		if n == 0 {
+			leaving = replica
+		}
 	}
 	store.Put("config", "main", configuration)
 	fleet, err := stand.StartFleet(store.Address, instances)
@@ -242,57 +184,56 @@
 		fmt.Fprintln(os.Stderr, err)
 		return stand.ExitNotRun
 	}
-	var usual, hot, platform sync.WaitGroup
-	stopUsual := make(chan struct{})
-	links := [instances]link{}
-	for n, i := range fleet.Instances {
-		platform.Go(func() { w.enforceMemory(n, i) })
-		for range usualClients {
-			usual.Go(func() { w.client(i.Callers, &links[n], stopUsual) })
-		}
+	ordered := slices.SortedFunc(slices.Values(fleet.Instances), func(a, b *stand.Instance) int {
+		return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
+	})
+	for _, i := range ordered[killed:] {
+		w.calm[i] = true
 	}
-	for range hotTimes {
-		time.Sleep(usualTime)
-		stopHot := make(chan struct{})
-		if stand.WithTrouble() {
-			w.record.Resultf("the tenant sends %.1f times its usual for %v", hotFactor, hotTime)
-			for n, i := range fleet.Instances {
-				more := int(usualClients*hotFactor) - usualClients
-				for k := range more {
-					hot.Go(func() {
-						time.Sleep(time.Duration(k) * joinTime / time.Duration(more))
-						w.client(i.Callers, &links[n], stopHot)
-					})
-				}
-			}
+	var running sync.WaitGroup
+	for _, i := range fleet.Instances {
+		for range clients {
+			running.Go(func() { w.client(i) })
 		}
-		time.Sleep(hotTime)
-		close(stopHot)
-		hot.Wait()
 	}
 	time.Sleep(usualTime)
-	close(stopUsual)
-	usual.Wait()
-	close(w.done)
-	platform.Wait()
-	w.record.Resultf("%d requests sent, %d answered whole, %d refused or failed, %d cut in the answer; %d on kept connections were passed on to a sound replica and got no answer, at most %d allowed",
-		w.sent.Load(), w.whole.Load(), w.refused.Load(), w.cut.Load(), w.unanswered.Load(), maxUnanswered)
-	ending := 0
-	for n := range w.kills {
-		if w.kills[n].Load() >= maxEnds {
-			ending++
+	began := time.Now()
+	if stand.WithTrouble() {
+		w.record.Resultf("%d of %d instances are killed", killed, instances)
+		for _, i := range ordered[:killed] {
+			i.Signal(syscall.SIGKILL)
 		}
 	}
-	code := stand.ExitHeld
-	if ending >= instances {
-		w.record.Resultf("Fault: processes ended by themselves %d times or more at %d of %d machines", maxEnds, ending, instances)
-		code = stand.ExitBroken
-	}
-	if w.unanswered.Load() > maxUnanswered {
-		w.record.Resultf("LOST is broken")
-		code = stand.ExitBroken
-	}
-	return code
+	time.Sleep(removalDelay)
+	store.Delete("servers", leaving.ID)
+	removed := time.Now()
+	w.mu.Lock()
+	w.removed = removed
+	w.mu.Unlock()
+	w.record.Resultf("the entry of %s is gone, %v later; it goes on serving for %v", leaving.ID, removalDelay, serveTime)
+	time.Sleep(time.Until(began.Add(restartDelay)))
+	if stand.WithTrouble() {
+		for _, i := range ordered[:killed] {
+			i.AwaitEnd()
+			if i.Start() != nil {
+				return stand.ExitNotRun
+			}
+		}
+		w.record.Resultf("they start again, %v after the kill", restartDelay)
+	}
+	time.Sleep(time.Until(removed.Add(serveTime)))
+	leaving.End()
+	w.record.Resultf("%s has ended", leaving.ID)
+	time.Sleep(afterTime)
+	close(w.stop)
+	running.Wait()
+	w.record.Resultf("the %d instances that nothing was done to answered %v", instances-killed, w.statuses)
+	w.record.Resultf("%d requests, taken by these instances later than %v after the entry was gone, reached the replica, the last one %v after it", w.late, drainTime, w.latest.Round(time.Millisecond))
+	if w.late > 0 {
+		w.record.Resultf("DRAIN is broken")
+		return stand.ExitBroken
+	}
+	return stand.ExitHeld
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand/instance.go
+++ b/review/stand/instance.go
@@ -205,6 +205,9 @@
 	}
 }
 
+// AwaitEnd waits until the process has ended.
+func (i *Instance) AwaitEnd() { <-i.ended }
+
 // MemoryKB returns the resident memory of the process in KB, or 0 if it has ended.
 func (i *Instance) MemoryKB() int {
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", i.cmd.Process.Pid))
