Log fetches from peers that bring nothing new

The logs did not tell two hypotheses apart: that the others never fetch from the instances that listed the store anew, or that they fetch and learn nothing.

The line is written once for each pair of digests, so it is bounded.

--- a/edge/gossip/record_fetch.go
+++ b/edge/gossip/record_fetch.go
@@ -126,6 +126,9 @@
 // recordEmptyFetch notes that a fetch from a peer brought nothing new. Nothing is fetched
 // from it again until the records of either side change.
 func (n *Node) recordEmptyFetch(peer member, own catalog.Digest) {
+	n.opts.Log.Info("fetch from peer brought nothing new", "peer", peer.Name,
+		"servers_digest", own.Servers, "peer_servers_digest", peer.Digest.Servers,
+		"configuration", own.Configuration.Operator, "peer_configuration", peer.Digest.Configuration.Operator)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if known := n.members.all[peer.Address]; known != nil {
