Take what a peer's whole records lack as deleted

Cause: a deletion reached peers as a tombstone or not at all. A process that starts after the deletion lists the servers without the entry and has no tombstone to pass on; peers fetched its records and merged them one by one, so that absence said nothing. Trace: the line 'fetch from peer brought nothing new', four times at each of the three survivors, with digests that differed for good; then nothing was fetched or asked for again. Ruled out: that they did not fetch, and that the new processes had the entry.

Instances now state with their records the version up to which these are whole. What a peer lacks below it was deleted; the version is taken over with the records, and a tombstone is dropped only when it is covered. Why this works: the version is read together with the records, so they reflect every change up to it; a list of the store is used the same way.

A first form failed the model after 19,112 tries: a peer's tombstone of an older era counted as an entry in its list. Only entries of the list's era do now.

TestTombstonesExpire asked that a tombstone of a catalog with no complete version is dropped. Nothing would then say that the server was deleted, so it is kept there now; the test asks both, and that the server stays gone.

--- a/edge/catalog/catalog.go
+++ b/edge/catalog/catalog.go
@@ -56,9 +56,9 @@
 	servers       map[string]Record
 	// deletedAt holds the time at which the deletion of each deleted server was merged.
 	deletedAt map[string]time.Time
-	// complete is a version up to which all server records are known. If a record of an
-	// unknown server is not above this version, the server was deleted after that record
-	// was written.
+	// complete is a version up to which all changes of servers are known, from the store or
+	// from a peer. If a record of an unknown server is not above this version, the server was
+	// deleted after that record was written.
 	complete objects.Version
 	// digest is the sum of the hashes of servers and departures.
 	digest uint64
@@ -90,21 +90,6 @@
 	return c.configuration, c.configuration.Revision > 0
 }
 
-// ServerRecords returns the records of all servers, tombstones included, and then the
-// departures.
-func (c *Catalog) ServerRecords() []Record {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	records := make([]Record, 0, len(c.servers))
-	for _, r := range c.servers {
-		records = append(records, r)
-	}
-	for _, d := range c.departures {
-		d.record.Hides = d.hides.Revision
-		records = append(records, d.record)
-	}
-	return records
-}
 
 // Merge merges records from any source, and returns what they and the passing of time
 // changed. Merge without records has to be called from time to time.
@@ -142,22 +127,35 @@
 		return nil
 	}
 	records = stampEra(records, version.Era)
-	listed := make(map[string]bool, len(records))
 	for n := range records {
 		records[n].FromList = true
-		listed[records[n].Name] = true
-	}
-	for name, known := range c.servers {
-		if !listed[name] && !known.Deleted && known.Era == version.Era && known.Revision <= version.Revision {
-			records = append(records, Record{Kind: KindServer, Name: name, Revision: version.Revision, Era: version.Era, Deleted: true})
-		}
 	}
+	records = append(records, c.deletionsOfUnlisted(records, version)...)
 	if version.After(c.complete) {
 		c.complete = version
 	}
 	return append(changes, c.merge(records, objects.Version{}, now)...)
 }
 
+// deletionsOfUnlisted returns a deletion for each known server that a complete list as of a
+// version lacks. A server whose record is newer than the list, or of another era, has none.
+// Records of another era and deletions are not part of the list.
+func (c *Catalog) deletionsOfUnlisted(list []Record, version objects.Version) []Record {
+	listed := make(map[string]bool, len(list))
+	for _, r := range list {
+		if !r.Deleted && r.Era == version.Era {
+			listed[r.Name] = true
+		}
+	}
+	var deletions []Record
+	for name, known := range c.servers {
+		if !listed[name] && !known.Deleted && known.Era == version.Era && known.Revision <= version.Revision {
+			deletions = append(deletions, Record{Kind: KindServer, Name: name, Revision: version.Revision, Era: version.Era, Deleted: true})
+		}
+	}
+	return deletions
+}
+
 // merge applies each record that is newer than the known one. A record of an unknown
 // server is applied only if its version is above after.
 func (c *Catalog) merge(records []Record, after objects.Version, now time.Time) []Change {
@@ -273,13 +271,14 @@
 }
 
 // dropTombstones removes deleted servers from the snapshot after
-// MissingEntryGrace. It removes their records after tombstoneRetention.
+// MissingEntryGrace. It removes their records after tombstoneRetention, if complete says from
+// then on that the servers were deleted.
 func (c *Catalog) dropTombstones(next *Snapshot, now time.Time) {
 	for name, deletedAt := range c.deletedAt {
 		if now.Sub(deletedAt) > MissingEntryGrace {
 			delete(next.Servers, name)
 		}
-		if now.Sub(deletedAt) > tombstoneRetention {
+		if now.Sub(deletedAt) > tombstoneRetention && !c.servers[name].Version().After(c.complete) {
 			delete(c.servers, name)
 			delete(c.deletedAt, name)
 		}
--- a/edge/catalog/catalog_test.go
+++ b/edge/catalog/catalog_test.go
@@ -170,17 +170,24 @@
 }
 
 // TestTombstonesExpire checks that the record of a deleted server is kept for
-// tombstoneRetention and then dropped.
+// tombstoneRetention and then dropped, but not before all changes up to the deletion are known:
+// until then nothing else says that the server was deleted.
 func TestTombstonesExpire(t *testing.T) {
 	catalog := New(plainDecoder{})
 	catalog.Merge([]Record{serverRecord("a", 2, BackendServer{}), deletedServer("a", 3)}, start)
-	if n := len(catalog.ServerRecords()); n != 1 {
+	if n := len(catalog.Servers().Records); n != 1 {
 		t.Fatalf("got %d records, want 1, the tombstone of a", n)
 	}
-	catalog.Merge([]Record{serverRecord("b", 4, BackendServer{})}, start.Add(tombstoneRetention+time.Second))
-	if n := len(catalog.ServerRecords()); n != 1 {
+	late := start.Add(tombstoneRetention + time.Second)
+	catalog.MergeEvents([]Record{serverRecord("b", 1, BackendServer{})}, objects.Version{Revision: 2}, late)
+	catalog.Merge([]Record{serverRecord("a", 2, BackendServer{})}, late)
+	expectEqual(t, "usable with the changes up to 2 known", availableIDs(catalog, late), "[b]")
+	catalog.MergeEvents([]Record{serverRecord("b", 4, BackendServer{})}, objects.Version{Revision: 4}, late)
+	if n := len(catalog.Servers().Records); n != 1 {
 		t.Errorf("got %d records, want 1, the record of b", n)
 	}
+	catalog.Merge([]Record{serverRecord("a", 2, BackendServer{})}, late)
+	expectEqual(t, "usable with the changes up to 4 known", availableIDs(catalog, late), "[b]")
 }
 
 // TestMergeOrderDoesNotMatter merges the same records in random orders, each of
--- a/edge/catalog/doc.go
+++ b/edge/catalog/doc.go
@@ -20,6 +20,8 @@
 //   - A server that announced that it leaves, or whose entry was deleted, is used
 //     again only after a record with a higher version. The entry of an older copy does
 //     not count as one, for departureHold.
+//   - Catalogs that teach each other agree on which servers were deleted, also if no catalog
+//     is left that saw the deletion: PeerServers states up to which version it is whole.
 //   - A server that the store has lost is used for entryReturnTime more.
 //
 // Readers use an immutable Snapshot.
--- a/edge/catalog/era_model_test.go
+++ b/edge/catalog/era_model_test.go
@@ -224,7 +224,9 @@
 	m.noteEra(to)
 	own := to.catalog.Digest()
 	if peer.Era >= own.Era && peer.Servers != own.Servers {
-		to.catalog.Merge(asSent(from.catalog.ServerRecords()), m.now)
+		taught := from.catalog.Servers()
+		taught.Records = asSent(taught.Records)
+		to.catalog.MergePeer(taught, m.now)
 	}
 	if peer.Configuration.After(own.Configuration) {
 		r, _ := from.catalog.ConfigurationRecord()
@@ -242,23 +244,29 @@
 }
 
 // converge lets the time pass that the pages give, with everything reachable and written
-// again.
-func (m *model) converge() {
+// again. Only one instance reads the store: the others learn from their peers.
+func (m *model) converge(reader *modelInstance) {
 	m.writeAgain()
 	for _, i := range m.instances {
 		i.cut = false
 	}
+	m.exchange(reader)
+	m.now = m.now.Add(departureHold + time.Second)
+	m.exchange(reader)
+	m.now = m.now.Add(MissingEntryGrace)
+}
+
+// exchange lets one instance read the store, and all learn from each other.
+func (m *model) exchange(reader *modelInstance) {
 	for range modelQuietRounds {
-		for _, i := range m.instances {
-			m.poll(i)
+		m.poll(reader)
+		for _, to := range m.instances {
+			for _, from := range m.instances {
+				m.gossip(to, from)
+			}
+			to.catalog.Merge(nil, m.now)
 		}
 	}
-	m.now = m.now.Add(departureHold + time.Second)
-	for _, i := range m.instances {
-		m.poll(i)
-		i.catalog.Merge(nil, m.now)
-	}
-	m.now = m.now.Add(MissingEntryGrace)
 }
 
 // check compares an instance with what it may not go back on.
@@ -317,7 +325,7 @@
 				}
 			},
 		})
-		m.converge()
+		m.converge(m.instances[instance(t)])
 		m.checkConverged(t)
 	})
 }
--- a/edge/catalog/era_test.go
+++ b/edge/catalog/era_test.go
@@ -141,7 +141,7 @@
 	// The deletion has to reach peers that still use the server.
 	peer := New(plainDecoder{})
 	peer.Merge([]Record{in(firstEra, serverRecord("a", 90, BackendServer{})), in(firstEra, serverRecord("b", 91, BackendServer{}))}, start)
-	peer.Merge(c.ServerRecords(), late)
+	peer.Merge(c.Servers().Records, late)
 	expectEqual(t, "usable at the peer", availableIDs(peer, late), "[b]")
 }
 
@@ -162,7 +162,7 @@
 		if order == "copy first" {
 			peer.MergeServerList([]Record{ready(secondEra, "a", 40, 1), ready(secondEra, "b", 41, 1)}, at(secondEra, 50), start)
 		}
-		peer.Merge(c.ServerRecords(), start)
+		peer.Merge(c.Servers().Records, start)
 		if order == "copy last" {
 			peer.MergeServerList([]Record{ready(secondEra, "a", 40, 1), ready(secondEra, "b", 41, 1)}, at(secondEra, 50), start)
 		}
@@ -244,7 +244,7 @@
 	c.MergeServerList([]Record{in(firstEra, serverRecord("a", 40, BackendServer{Leaving: true}))}, at(firstEra, 50), start)
 	expectEqual(t, "usable", availableIDs(c, start), "[b]")
 	// b's record must not look as if it had no era, which would mean the peer's.
-	for _, r := range c.ServerRecords() {
+	for _, r := range c.Servers().Records {
 		if r.Name == "b" && r.Era != objects.EraBeforeFirst {
 			t.Errorf("got era %d for the record from before the first era, want %d", r.Era, objects.EraBeforeFirst)
 		}
@@ -276,7 +276,7 @@
 	expectEqual(t, "usable", availableIDs(c, start), "[b]")
 	peer := New(plainDecoder{})
 	peer.MergeServerList(copied, at(secondEra, 50), start)
-	peer.Merge(c.ServerRecords(), start)
+	peer.Merge(c.Servers().Records, start)
 	expectEqual(t, "usable at a peer", availableIDs(peer, start), "[b]")
 	c.MergeEvents([]Record{entry(secondEra, "a", 51, 2)}, at(secondEra, 51), start)
 	expectEqual(t, "usable after a wrote again", availableIDs(c, start), "[a b]")
@@ -290,11 +290,11 @@
 	c.MergeEvents([]Record{in(firstEra, deletedServer("a", 95))}, at(firstEra, 95), start)
 	peer := New(plainDecoder{})
 	peer.MergeServerList([]Record{in(secondEra, serverRecord("a", 40, BackendServer{})), in(secondEra, serverRecord("b", 41, BackendServer{}))}, at(secondEra, 50), start)
-	c.Merge(peer.ServerRecords(), start)
+	c.Merge(peer.Servers().Records, start)
 	expectEqual(t, "usable", availableIDs(c, start), "[b]")
 	// A later entry was written after the step back.
 	peer.MergeEvents([]Record{in(secondEra, serverRecord("a", 51, BackendServer{}))}, at(secondEra, 51), start)
-	c.Merge(peer.ServerRecords(), start)
+	c.Merge(peer.Servers().Records, start)
 	expectEqual(t, "usable after a wrote again", availableIDs(c, start), "[a b]")
 }
 
@@ -309,6 +309,6 @@
 	c := New(plainDecoder{})
 	c.MergeServerList(copied, at(secondEra, 50), start)
 	c.MergeEvents([]Record{in(secondEra, serverRecord("a", 51, BackendServer{}))}, at(secondEra, 51), start)
-	c.Merge(peer.ServerRecords(), start)
+	c.Merge(peer.Servers().Records, start)
 	expectEqual(t, "usable", availableIDs(c, start), "[a b]")
 }
--- a/edge/gossip/builds_test.go
+++ b/edge/gossip/builds_test.go
@@ -55,8 +55,8 @@
 		if err != nil || !s.Summary || len(s.Reports) != 2 || s.Reports[1].Key != 3 {
 			t.Errorf("%s: got the summary %+v, error %v", build, s, err)
 		}
-		records, err := decodeRecords(written(t, build, "records.cbor"))
-		if err != nil || len(records) != 2 || records[0].Revision != 3 || records[1].Name != "text" {
+		records, whole, err := decodeRecords(written(t, build, "records.cbor"))
+		if err != nil || !whole || len(records) != 2 || records[0].Revision != 3 || records[1].Name != "text" {
 			t.Errorf("%s: got the records %+v, error %v", build, records, err)
 		}
 	}
--- a/edge/gossip/decode_fuzz_test.go
+++ b/edge/gossip/decode_fuzz_test.go
@@ -30,13 +30,13 @@
 	f.Add([]byte{0x9f, 0x01})
 	f.Fuzz(func(t *testing.T, odd []byte) {
 		if cbor.Unmarshal(append([]byte{0x81}, odd...), new([]any)) != nil {
-			_, _ = decodeRecords(odd)
+			_, _, _ = decodeRecords(odd)
 			return
 		}
 		// An array of three, put together from its bytes.
 		raw := slices.Concat([]byte{0x83}, sound, odd, sound)
-		records, err := decodeRecords(raw)
-		if err != nil || len(records) < 2 || records[0].Name != "i-1" || records[len(records)-1].Revision != 7 {
+		records, whole, err := decodeRecords(raw)
+		if err != nil || whole != (len(records) == 3) || len(records) < 2 || records[0].Name != "i-1" || records[len(records)-1].Revision != 7 {
 			t.Errorf("beside %x: got %v, error %v; want the two sound records", odd, records, err)
 		}
 	})
--- a/edge/gossip/record_fetch.go
+++ b/edge/gossip/record_fetch.go
@@ -3,20 +3,27 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
 	"bergamotpin.example/bergamotpin/edge/catalog"
+	"bergamotpin.example/bergamotpin/objects"
 )
 
 const (
 	pathConfiguration = "/configuration"
 	pathServers       = "/servers"
+	// headerComplete states, in the response to pathServers, catalog.PeerServers.Complete as
+	// "ERA/REVISION". Instances of the version before don't send it.
+	headerComplete = "Complete-Version"
 	// fetchTimeout bounds one request to a peer.
 	fetchTimeout = 600 * time.Millisecond
 	// fetchIdleTimeout is how long an idle connection to a peer is kept open.
@@ -48,7 +55,9 @@
 		n.writeRecords(w, []catalog.Record{record})
 	})
 	mux.HandleFunc("GET "+pathServers, func(w http.ResponseWriter, _ *http.Request) {
-		n.writeRecords(w, n.opts.Catalog.ServerRecords())
+		servers := n.opts.Catalog.Servers()
+		w.Header().Set(headerComplete, formatVersion(servers.Complete))
+		n.writeRecords(w, servers.Records)
 	})
 	return mux
 }
@@ -139,50 +148,75 @@
 // fetch merges a peer's records into the catalog. It returns the number of changes,
 // or -1 if the request failed.
 func (n *Node) fetch(peer member, path string) int {
-	records, err := n.get("http://" + peer.Address.String() + path)
+	taught, err := n.get("http://" + peer.Address.String() + path)
 	if err != nil {
 		n.opts.Log.Warn("failed to fetch records from peer", "peer", peer.Name, "path", path, "error", err.Error())
 		return -1
 	}
-	changes := n.opts.Catalog.Merge(records, time.Now())
+	changes := n.opts.Catalog.MergePeer(taught, time.Now())
 	n.opts.OnChange("peer "+peer.Name, changes)
 	return len(changes)
 }
 
-func (n *Node) get(url string) ([]catalog.Record, error) {
+// get requests a peer's records. Those that can't be decoded are left out, and then nothing
+// follows from the absence of a record.
+func (n *Node) get(url string) (catalog.PeerServers, error) {
+	var none catalog.PeerServers
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return nil, err
+		return none, err
 	}
 	resp, err := n.client.Do(req)
 	if err != nil {
-		return nil, err
+		return none, err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("unexpected HTTP status %d", resp.StatusCode)
+		return none, errors.Errorf("unexpected HTTP status %d", resp.StatusCode)
 	}
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxFetchBytes))
 	if err != nil {
-		return nil, err
+		return none, err
 	}
-	return decodeRecords(raw)
+	records, whole, err := decodeRecords(raw)
+	if err != nil {
+		return none, err
+	}
+	taught := catalog.PeerServers{Records: records}
+	if whole {
+		taught.Complete = parseVersion(resp.Header.Get(headerComplete))
+	}
+	return taught, nil
 }
 
-// decodeRecords decodes the records of a peer. Those that can't be decoded are left out.
-func decodeRecords(raw []byte) ([]catalog.Record, error) {
+// decodeRecords decodes the records of a peer. Those that can't be decoded are left out;
+// whole reports that there are none of them.
+func decodeRecords(raw []byte) (records []catalog.Record, whole bool, err error) {
 	var items []cbor.RawMessage
 	if err := cbor.Unmarshal(raw, &items); err != nil {
-		return nil, errors.Wrap(errMalformed, err.Error())
+		return nil, false, errors.Wrap(errMalformed, err.Error())
 	}
-	records := make([]catalog.Record, 0, len(items))
+	records = make([]catalog.Record, 0, len(items))
 	for _, item := range items {
 		var r catalog.Record
 		if cbor.Unmarshal(item, &r) == nil {
 			records = append(records, r)
 		}
 	}
-	return records, nil
+	return records, len(records) == len(items), nil
+}
+
+func formatVersion(v objects.Version) string { return fmt.Sprintf("%d/%d", v.Era, v.Revision) }
+
+// parseVersion returns the zero version if the text is not one of formatVersion.
+func parseVersion(text string) objects.Version {
+	era, revision, _ := strings.Cut(text, "/")
+	e, eraErr := strconv.ParseInt(era, 10, 64)
+	r, revisionErr := strconv.ParseInt(revision, 10, 64)
+	if eraErr != nil || revisionErr != nil {
+		return objects.Version{}
+	}
+	return objects.Version{Era: objects.Era(e), Revision: r}
 }
