--- a/config/peer_messages.go
+++ b/config/peer_messages.go
@@ -29,7 +29,8 @@
 }
 
 // RecordPage is one page of the requested records, ordered by bucket, then by
-// key. More says that there are records after this page.
+// key. CompleteVersion is that of the store when it made the page. More says that
+// there are records after this page.
 type RecordPage struct {
 	CompleteVersion int64    `cbor:"1,keyasint"`
 	Records         []Record `cbor:"2,keyasint"`
--- a/config/sync.go
+++ b/config/sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -38,6 +39,9 @@
 // errPeerNotReady reports that a peer does not hold the whole configuration yet.
 var errPeerNotReady = errors.New("config: peer is not ready")
 
+// errPeerRestarted reports that a peer's records reflect less than its digest said.
+var errPeerRestarted = errors.New("config: peer restarted between its digest and its records")
+
 // Peer is another instance that is believed to be alive.
 type Peer struct {
 	Address    netip.AddrPort
@@ -261,9 +265,13 @@
 		return err
 	}
 	if buckets := differingBuckets(s.Store.Digest().Sums, peerDigest.Sums); len(buckets) > 0 {
-		if err := s.fetchBuckets(ctx, p, buckets, peerDigest.CompleteVersion); err != nil {
+		complete, err := s.fetchBuckets(ctx, p, buckets)
+		if err != nil {
 			return err
 		}
+		if complete < peerDigest.CompleteVersion {
+			return errPeerRestarted
+		}
 	}
 	s.Store.RaiseCompleteVersion(peerDigest.CompleteVersion)
 	if !peerDigest.Ready {
@@ -273,22 +281,26 @@
 }
 
 // fetchBuckets fetches a peer's records of the buckets, page by page, and merges
-// them once all have arrived.
-func (s *Sync) fetchBuckets(ctx context.Context, p Peer, buckets []int, peerCompleteVersion int64) error {
+// them once all have arrived. It returns the version up to which these records
+// reflect every write in the buckets. That is the lowest of the pages' versions:
+// several processes may have sent them, if the peer restarted in between.
+func (s *Sync) fetchBuckets(ctx context.Context, p Peer, buckets []int) (int64, error) {
 	s.Store.Counters.FetchedBuckets.Add(int64(len(buckets)))
 	req := FetchRequest{Buckets: buckets}
+	complete := int64(math.MaxInt64)
 	var records []Record
 	for {
 		page, err := callPeerWithRetries[FetchRequest, RecordPage](ctx, s.Transport, p, peer.KindConfigFetch, req)
 		if err != nil {
-			return err
+			return noCompleteVersion, err
 		}
+		complete = min(complete, page.CompleteVersion)
 		records = append(records, page.Records...)
 		if !page.More || len(page.Records) == 0 {
 			break
 		}
 		req.After = &page.Records[len(page.Records)-1].Key
 	}
-	s.Store.MergeBuckets(buckets, records, peerCompleteVersion)
-	return nil
+	s.Store.MergeBuckets(buckets, records, complete)
+	return complete, nil
 }
