Delete the copy of a deleted resource's spec, and renew one that is behind

What an operator would see: a resource is deleted, written anew with an invalid spec, and all instances restart: the deleted spec, with an organisation its old keys, is in force again. Or: a valid spec between two invalid ones within a second; after a restart the one before is in force.

Cause: the reporter of statuses passed over resources that were deleted, so their copies at the platform stayed for good; and it remembered that there is a copy, not of which version. It remembers the version now.

A copy is only deleted when the store knows that its resource was deleted after the copied version, so that an instance that is behind deletes none.

--- a/config/agent_test.go
+++ b/config/agent_test.go
@@ -264,14 +264,7 @@
 	withReadyFleet(t, platform.Options{}, func(t *testing.T, f *fleet) {
 		f.putRawSpec("s", `{"address":"nowhere"}`)
 		time.Sleep(10 * time.Second)
-		replaceAll := func() {
-			for _, m := range f.members {
-				m.kill()
-			}
-			f.startAll()
-			f.awaitReady(10 * time.Second)
-		}
-		replaceAll()
+		f.replaceAll()
 		f.expectSlots("s", 1, 0)
 		f.putServer("s", 2)
 		f.expectSlots("s", 2, time.Second)
@@ -281,7 +274,66 @@
 			t.Errorf("copies left at the platform: %+v, error %v, want none", reports.Items, err)
 		}
 		f.deleteServer("s")
-		replaceAll()
+		f.replaceAll()
 		f.expectSlots("s", 0, 0)
 	})
 }
+
+// replaceAll kills all members and starts them again without what they knew.
+func (f *fleet) replaceAll() {
+	for _, m := range f.members {
+		m.kill()
+	}
+	f.startAll()
+	f.awaitReady(10 * time.Second)
+}
+
+// TestWithdrawnSpecStaysWithdrawnAfterReplacingAllInstances guards against a deleted resource, or
+// an older accepted spec, that is in force again after a restart because a copy of it was left at
+// the platform.
+func TestWithdrawnSpecStaysWithdrawnAfterReplacingAllInstances(t *testing.T) {
+	const invalid = `{"address":"nowhere"}`
+	t.Run("deleted and written again", func(t *testing.T) {
+		withReadyFleet(t, platform.Options{}, func(t *testing.T, f *fleet) {
+			f.putRawSpec("s", invalid)
+			time.Sleep(10 * time.Second)
+			f.deleteServer("s")
+			time.Sleep(10 * time.Second)
+			if _, err := f.admin.Create(t.Context(), api.Object{Kind: api.KindBackendServer, Name: "s", Spec: []byte(invalid)}); err != nil {
+				t.Fatal(err)
+			}
+			f.expectSlots("s", 0, time.Second)
+			f.replaceAll()
+			f.expectSlots("s", 0, 0)
+		})
+	})
+	t.Run("deleted while nobody reported", func(t *testing.T) {
+		withReadyFleet(t, platform.Options{}, func(t *testing.T, f *fleet) {
+			f.putRawSpec("s", invalid)
+			time.Sleep(10 * time.Second)
+			for _, m := range f.members {
+				m.kill()
+			}
+			f.deleteServer("s")
+			f.startAll()
+			f.awaitReady(10 * time.Second)
+			time.Sleep(10 * time.Second)
+			reports, err := f.admin.List(t.Context(), api.KindReport)
+			if err != nil || len(reports.Items) != 0 {
+				t.Errorf("copies left at the platform: %+v, error %v, want none", reports.Items, err)
+			}
+		})
+	})
+	t.Run("accepted between two invalid specs", func(t *testing.T) {
+		withReadyFleet(t, platform.Options{}, func(t *testing.T, f *fleet) {
+			f.putRawSpec("s", invalid)
+			time.Sleep(10 * time.Second)
+			f.putServer("s", 2)
+			f.putRawSpec("s", invalid)
+			f.expectSlots("s", 2, time.Second)
+			time.Sleep(10 * time.Second)
+			f.replaceAll()
+			f.expectSlots("s", 2, 0)
+		})
+	})
+}
--- a/config/status_reporter.go
+++ b/config/status_reporter.go
@@ -67,8 +67,9 @@
 	reported    bool // a status was written for the version
 	complete    bool // no further status write is needed for the version
 	lastChecked time.Time
-	// hasCopy says that the platform holds a copy of the accepted spec.
-	hasCopy bool
+	// copied is the version of the accepted spec of which the platform holds a copy, or
+	// zero if it holds none.
+	copied int64
 }
 
 // rollout holds the digests of all instances, fetched at the same time.
@@ -123,7 +124,7 @@
 	}
 	for _, rec := range recordsFromCopies(list) {
 		p := loaded[rec.Key]
-		p.hasCopy = true
+		p.copied = rec.Accepted
 		loaded[rec.Key] = p
 	}
 	r.progress, r.allReported = loaded, false
@@ -155,7 +156,7 @@
 	now := time.Now()
 	due, incomplete := r.dueRecords(now)
 	r.allReported = incomplete == 0
-	if len(due) == 0 {
+	if r.deleteCopiesOfDeleted(ctx) != nil || len(due) == 0 {
 		return
 	}
 	current := r.fetchRollout(ctx)
@@ -167,14 +168,15 @@
 }
 
 // dueRecords returns the records to report on now and the number of all records
-// whose report is not complete. It drops the progress of deleted resources.
+// whose report is not complete. It drops the progress of deleted resources, unless
+// the platform may still hold a copy of one.
 func (r *StatusReporter) dueRecords(now time.Time) (due []Record, incomplete int) {
 	next := make(map[ResourceKey]reportProgress)
 	for _, rec := range r.sync.Store.liveRecords() {
 		version := max(rec.Accepted, rec.Rejected)
 		p := r.progress[rec.Key]
 		if p.version < version {
-			p = reportProgress{version: version, firstSeen: now, hasCopy: p.hasCopy}
+			p = reportProgress{version: version, firstSeen: now, copied: p.copied}
 		}
 		next[rec.Key] = p
 		if p.complete {
@@ -186,10 +188,34 @@
 			due = append(due, rec)
 		}
 	}
+	for key, p := range r.progress {
+		if _, live := next[key]; !live && p.copied > 0 {
+			next[key] = p
+			incomplete++
+		}
+	}
 	r.progress = next
 	return due, incomplete
 }
 
+// deleteCopiesOfDeleted deletes the copies of resources that were deleted. Such a
+// copy would put a withdrawn spec in force again, if the resource is created anew
+// with an invalid spec and all instances restart. It stops at the first write that
+// fails.
+func (r *StatusReporter) deleteCopiesOfDeleted(ctx context.Context) error {
+	for key, p := range r.progress {
+		if p.copied == 0 || !r.sync.Store.deletedAfter(key, p.copied) {
+			continue
+		}
+		if err := deleteCopy(ctx, r.status, key); err != nil {
+			return err
+		}
+		p.copied = 0
+		r.progress[key] = p
+	}
+	return nil
+}
+
 // reportOne reports on one resource. It first calls updateCopy for the copy of the
 // accepted spec at the platform. If all instances have the newest version, it then
 // writes the status. If they do not, it writes the status once after
@@ -217,18 +243,21 @@
 // updateCopy stores a copy of the accepted spec at the platform if the newest spec
 // is invalid. If the copy is no longer needed, it deletes the copy.
 func (r *StatusReporter) updateCopy(ctx context.Context, rec Record, p *reportProgress) error {
-	needed := rec.Rejected > 0 && rec.inForce()
-	if needed == p.hasCopy {
+	wanted := int64(0)
+	if rec.Rejected > 0 && rec.inForce() {
+		wanted = rec.Accepted
+	}
+	if wanted == p.copied {
 		return nil
 	}
 	var err error
-	if needed {
+	if wanted > 0 {
 		err = saveCopy(ctx, r.status, rec)
 	} else {
 		err = deleteCopy(ctx, r.status, rec.Key)
 	}
 	if err == nil {
-		p.hasCopy = needed
+		p.copied = wanted
 	}
 	return err
 }
--- a/config/store.go
+++ b/config/store.go
@@ -115,6 +115,18 @@
 	return s.completeVersion
 }
 
+// deletedAfter reports whether the store knows that a resource was deleted after the
+// given spec version was written.
+func (s *Store) deletedAfter(key ResourceKey, version int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rec, known := s.records[key]
+	if !known {
+		return version <= s.completeVersion
+	}
+	return rec.Deleted > version
+}
+
 // Apply applies one event of a watch. If the store has a complete version, Apply
 // raises it to the version of the event. The watch must cover all kinds of
 // configuration and have no gap after the store's complete version.
