Believe no refusal without an ID that may be a copy of an earlier one

It could happen here where the refusal has no request ID: the client took any response other than 2xx without an ID as the answer to the request just sent. One with an ID was passed over already.

Now a response without an ID is the request's only if it is the first one on its connection; else the send fails as one that may have run, and the connection is closed. Weighed: to read on for the true answer. That keeps a caller until its deadline where the refusal is genuine.

An instance's own refusals state the request's ID now, because instances hand requests on over kept connections too.

--- a/edge/backendclient/connection.go
+++ b/edge/backendclient/connection.go
@@ -35,6 +35,8 @@
 	idleSince   time.Time
 	idleTimeout time.Duration
 	reused      bool
+	// answered is set once a final response was read from the connection.
+	answered bool
 }
 
 func newConnection(c net.Conn) *connection {
--- a/edge/backendclient/send.go
+++ b/edge/backendclient/send.go
@@ -33,6 +33,11 @@
 // errMismatched reports a response that does not belong to the request.
 var errMismatched = errors.New("the server responded to another request")
 
+// errNoID reports a response without a request ID on a connection that has brought another
+// response. It may be a copy of an earlier one, so that what it states of the request, above all
+// that it was not run, does not hold.
+var errNoID = errors.New("the response states no request ID, and the connection brought another response before")
+
 // errInvalidStatus reports a response whose status is below 100, which http.ReadResponse
 // accepts and no http.ResponseWriter can pass on.
 var errInvalidStatus = errors.New("the response has no valid HTTP status")
@@ -182,8 +187,16 @@
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
+		answered := r.conn.answered
+		r.conn.answered = true
 		id := resp.Header.Get(req.IDHeader)
-		if id == req.ID || id == "" && resp.StatusCode/100 != 2 {
+		failedWithoutID := id == "" && resp.StatusCode/100 != 2
+		switch {
+		case failedWithoutID && answered:
+			r.client.Counters.Mismatched.Add(1)
+			return errNoID
+		case id == req.ID, failedWithoutID:
+			// Without an ID, it is the first response on the connection, so no copy of another.
 			r.Response = resp
 			return nil
 		}
--- a/edge/backendclient/send_test.go
+++ b/edge/backendclient/send_test.go
@@ -142,6 +142,57 @@
 	}
 }
 
+// TestRefusalWithoutIDOnKeptConnectionPromisesNothing guards against requests that are taken for
+// not run, and run again elsewhere, because a server wrote an earlier refusal once more: one
+// without an ID can't be told from the answer, unless nothing was sent on the connection before.
+func TestRefusalWithoutIDOnKeptConnectionPromisesNothing(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nKeep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n"
+	withID := strings.Replace(refusal, "X-Not", "X-Id: 1\r\nX-Not", 1)
+	for name, test := range map[string]struct {
+		refusal, again string
+		want           int
+	}{
+		"without an ID, on a kept connection": {refusal, refusal, 0},
+		"with the earlier ID":                 {withID, withID, 200},
+		"with an ID, then without":            {withID, refusal, 0},
+		"after an interim response":           {refusal, "HTTP/1.1 103 Early Hints\r\n\r\n" + refusal, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				readRequest(r)
+				_, _ = io.WriteString(c, test.refusal)
+				if id := readRequest(r); id != "" {
+					_, _ = io.WriteString(c, test.again)
+					_, _ = io.WriteString(c, responseText(id, "of "+id))
+				}
+			})
+			c := NewClient(nil)
+			first, err := c.Send(context.Background(), s.server(), newRequest("1"))
+			if err != nil || first.StatusCode != http.StatusServiceUnavailable {
+				t.Fatalf("got %v, error %v; want the refusal, which is the first response on its connection", first, err)
+			}
+			_, _ = io.Copy(io.Discard, first)
+			first.Close()
+			second, err := c.Send(context.Background(), s.server(), newRequest("2"))
+			got := 0
+			if err == nil {
+				got = second.StatusCode
+				second.Close()
+			}
+			var sendError *engineclient.SendError
+			if errors.As(err, &sendError) && sendError.NotStarted {
+				t.Error("the error says that the request was not started, want it not to")
+			}
+			if got != test.want {
+				t.Errorf("got status %d, error %v; want %d (0: no response)", got, err, test.want)
+			}
+			if n := s.accepted.Load(); n != 1 {
+				t.Errorf("got %d connections, want 1: the test needs a kept one", n)
+			}
+		})
+	}
+}
+
 // TestOnlyMismatchedResponsesAreAFailure has a server send only responses with another
 // request ID. The error must not claim that the request was not started.
 func TestOnlyMismatchedResponsesAreAFailure(t *testing.T) {
--- a/edge/catalog/catalog.go
+++ b/edge/catalog/catalog.go
@@ -90,7 +90,6 @@
 	return c.configuration, c.configuration.Revision > 0
 }
 
-
 // Merge merges records from any source, and returns what they and the passing of time
 // changed. Merge without records has to be called from time to time.
 func (c *Catalog) Merge(records []Record, now time.Time) []Change {
--- a/edge/reverseproxy/handler.go
+++ b/edge/reverseproxy/handler.go
@@ -120,7 +120,7 @@
 	}
 	attributes = append(attributes, originAttributes(req, refused.origin)...)
 	h.Failures.Warn("refused", append(attributes, overloadAttributes(req, refused.overload)...)...)
-	h.recordUndelivered(req, refused.status, refused.write(w))
+	h.recordUndelivered(req, refused.status, refused.write(w, req.id))
 }
 
 // overloadAttributes returns the log attributes of a refusal because of the
--- a/edge/reverseproxy/refusal.go
+++ b/edge/reverseproxy/refusal.go
@@ -76,15 +76,19 @@
 	return &refusal{status: status, reason: reason, message: "may have run"}
 }
 
-// write sends the refusal to the caller. It removes all header fields that were
-// set before, except Connection.
-func (r *refusal) write(w http.ResponseWriter) error {
+// write sends the refusal of a request to the caller. It removes all header fields that were
+// set before, except Connection. The request's ID tells an instance that handed the request on
+// whose answer the refusal is.
+func (r *refusal) write(w http.ResponseWriter, requestID string) error {
 	h := w.Header()
 	connection := h.Get("Connection")
 	clear(h)
 	if connection != "" {
 		h.Set("Connection", connection)
 	}
+	if requestID != "" {
+		h.Set(platform.HeaderRequestID, requestID)
+	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if r.retryAfter > 0 {
 		h.Set(platform.HeaderRetryAfter, platform.FormatRetryAfter(r.retryAfter))
