Send each request to an engine over a connection of its own

On a kept connection a late copy of a refusal was taken for the answer to the next request (which then ran at a second engine, or whose caller was told that it had not run), and a copy of a stream went to another caller.

A response on a connection without an earlier request can be no copy of another one's answer. Polls of load and cache events still share connections (Client.Poll): a stale answer to one changes only a hint. net/http closes a connection on which bytes come while it is idle, which is why only late copies did harm.

--- a/engineclient/client.go
+++ b/engineclient/client.go
@@ -19,8 +19,8 @@
 	// idleConnTimeout is how long an unused connection is kept open.
 	idleConnTimeout = 90 * time.Second
 	// maxIdlePerServer is the largest number of unused connections that are kept
-	// open to each server.
-	maxIdlePerServer = 256
+	// open to each server, for polls.
+	maxIdlePerServer = 4
 	// cancelTimeout is the time limit of a cancel request.
 	cancelTimeout = 2 * time.Second
 	// maxHeaderBytes bounds the header of a response.
@@ -77,7 +77,10 @@
 
 // Client sends requests to backend servers. It is safe for concurrent use.
 type Client struct {
-	transport *http.Transport
+	// A response names no request, so that a late copy of one can't be told from the answer to
+	// the next request on its connection. sends uses a connection for one request only; polls
+	// keeps connections, because a wrong answer to a poll does no harm.
+	sends, polls *http.Transport
 }
 
 // NewClient returns a client that connects with dial, or over TCP if dial is
@@ -86,22 +89,37 @@
 	if dial == nil {
 		dial = dialTCP
 	}
-	return &Client{transport: &http.Transport{
-		DialContext:            dial,
-		MaxIdleConnsPerHost:    maxIdlePerServer,
-		IdleConnTimeout:        idleConnTimeout,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+	transport := func() *http.Transport {
+		return &http.Transport{
+			DialContext:            dial,
+			MaxIdleConnsPerHost:    maxIdlePerServer,
+			IdleConnTimeout:        idleConnTimeout,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHeaderBytes,
+		}
+	}
+	c := &Client{sends: transport(), polls: transport()}
+	c.sends.DisableKeepAlives = true
+	return c
 }
 
 // Close closes the idle connections.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
+func (c *Client) Close() { c.polls.CloseIdleConnections() }
 
-// Do sends the request once and returns the response as soon as the response's
-// header has arrived. If there is no response, Do returns a *SendError. The
-// caller closes the response's body.
+// Do sends the request once, over a connection of its own, and returns the
+// response as soon as the response's header has arrived. If there is no response,
+// Do returns a *SendError. The caller closes the response's body.
 func (c *Client) Do(ctx context.Context, r Request) (*http.Response, error) {
+	return roundTrip(ctx, c.sends, r)
+}
+
+// Poll is like Do, but may use a connection that has carried another poll. The
+// response may be a copy of that one's.
+func (c *Client) Poll(ctx context.Context, r Request) (*http.Response, error) {
+	return roundTrip(ctx, c.polls, r)
+}
+
+func roundTrip(ctx context.Context, transport *http.Transport, r Request) (*http.Response, error) {
 	connected := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected = true },
@@ -116,7 +134,7 @@
 	for name, values := range r.Header {
 		req.Header[name] = values
 	}
-	resp, err := c.transport.RoundTrip(req)
+	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return nil, &SendError{Reason: outcome.ServerUnreachable, NotStarted: !connected, Err: err}
 	}
--- a/loadpoller/poller.go
+++ b/loadpoller/poller.go
@@ -164,7 +164,7 @@
 }
 
 func (p *Poller) get(ctx context.Context, target Target, path string) (*http.Response, error) {
-	resp, err := p.opts.Client.Do(ctx, engineclient.Request{Method: http.MethodGet, Address: target.Address, Path: path})
+	resp, err := p.opts.Client.Poll(ctx, engineclient.Request{Method: http.MethodGet, Address: target.Address, Path: path})
 	if err != nil {
 		return nil, err
 	}
