Bound the fields of a server's header, and the reports of engines

Headers were bounded in bytes, 64 KiB, not in fields.

Tried and bounded before: bodies and events of edge (a budget), interim responses and those of other requests (three), trailers and chunk lines (net/http), frames of an engine (1 MiB), its error bodies and order states.

--- a/edge/backendclient/connection.go
+++ b/edge/backendclient/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -47,26 +48,36 @@
 // unlimited is the value of readLimit.remaining at which reads are not limited.
 const unlimited = -1
 
-// readLimit reads from a connection. It fails once remaining bytes were read, unless
-// remaining is unlimited.
+// readLimit reads from a connection. While a header is due, it fails once remaining bytes or
+// more than maxHeaderLines lines were read. What comes with the end of the header is not
+// affected: nothing more is read for the header then.
 type readLimit struct {
 	reader    io.Reader
 	remaining int
+	lines     int
 }
 
+// beginHeader limits the reads until endHeader is called.
+func (l *readLimit) beginHeader() { l.remaining, l.lines = maxHeaderBytes, 0 }
+
+func (l *readLimit) endHeader() { l.remaining = unlimited }
+
 // Read implements io.Reader.
 func (l *readLimit) Read(p []byte) (int, error) {
 	if l.remaining == unlimited {
 		return l.reader.Read(p)
 	}
-	if l.remaining == 0 {
+	if l.remaining == 0 || l.lines > maxHeaderLines {
 		return 0, errHeaderTooLarge
 	}
 	n, err := l.reader.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
+	l.lines += bytes.Count(p[:n], newline)
 	return n, err
 }
 
+var newline = []byte("\n")
+
 // isOpenAndEmpty reports whether the connection is open and has no unread bytes.
 // Unread bytes between two requests are unexpected.
 func (c *connection) isOpenAndEmpty() bool {
--- a/edge/backendclient/send.go
+++ b/edge/backendclient/send.go
@@ -26,6 +26,9 @@
 	// maxHeaderBytes bounds the header of a response, together with the part of the body
 	// that is read with it.
 	maxHeaderBytes = 64 << 10
+	// maxHeaderLines bounds its lines, together with those read with it: a field takes about a
+	// hundred bytes of memory beside its text.
+	maxHeaderLines = 256
 	// maxMismatchedBytes bounds the body of a skipped response.
 	maxMismatchedBytes = 1 << 20
 )
@@ -42,7 +45,8 @@
 // accepts and no http.ResponseWriter can pass on.
 var errInvalidStatus = errors.New("the response has no valid HTTP status")
 
-// errHeaderTooLarge reports a response whose header does not end within maxHeaderBytes.
+// errHeaderTooLarge reports a response whose header does not end within maxHeaderBytes and
+// maxHeaderLines.
 var errHeaderTooLarge = errors.New("the header of the response exceeds the size limit")
 
 // Counters counts the connections that a Client opened and reused, and the
@@ -175,9 +179,9 @@
 func (r *Response) readHeader(req Request) error {
 	httpRequest := &http.Request{Method: req.Method}
 	for range maxMismatchedResponses {
-		r.conn.limit.remaining = maxHeaderBytes
+		r.conn.limit.beginHeader()
 		resp, err := http.ReadResponse(r.conn.reader, httpRequest)
-		r.conn.limit.remaining = unlimited
+		r.conn.limit.endHeader()
 		if err != nil {
 			return err
 		}
--- a/edge/backendclient/send_test.go
+++ b/edge/backendclient/send_test.go
@@ -8,7 +8,9 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -474,3 +476,62 @@
 		})
 	}
 }
+
+// TestManySmallHeaderFieldsFitIntoMemory guards against servers that send a header of many small
+// fields, a few bytes at a time on all connections that an instance may have: each field takes far
+// more memory than it has bytes.
+func TestManySmallHeaderFieldsFitIntoMemory(t *testing.T) {
+	// connections is the max_conns of an engine at the users' sites. All are one instance's if it
+	// is the only one that runs.
+	const connections, maxBytes = 360, 48 << 20
+	ready, proceed := make(chan struct{}, connections), make(chan struct{})
+	release := sync.OnceFunc(func() { close(proceed) })
+	defer release()
+	s := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+		for n := 0; n < maxHeaderBytes/8; n += 200 {
+			var fields strings.Builder
+			for m := range 200 {
+				fmt.Fprintf(&fields, "%x:\r\n", n+m)
+			}
+			if _, err := io.WriteString(c, fields.String()); err != nil {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		ready <- struct{}{}
+		<-proceed
+	})
+	client := NewClient(nil)
+	server := s.server()
+	server.MaxConnections = connections
+	var before, held runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var sends sync.WaitGroup
+	for n := range connections {
+		sends.Go(func() {
+			if response, err := client.Send(context.Background(), server, newRequest(fmt.Sprint(n))); err == nil {
+				response.Close()
+			}
+		})
+	}
+	timeout := time.After(4 * time.Second)
+	for n := range connections {
+		select {
+		case <-ready:
+		case <-timeout:
+			t.Fatalf("%d connections have had their header, want %d", n, connections)
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&held)
+	release()
+	sends.Wait()
+	grown := int64(held.HeapAlloc) - int64(before.HeapAlloc)
+	t.Logf("%d connections hold %d MB", connections, grown>>20)
+	if grown > maxBytes {
+		t.Errorf("%d connections hold %d MB, want at most %d MB", connections, grown>>20, int64(maxBytes)>>20)
+	}
+}
--- a/engineclient/client.go
+++ b/engineclient/client.go
@@ -23,8 +23,9 @@
 	maxIdlePerServer = 4
 	// cancelTimeout is the time limit of a cancel request.
 	cancelTimeout = 2 * time.Second
-	// maxHeaderBytes bounds the header of a response.
-	maxHeaderBytes = 64 << 10
+	// maxHeaderBytes bounds the header of a response. Small fields take about fourteen
+	// times their bytes of memory.
+	maxHeaderBytes = 16 << 10
 	// maxErrorBodyBytes is the number of bytes read from the body of an error
 	// response. Further bytes are ignored.
 	maxErrorBodyBytes = 64 << 10
--- a/loadpoller/poller.go
+++ b/loadpoller/poller.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -25,6 +26,10 @@
 	maxParallel = 16
 	// maxEvents bounds the number of cache events that one poll of a server reads.
 	maxEvents = 1024
+	// maxReportBytes bounds a load report, and maxEventsBytes the cache events that one
+	// poll reads.
+	maxReportBytes = 64 << 10
+	maxEventsBytes = 1 << 20
 )
 
 // Target is a backend server to poll and the models that it serves.
@@ -125,7 +130,7 @@
 	}
 	defer resp.Body.Close()
 	var report engineapi.LoadReport
-	if err := json.NewDecoder(resp.Body).Decode(&report); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(&report); err != nil {
 		return schedcore.LoadReport{}, errors.Wrap(err, "decoding the load report")
 	}
 	return schedcore.LoadReport{
@@ -148,7 +153,7 @@
 	}
 	defer resp.Body.Close()
 	var hints []schedcore.CacheHint
-	scanner := bufio.NewScanner(resp.Body)
+	scanner := bufio.NewScanner(io.LimitReader(resp.Body, maxEventsBytes))
 	for len(hints) < maxEvents && scanner.Scan() {
 		var event engineapi.CacheEvent
 		if err := json.Unmarshal(scanner.Bytes(), &event); err != nil {
