--- a/edge/caller_connection_test.go
+++ b/edge/caller_connection_test.go
@@ -164,6 +164,40 @@
 	caller.expectAnswer("request that was being read", http.StatusOK)
 }
 
+// TestRequestThatComesWholeLateInStopIsNotBegun guards against a request that may run only once,
+// begins to arrive in time, is whole only near the end of the grace period, and is then passed on
+// and cut: it could still have been refused as one that did not run.
+func TestRequestThatComesWholeLateInStopIsNotBegun(t *testing.T) {
+	const graceSeconds = 6
+	i, server := startServing(t, graceSeconds)
+	for _, kept := range []bool{false, true} {
+		t.Run(fmt.Sprintf("kept connection %t", kept), func(t *testing.T) {
+			caller := newRawCaller(t, i.callersAddress())
+			if kept {
+				caller.write(caller.nextRequest())
+				caller.expectAnswer("request before", http.StatusOK)
+			}
+			id := fmt.Sprintf("late-%t", kept)
+			request := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
+				platformtest.PathUnsafe, platformtest.Host, platform.HeaderRequestID, id)
+			t.Parallel()
+			server.SetBehaviour(platformtest.Behaviour{Delay: 1300 * time.Millisecond})
+			caller.write(request[:20])
+			awaitFirstBytes()
+			i.stop()
+			// The instance cuts what is open 5.3 s after the stop.
+			time.Sleep(4200 * time.Millisecond)
+			caller.write(request[20:])
+			caller.expectAnswer("request that came whole late", http.StatusServiceUnavailable)
+			for _, r := range server.Received() {
+				if r.Header.Get(platform.HeaderRequestID) == id {
+					t.Error("the server got the request, want it refused as one that did not run")
+				}
+			}
+		})
+	}
+}
+
 // TestStopEndsUnusedConnections guards against a stop that waits for callers that send nothing.
 func TestStopEndsUnusedConnections(t *testing.T) {
 	i, _ := startServing(t, 6)
