--- a/edge/reverseproxy/peer_relay_test.go
+++ b/edge/reverseproxy/peer_relay_test.go
@@ -94,16 +94,18 @@
 }
 
 // TestRelayedRefusalIsUnchanged guards against a refusal that loses its promise or its time to
-// return on the way.
+// return on the way, on a new connection and on a kept one.
 func TestRelayedRefusalIsUnchanged(t *testing.T) {
 	cut, peer := newRelayPair(t, platformtest.Behaviour{})
 	peer.overloadServers()
-	r := cut.request(pathStream)
-	r.Header.Set(platform.HeaderTokenCount, "17000,100")
-	got := cut.do(r)
-	cut.expectStatus(got, 503)
-	if got.header.Get("Retry-After") == "" || !strings.HasPrefix(got.body, "infeasible") {
-		t.Errorf("the caller got %+v, want the other instance's refusal", got)
+	for range 2 {
+		r := cut.request(pathStream)
+		r.Header.Set(platform.HeaderTokenCount, "17000,100")
+		got := cut.do(r)
+		cut.expectStatus(got, 503)
+		if got.header.Get("Retry-After") == "" || !strings.HasPrefix(got.body, "infeasible") {
+			t.Errorf("the caller got %+v, want the other instance's refusal", got)
+		}
 	}
 }
 
