--- a/edge/instance.go
+++ b/edge/instance.go
@@ -30,6 +30,7 @@
 	"bergamotpin.example/bergamotpin/metrics"
 	"bergamotpin.example/bergamotpin/objects"
 	"bergamotpin.example/bergamotpin/platform"
+	"bergamotpin.example/bergamotpin/settings"
 )
 
 const (
@@ -83,6 +84,9 @@
 type Options struct {
 	// SettingsPath is the path of the platform's settings file.
 	SettingsPath string
+	// Product holds the product's own options. The zero value holds no bounds beyond the
+	// platform's: settings.DefaultEdge returns the defaults.
+	Product settings.Edge
 	// LogOutput is where log lines are written.
 	LogOutput io.Writer
 	// DialServer connects to backend servers. If it is nil, TCP is used.
