Leave the grace period as it is when SIGTERM comes again

Cause: main restored the default handling of SIGTERM and SIGINT after the first signal, so a second SIGTERM ended a process that still answered requests. Ruled out: the shutdown itself, which answers all requests after one SIGTERM. A second SIGINT still ends the process at once.

--- a/cmd/bergamotpin/main.go
+++ b/cmd/bergamotpin/main.go
@@ -5,8 +5,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/go-faster/errors"
@@ -39,7 +37,8 @@
 }
 
 func main() {
-	app := kingpin.New("bergamotpin", "Routes language-model traffic with service levels and priorities.")
+	app := kingpin.New("bergamotpin", "Routes language-model traffic with service levels and priorities. "+
+		"SIGTERM or SIGINT stops a command that serves callers after its grace period, a second SIGINT at once.")
 	app.UsageWriter(os.Stdout)
 	app.HelpFlag.Short('h')
 	commands := []command{
@@ -64,17 +63,12 @@
 	if err != nil {
 		fail(&exitError{exitUsage, err})
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	// After the first signal, restore the default handling: a second signal
-	// ends the process at once.
-	context.AfterFunc(ctx, stop)
+	ctx := stopSignals(context.Background(), func() { os.Exit(exitInterrupted) })
 	for _, c := range commands {
 		if c.name != selected {
 			continue
 		}
 		if err := c.run(ctx); err != nil {
-			stop()
 			fail(err)
 		}
 	}
