Follow a changed address of the store, and name settings that need a restart

Cause: a reload applied only seeds and the grace period; the store's clients and the deployment's identifier in datagrams kept the address of the start. Ruled out: missing the change of the file, the log had the reload. A move ends the calls under way, lists all records anew on the instances that watch the store, and keeps instances on both sides of the move in touch.

--- a/cmd/bergamotpin/serve.go
+++ b/cmd/bergamotpin/serve.go
@@ -51,6 +51,7 @@
 			return &exitError{exitUsage, err}
 		}
 		fmt.Println(path, "ok")
+		printReloadables()
 	}
 	for _, path := range serveSettingsFiles {
 		if _, err := loadSettings(path); err != nil {
@@ -68,6 +69,17 @@
 	return nil
 }
 
+// printReloadables says which settings of the edge command take effect in a process that runs.
+func printReloadables() {
+	for _, r := range platform.Reloadables() {
+		effect := "at the next start"
+		if r.AtOnce {
+			effect = "at once"
+		}
+		fmt.Printf("  %s: a changed value takes effect %s\n", r.Key, effect)
+	}
+}
+
 // loadSettings reads a settings file of the serve command. Its errors have the
 // exit code exitUsage.
 func loadSettings(path string) (settings.Settings, error) {
--- a/edge/catalog/watcher.go
+++ b/edge/catalog/watcher.go
@@ -52,6 +52,9 @@
 	// ShouldWatch reports whether this instance should watch the source. While it
 	// returns false, the watcher makes no calls once it has listed all records.
 	ShouldWatch func() bool
+	// SourceMoves returns how often the source got another address. A call that is under way
+	// then fails. It may be nil.
+	SourceMoves func() int
 	// OnChange is called with the changes that each response made.
 	OnChange func(source string, changes []Change)
 	// OnCall is called after each call with its name and result, as used in metrics.
@@ -69,6 +72,23 @@
 	unreachable           bool
 	// lastResponse is when the source last responded, in Unix nanoseconds.
 	lastResponse atomic.Int64
+	// moves is the number of the source's moves after which its records were listed.
+	moves int
+}
+
+// relistAfterMove has all records listed again if the source got another address.
+func (w *Watcher) relistAfterMove() {
+	if moves := w.countMoves(); moves != w.moves {
+		w.moves = moves
+		w.configurationRevision, w.serversRevision, w.sourceRevision = 0, 0, 0
+	}
+}
+
+func (w *Watcher) countMoves() int {
+	if w.SourceMoves == nil {
+		return 0
+	}
+	return w.SourceMoves()
 }
 
 // LastResponse returns when the source last responded.
@@ -83,10 +103,15 @@
 			sleep(ctx, dutyPollInterval)
 			continue
 		}
+		w.relistAfterMove()
 		err := w.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
+		if err != nil && w.countMoves() != w.moves {
+			// The call ended because of the move, and says nothing about the source.
+			continue
+		}
 		w.recordResult(err)
 		switch {
 		case err == nil:
--- a/edge/gossip/message.go
+++ b/edge/gossip/message.go
@@ -58,6 +58,8 @@
 	// it takes requests. A summary has neither.
 	CutOff  bool           `cbor:"21,keyasint,omitempty"`
 	Callers netip.AddrPort `cbor:"22,keyasint,omitzero"`
+	// Moved is the deployment's identifier since it changed, or "" if it did not.
+	Moved string `cbor:"28,keyasint,omitempty"`
 	stated
 }
 
--- a/edge/gossip/node.go
+++ b/edge/gossip/node.go
@@ -35,7 +35,7 @@
 	Name       string
 	DataCentre string
 	// Cluster identifies the deployment that the instance belongs to. All instances of
-	// a deployment have the same value, and no other deployment has it.
+	// a deployment have the same value, and no other deployment has it. SetCluster changes it.
 	Cluster string
 	// Address is where other instances reach this one over UDP and TCP.
 	Address netip.AddrPort
@@ -86,6 +86,7 @@
 	socket   *net.UDPConn
 	listener net.Listener
 	client   *http.Client
+	cluster  cluster
 
 	mu       sync.Mutex
 	members  *members
@@ -113,6 +114,7 @@
 	n := &Node{
 		opts: o, nameHash: xxhash.Sum64String(o.Name), started: time.Now().UnixNano(), socket: socket, listener: listener,
 		client:  newFetchClient(),
+		cluster: cluster{first: o.Cluster},
 		members: newMembers(o.Address, o.DataCentre),
 		sendNow: make(chan struct{}, 1),
 	}
@@ -229,8 +231,9 @@
 	}
 	n.sequence++
 	recipients := n.planRound(storeAge)
+	first, moved := n.cluster.stated()
 	complete := message{
-		Cluster: n.opts.Cluster, Name: n.opts.Name, Started: n.started, Sequence: n.sequence,
+		Cluster: first, Moved: moved, Name: n.opts.Name, Started: n.started, Sequence: n.sequence,
 		Address: n.opts.Address, Leaving: n.leaving, Revision: digest.Configuration.Store.Revision, ServersDigest: digest.Servers,
 		Known: n.members.knownAddresses(n.sequence, maxKnown), Reports: reports.Servers, DataCentre: n.opts.DataCentre,
 		StoreAgeMs: storeAge.Milliseconds(), Urgencies: reports.Urgencies,
@@ -265,8 +268,9 @@
 // sendSummary sends this data centre's summary to the given instances of other data
 // centres. The summary holds sums of the reports of all instances in this data centre.
 func (n *Node) sendSummary(now time.Time, targets []netip.AddrPort) {
+	first, moved := n.cluster.stated()
 	datagrams, err := encodeAll(message{
-		Cluster: n.opts.Cluster, Name: n.opts.Name, Started: n.started, Address: n.opts.Address,
+		Cluster: first, Moved: moved, Name: n.opts.Name, Started: n.started, Address: n.opts.Address,
 		DataCentre: n.opts.DataCentre, Summary: true, Reports: n.opts.Summary(now),
 	})
 	if err != nil {
@@ -298,7 +302,7 @@
 			continue
 		}
 		m, err := decode(buffer[:size])
-		if err != nil || m.Cluster != n.opts.Cluster {
+		if err != nil || !n.cluster.accepts(m) {
 			continue
 		}
 		if m.Summary {
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -51,10 +51,14 @@
 type Instance struct {
 	options  Options
 	settings atomic.Pointer[platform.Settings]
-	log      *eventlog.Log
-	catalog  *catalog.Catalog
-	selector *reverseproxy.ServerSelector
-	client   *backendclient.Client
+	// started holds the settings of the start. needRestart is how many settings have another
+	// value now that takes effect at the next start.
+	started     platform.Settings
+	needRestart atomic.Int64
+	log         *eventlog.Log
+	catalog     *catalog.Catalog
+	selector    *reverseproxy.ServerSelector
+	client      *backendclient.Client
 	// peerClient holds the connections over which requests are handed on to other instances.
 	peerClient     *backendclient.Client
 	limits         *serverlimit.Table
@@ -71,9 +75,11 @@
 	metricsListener net.Listener
 	connections     *callerconn.Tracker
 	// requests is the context of the callers' requests. cutRequests ends it.
-	requests      context.Context
-	cutRequests   context.CancelCauseFunc
-	stopping      atomic.Bool
+	requests    context.Context
+	cutRequests context.CancelCauseFunc
+	stopping    atomic.Bool
+	// stores are the clients of the metadata store.
+	stores        []*platform.MetadataStore
 	storeCalls    storeCalls
 	healthChanges healthChangeCounts
 	eraChanges    eraChanges
@@ -107,6 +113,7 @@
 	i.unreadable = newUnreadableEntries(i.log.StateChanges)
 	i.requests, i.cutRequests = context.WithCancelCause(context.Background())
 	i.settings.Store(&s)
+	i.started = s
 	if err := i.assemble(s); err != nil {
 		i.log.Close()
 		return nil, err
@@ -232,21 +239,26 @@
 // newWatcher returns the watcher that keeps the catalog up to date with the metadata
 // store at the given address.
 func (i *Instance) newWatcher(store netip.AddrPort) *catalog.Watcher {
+	source := i.newStore(store)
 	return &catalog.Watcher{
 		Catalog: i.catalog, OnChange: i.catalogChanged, OnCall: i.storeCalls.add, Log: i.log.StateChanges,
 		ShouldWatch: func() bool { return i.gossip.ShouldWatchStore(time.Now()) },
-		Source:      i.newStore(store),
+		Source:      source, SourceMoves: source.Moves,
 	}
 }
 
-// newStore returns a client of the metadata store at the given address.
+// newStore returns a client of the metadata store at the given address. It is for assemble.
 func (i *Instance) newStore(address netip.AddrPort) *platform.MetadataStore {
-	return &platform.MetadataStore{
-		BaseURL: "http://" + address.String(), HTTP: objects.NewHTTPClient(dialStore),
+	store := &platform.MetadataStore{
+		BaseURL: storeURL(address), HTTP: objects.NewHTTPClient(dialStore),
 		OnUnreadable: func(path, name string, err error) { i.unreadable.add(path, name, 0, err) },
 	}
+	i.stores = append(i.stores, store)
+	return store
 }
 
+func storeURL(address netip.AddrPort) string { return "http://" + address.String() }
+
 // storeAge returns how long ago the metadata store last responded to this instance.
 func (i *Instance) storeAge(now time.Time) time.Duration { return now.Sub(i.watcher.LastResponse()) }
 
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -55,6 +55,7 @@
 		metrics.GaugeReading("configuration_age_ms", "", "", i.gossip.ConfigurationAge(now).Milliseconds()),
 		metrics.GaugeReading("servers_limited", "", "", int64(i.limits.Count())),
 		metrics.GaugeReading("cut_off_from_servers", "", "", boolGauge(i.reach.CutOff())),
+		metrics.GaugeReading("settings_that_need_restart", "", "", i.needRestart.Load()),
 		metrics.GaugeReading("requests_open", "", "", int64(i.connections.OpenRequests())),
 		metrics.CounterReading("connections_made", "", "", i.client.Counters.Connected.Load()),
 		metrics.CounterReading("connections_reused", "", "", i.client.Counters.Reused.Load()),
--- a/edge/reload.go
+++ b/edge/reload.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net/netip"
 	"os"
 	"time"
 
@@ -41,16 +42,30 @@
 	}
 }
 
-// applySettings replaces the settings with those in the content of a settings file.
-// Only the grace period and the seeds take effect at once. Other settings, such as the
-// addresses to listen on, take effect at the next start.
+// applySettings replaces the settings with those in the content of a settings file. It logs
+// which of the changed ones take effect only at the next start.
 func (i *Instance) applySettings(content []byte) {
 	s, err := platform.ParseSettings(content)
 	if err != nil {
 		i.log.StateChanges.Warn("settings not reloaded; keeping the current ones", "error", err.Error())
 		return
 	}
-	i.settings.Store(&s)
+	previous := i.settings.Swap(&s)
 	i.gossip.AddSeeds(s.Seeds)
-	i.log.StateChanges.Info("reload", "seeds", len(s.Seeds))
+	if s.StoreAddress != previous.StoreAddress {
+		i.moveStore(s.StoreAddress)
+	}
+	needRestart := i.started.NeedRestart(s)
+	i.needRestart.Store(int64(len(needRestart)))
+	i.log.StateChanges.Info("reload", "seeds", len(s.Seeds), "store", s.StoreAddress, "need_restart", needRestart)
+}
+
+// moveStore has all calls go to another address of the metadata store, and all records listed
+// there.
+func (i *Instance) moveStore(to netip.AddrPort) {
+	for _, store := range i.stores {
+		store.Move(storeURL(to))
+	}
+	i.gossip.SetCluster(to.String())
+	i.gossip.SendNow()
 }
