Account for all memory and connections that callers take

An instance held whatever callers sent: bodies were read whole with io.ReadAll or allocated for their announced length and copied once more for the server, heads were counted after net/http had made a map of up to 256 KB of fields, and nothing bounded the sums, nor the connections. memoryaccount is now the one account of a process, taken from limits.memory_mb. Bodies are held once, in parts that are read into place and sent from there; heads are counted in the connection's Read, up to the operator's limit; responses that find no memory are passed on as they are read instead of failed. If memory is short a body waits 250 ms; then the newest of the organisation that holds most gets 503 with Retry-After and a closed connection. Connections are bounded by limits.max_fds and memory; those on which nothing happens make room. The budget of responses is a user of the account.

--- a/callerconn/connection.go
+++ b/callerconn/connection.go
@@ -1,9 +1,13 @@
 package callerconn
 
 import (
+	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
+
+	"bergamotpin.example/bergamotpin/memoryaccount"
 )
 
 // connection is a connection of a caller. A kept connection may be ended while it is
@@ -27,6 +31,24 @@
 	// readDeadline, the last one that the http.Server has set.
 	expiring     bool
 	readDeadline time.Time
+
+	// tracker holds the bounds. It is nil in tests that use no tracker.
+	tracker *Tracker
+	address netip.Addr
+	// opened is when the connection was accepted, and lastBytes when bytes of the current
+	// request were last read.
+	opened, lastBytes time.Time
+	// head counts the head of the current request while it is read. bodyOpen is set while the
+	// body of the request is read.
+	head headCounter
+	// served is set from when the head was read until the end of the response.
+	served   bool
+	bodyOpen bool
+	// writingSince is when the write that is pending began, or zero if none is.
+	writingSince time.Time
+	// memory is what the connection holds, and headMemory what the head of its request takes
+	// beyond the usual. They are nil if nothing is counted.
+	memory, headMemory *memoryaccount.Reservation
 }
 
 // phase is what a connection is used for.
@@ -49,6 +71,11 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.recordBytes()
+		if refusal := c.countHead(p[:n]); refusal != "" {
+			c.refuseHead(refusal)
+			// The http.Server closes the connection without a response of its own.
+			return 0, io.EOF
+		}
 	}
 	return n, err
 }
@@ -58,10 +85,11 @@
 func (c *connection) recordBytes() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.lastBytes = time.Now()
 	if c.phase == inRequest {
 		return
 	}
-	c.phase, c.expiring, c.requestSince = inRequest, false, time.Now()
+	c.phase, c.expiring, c.requestSince = inRequest, false, c.lastBytes
 	deadline := c.readDeadline
 	if deadline.IsZero() {
 		deadline = time.Now().Add(firstBytesTimeout)
@@ -78,6 +106,7 @@
 	if c.phase != inRequest {
 		c.phase, c.requestSince = inRequest, time.Now()
 	}
+	c.served = true
 	if c.expiring {
 		c.expiring = false
 		// The error is ignored: if the connection is broken, the next read fails too.
@@ -90,6 +119,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase, c.idleSince = awaitingRequest, now
+	c.served, c.bodyOpen, c.head = false, false, headCounter{}
+	c.releaseHead()
 }
 
 // SetReadDeadline implements net.Conn. While the connection expires, the deadline takes
--- a/callerconn/tracker.go
+++ b/callerconn/tracker.go
@@ -4,11 +4,14 @@
 	"maps"
 	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"bergamotpin.example/bergamotpin/memoryaccount"
 )
 
 const (
@@ -31,11 +34,20 @@
 	// accepting is set from the first call of Accept until the listener is closed. A
 	// connection may be on its way into open until then.
 	accepting bool
+
+	bounds    Bounds
+	byAddress map[netip.Addr]int
+	refusals  Refusals
+	// roomAt is when room was last searched for.
+	roomAt time.Time
 }
 
-// New returns a Tracker without connections.
-func New() *Tracker {
-	return &Tracker{open: make(map[*connection]struct{})}
+// New returns a Tracker without connections and without bounds.
+func New() *Tracker { return NewBounded(Bounds{}) }
+
+// NewBounded returns a Tracker without connections.
+func NewBounded(b Bounds) *Tracker {
+	return &Tracker{open: make(map[*connection]struct{}), byAddress: make(map[netip.Addr]int), bounds: b}
 }
 
 // listener accepts the connections that a Tracker holds.
@@ -51,14 +63,20 @@
 // Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
 	l.tracker.setAccepting(true)
-	conn, err := l.Listener.Accept()
-	if errors.Is(err, net.ErrClosed) {
-		l.tracker.setAccepting(false)
-	}
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			l.tracker.setAccepting(false)
+		}
+		if err != nil {
+			return nil, err
+		}
+		if caller := l.tracker.add(conn); caller != nil {
+			return caller, nil
+		}
+		// The error is ignored: the connection was not used.
+		_ = conn.Close()
 	}
-	return l.tracker.add(conn), nil
 }
 
 func (t *Tracker) setAccepting(accepting bool) {
@@ -67,11 +85,20 @@
 	t.accepting = accepting
 }
 
+// add holds a connection that was accepted. It returns nil if there is no room for it.
 func (t *Tracker) add(conn net.Conn) *connection {
-	caller := &connection{Conn: conn}
+	caller := &connection{Conn: conn, tracker: t, address: addressOf(conn), opened: time.Now()}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.hasRoom(caller) {
+		return nil
+	}
 	t.open[caller] = struct{}{}
+	t.byAddress[caller.address]++
+	if t.bounds.Account != nil {
+		caller.memory = t.bounds.Account.Reserve(memoryaccount.Connections, memoryaccount.Party{})
+		caller.memory.Force(ConnectionCost)
+	}
 	if t.closingUnused {
 		caller.expire(time.Now().Add(unusedGrace))
 	}
@@ -95,9 +122,20 @@
 			caller.expire(now.Add(idleGrace))
 		}
 	case http.StateClosed, http.StateHijacked:
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		delete(t.open, caller)
+		caller.release()
+		t.remove(caller)
+	}
+}
+
+func (t *Tracker) remove(caller *connection) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, ok := t.open[caller]; !ok {
+		return
+	}
+	delete(t.open, caller)
+	if t.byAddress[caller.address]--; t.byAddress[caller.address] == 0 {
+		delete(t.byAddress, caller.address)
 	}
 }
 
--- a/edge/backendclient/send.go
+++ b/edge/backendclient/send.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -62,7 +63,9 @@
 	Path   string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body is the body in parts that are sent one after the other. They are not copied, so they
+	// must stay unchanged until the response is closed.
+	Body [][]byte
 	// IDHeader is the name of the header that holds the request ID, and ID its
 	// value. A response with another ID belongs to another request.
 	IDHeader string
@@ -145,33 +148,47 @@
 // write sends the request. It returns before a request of more than
 // maxDirectWriteBytes is written, so that the response can be read meanwhile.
 func (r *Response) write(req Request) error {
-	message := encode(req)
-	if len(message) <= maxDirectWriteBytes {
+	head := encodeHead(req)
+	if len(head)+bodyBytes(req.Body) <= maxDirectWriteBytes {
 		defer close(r.written)
-		_, err := r.conn.net.Write(message)
+		for _, part := range req.Body {
+			head = append(head, part...)
+		}
+		_, err := r.conn.net.Write(head)
 		return err
 	}
+	message := append(net.Buffers{head}, req.Body...)
 	go func() {
 		defer close(r.written)
 		// After a failed write, reading the response fails too, unless the response
 		// arrived first.
-		_, _ = r.conn.net.Write(message)
+		_, _ = message.WriteTo(r.conn.net)
 	}()
 	return nil
 }
 
-// encode returns the request in the form in which HTTP/1.1 sends it.
-func encode(req Request) []byte {
+// bodyBytes returns the length of a body.
+func bodyBytes(parts [][]byte) int {
+	n := 0
+	for _, part := range parts {
+		n += len(part)
+	}
+	return n
+}
+
+// encodeHead returns the head of the request in the form in which HTTP/1.1 sends it. There is room
+// for a short body behind it.
+func encodeHead(req Request) []byte {
 	var b bytes.Buffer
-	b.Grow(len(req.Body) + 1024)
+	length := bodyBytes(req.Body)
+	b.Grow(min(length, maxDirectWriteBytes) + 1024)
 	b.WriteString(req.Method + " " + req.Path + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
 	// Writing to a bytes.Buffer never fails.
 	_ = req.Header.Write(&b)
-	if len(req.Body) > 0 || req.Method != http.MethodGet && req.Method != http.MethodHead {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
+	if length > 0 || req.Method != http.MethodGet && req.Method != http.MethodHead {
+		b.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(req.Body)
 	return b.Bytes()
 }
 
--- a/edge/backendclient/send_test.go
+++ b/edge/backendclient/send_test.go
@@ -78,7 +78,7 @@
 func newRequest(id string) Request {
 	deadline := time.Now().Add(5 * time.Second)
 	return Request{
-		Method: http.MethodPost, Path: "/p?q=1", Host: "h", Header: http.Header{"X-Id": {id}}, Body: []byte("b"),
+		Method: http.MethodPost, Path: "/p?q=1", Host: "h", Header: http.Header{"X-Id": {id}}, Body: [][]byte{[]byte("b")},
 		IDHeader: "X-Id", ID: id, Deadline: deadline, HeaderDeadline: deadline,
 	}
 }
@@ -288,7 +288,7 @@
 	})
 	c := NewClient(nil)
 	long := newRequest("1")
-	long.Body = make([]byte, 8<<20)
+	long.Body = [][]byte{make([]byte, 8<<20)}
 	resp, err := c.Send(context.Background(), s.server(), long)
 	if err != nil {
 		t.Fatal(err)
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -27,6 +27,7 @@
 	"bergamotpin.example/bergamotpin/edge/streamorigin"
 	"bergamotpin.example/bergamotpin/engineclient"
 	"bergamotpin.example/bergamotpin/eventlog"
+	"bergamotpin.example/bergamotpin/memoryaccount"
 	"bergamotpin.example/bergamotpin/metrics"
 	"bergamotpin.example/bergamotpin/objects"
 	"bergamotpin.example/bergamotpin/platform"
@@ -37,9 +38,6 @@
 	// memoryFraction is the fraction of the allowed memory that is set as the memory
 	// limit of the Go runtime.
 	memoryFraction = 0.7
-	// bufferFraction is the fraction of the allowed memory in which larger responses are
-	// held. Reading a response uses up to twice its size for a moment.
-	bufferFraction = 0.125
 	// heapGrowth is the garbage collector's GOGC value in percent. It is low because
 	// memory costs the operators more than processor time.
 	heapGrowth = 50
@@ -70,6 +68,8 @@
 	// metricsListener is nil if metrics are not served.
 	metricsListener net.Listener
 	connections     *callerconn.Tracker
+	memory          *memoryaccount.Account
+	shortage        shortage
 	// requests is the context of the callers' requests. cutRequests ends it.
 	requests      context.Context
 	cutRequests   context.CancelCauseFunc
@@ -84,8 +84,8 @@
 type Options struct {
 	// SettingsPath is the path of the platform's settings file.
 	SettingsPath string
-	// Product holds the product's own options. The zero value holds no bounds beyond the
-	// platform's: settings.DefaultEdge returns the defaults.
+	// Product holds the product's own options. Where the zero value is no valid option, the
+	// default holds: settings.DefaultEdge returns the defaults.
 	Product settings.Edge
 	// LogOutput is where log lines are written.
 	LogOutput io.Writer
@@ -103,7 +103,9 @@
 	}
 	debug.SetGCPercent(heapGrowth)
 	debug.SetMemoryLimit(int64(memoryFraction * float64(s.MemoryBytes)))
-	i := &Instance{options: o, log: eventlog.New(o.LogOutput), connections: callerconn.New()}
+	i := &Instance{options: o, log: eventlog.New(o.LogOutput)}
+	i.memory = newMemory(s, o.Product.Callers)
+	i.connections = callerconn.NewBounded(i.callerBounds(s))
 	i.unreadable = newUnreadableEntries(i.log.StateChanges)
 	i.requests, i.cutRequests = context.WithCancelCause(context.Background())
 	i.settings.Store(&s)
@@ -148,7 +150,7 @@
 		Catalog: i.catalog, Selector: i.selector, Client: i.client, Metrics: i.metrics, Crashes: crashes, Limits: i.limits, Origins: i.origins, States: i.states,
 		PeerRelay: reverseproxy.PeerRelay{Reach: i.reach, Relays: i.gossip.Relays, Client: i.peerClient},
 		Successes: i.log.Successes, Failures: i.log.Failures,
-		BufferBytes: int64(bufferFraction * float64(s.MemoryBytes)),
+		Memory: i.memory,
 	})
 	if i.callerListener, err = net.Listen("tcp4", s.CallersAddress.String()); err != nil {
 		return errors.Wrap(err, "callers")
@@ -289,6 +291,7 @@
 		snapshot := i.catalog.Snapshot()
 		i.reportHealthChanges(snapshot, time.Now())
 		i.reportLimitChanges(snapshot, time.Now())
+		i.reportShortage(time.Now())
 		i.observeOrigins(snapshot, time.Now())
 		i.states.Expire(time.Now())
 		i.retainServers(snapshot)
--- a/edge/reverseproxy/fixture_test.go
+++ b/edge/reverseproxy/fixture_test.go
@@ -20,6 +20,7 @@
 	"bergamotpin.example/bergamotpin/edge/serverlimit"
 	"bergamotpin.example/bergamotpin/edge/serverstate"
 	"bergamotpin.example/bergamotpin/edge/streamorigin"
+	"bergamotpin.example/bergamotpin/memoryaccount"
 	"bergamotpin.example/bergamotpin/metrics"
 	"bergamotpin.example/bergamotpin/platform"
 	"bergamotpin.example/bergamotpin/platform/platformtest"
@@ -74,7 +75,7 @@
 			Relays: func() []gossip.Relay { return nil },
 			Client: backendclient.NewClient(nil),
 		},
-		BufferBytes: smallestInstanceBytes / 8,
+		Memory: memoryaccount.New(smallestInstanceBytes/8, 100*time.Millisecond),
 	})
 	t.Cleanup(f.handler.Close)
 	server := httptest.NewServer(f.handler)
--- a/edge/reverseproxy/handler.go
+++ b/edge/reverseproxy/handler.go
@@ -17,6 +17,7 @@
 	"bergamotpin.example/bergamotpin/edge/serverlimit"
 	"bergamotpin.example/bergamotpin/edge/serverstate"
 	"bergamotpin.example/bergamotpin/edge/streamorigin"
+	"bergamotpin.example/bergamotpin/memoryaccount"
 	"bergamotpin.example/bergamotpin/metrics"
 )
 
@@ -51,9 +52,8 @@
 	// each failed attempt, and each request that ended in another way.
 	Successes *slog.Logger
 	Failures  *slog.Logger
-	// BufferBytes bounds the memory in which the larger responses are held before they
-	// are passed on.
-	BufferBytes int64
+	// Memory is the account of what is held for callers.
+	Memory *memoryaccount.Account
 }
 
 // ErrCut is the cause with which the context of a request ends if the instance ends it
@@ -63,7 +63,6 @@
 // Handler serves callers' requests. It is safe for concurrent use.
 type Handler struct {
 	Options
-	buffers *bufferBudget
 	crashes *crashChecks
 	// end is set once the instance is about to end.
 	end atomic.Pointer[end]
@@ -71,7 +70,7 @@
 
 // New returns a Handler with the given options. It must be closed.
 func New(o Options) *Handler {
-	h := &Handler{Options: o, buffers: newBufferBudget(o.BufferBytes)}
+	h := &Handler{Options: o}
 	h.crashes = newCrashChecks(h)
 	return h
 }
@@ -82,8 +81,10 @@
 // ServeHTTP forwards one caller's request to a backend server, or refuses it.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	req, refused := h.readRequest(w, r)
+	defer req.body.release()
 	if refused != nil {
 		h.Metrics.CountBadInput(refused.reason)
+		closeIfUnread(w, r)
 		h.writeRefusal(w, req, refused)
 		return
 	}
--- a/edge/reverseproxy/peer_relay.go
+++ b/edge/reverseproxy/peer_relay.go
@@ -92,7 +92,7 @@
 	deadline := req.deadline.Add(relayGrace)
 	server := backendclient.Server{Key: to.Name, Address: to.Callers, MaxConnections: maxRelayConnections}
 	return f.handler.PeerRelay.Client.Send(ctx, server, backendclient.Request{
-		Method: req.method, Path: req.target, Host: req.host, Header: header, Body: req.body,
+		Method: req.method, Path: req.target, Host: req.host, Header: header, Body: req.body.parts,
 		IDHeader: platform.HeaderRequestID, ID: req.id,
 		AtMostOnce: !req.route.MayRetry(), Deadline: deadline, HeaderDeadline: deadline,
 	})
@@ -107,7 +107,7 @@
 	if response.StatusCode/100 == 2 && f.request.route.Kind == catalog.Stream {
 		return f.passStreamOn(response)
 	}
-	body, err := f.wholeBody.readWhole(response, response.ContentLength, maxResponseBytes)
+	body, err := f.wholeBody.readWhole(response, response.ContentLength, maxResponseBytes, false)
 	if err != nil {
 		return failure{reason: readErrorReason(err), mayHaveRun: true, err: err}, false
 	}
@@ -128,7 +128,7 @@
 // passStreamOn passes a stream on event by event.
 func (f *forwarder) passStreamOn(response *backendclient.Response) (failure, bool) {
 	reader := bufio.NewReaderSize(response, eventBufferBytes)
-	buffered := reservation{budget: f.handler.buffers}
+	buffered := f.newReservation()
 	defer buffered.release()
 	for {
 		buffered.release()
--- a/edge/reverseproxy/request.go
+++ b/edge/reverseproxy/request.go
@@ -1,15 +1,15 @@
 package reverseproxy
 
 import (
-	"io"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/go-faster/errors"
 
+	"bergamotpin.example/bergamotpin/callerconn"
 	"bergamotpin.example/bergamotpin/edge/backendclient"
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
@@ -43,8 +43,10 @@
 	// reaches no server, handed the request on.
 	callerHeader http.Header
 	relayed      bool
-	body         []byte
-	prompt       platform.Prompt
+	// callerAddress is the address from which the request came.
+	callerAddress netip.Addr
+	body          body
+	prompt        platform.Prompt
 	// sharedBlocks holds the keys of the prompt's prefix blocks without the last block,
 	// which only this request has.
 	sharedBlocks []uint64
@@ -91,6 +93,7 @@
 		method: r.Method, host: r.Host, target: requestTarget(r), apiKey: r.Header.Get(platform.HeaderAPIKey),
 		prompt: platform.ParsePrompt(r.Header), lastEventID: r.Header.Get(platform.HeaderLastEvent),
 		resumes: r.Header.Get(platform.HeaderResumes), callerHeader: r.Header, relayed: r.Header.Get(platform.HeaderRelayed) != "",
+		callerAddress: callerconn.Address(r),
 	}
 	req.path, _, _ = strings.Cut(req.target, "?")
 	req.sharedBlocks = sharedBlocks(req.prompt.PrefixBlocks)
@@ -120,7 +123,7 @@
 		return req, refuse(http.StatusRequestHeaderFieldsTooLarge, outcome.HeaderTooLarge, "the header is above the limit")
 	}
 	req.header = platform.ForwardedRequestHeader(r.Header)
-	if refused := req.readBody(w, r, snapshot.Limits.BodyBytes); refused != nil {
+	if refused := h.readBody(req, w, r, snapshot.Limits.BodyBytes); refused != nil {
 		return req, refused
 	}
 	req.key = crashguard.RequestKey(req.repeatHash())
@@ -137,7 +140,9 @@
 		_, _ = h.WriteString(text)
 		_, _ = h.Write([]byte{0})
 	}
-	_, _ = h.Write(req.body)
+	for _, part := range req.body.parts {
+		_, _ = h.Write(part)
+	}
 	return h.Sum64() >> 32
 }
 
@@ -200,47 +205,6 @@
 // takesUp reports whether the caller already has events of the stream.
 func (req *request) takesUp() bool { return req.lastEventID != "" }
 
-// readBody reads the whole body into memory, so that it can be sent again to
-// another server.
-func (req *request) readBody(w http.ResponseWriter, r *http.Request, limit int64) *refusal {
-	if r.ContentLength == 0 {
-		return nil
-	}
-	tooLarge := refuse(http.StatusRequestEntityTooLarge, outcome.BodyTooLarge, "the body is above the limit")
-	if limit > 0 {
-		if r.ContentLength > limit {
-			return tooLarge
-		}
-		r.Body = http.MaxBytesReader(w, r.Body, limit)
-	}
-	control := http.NewResponseController(w)
-	// The error is ignored: only response writers in tests don't support deadlines.
-	_ = control.SetReadDeadline(req.deadline)
-	body, err := readAll(r)
-	if err == nil {
-		_ = control.SetReadDeadline(time.Time{})
-		req.body = body
-		return nil
-	}
-	// The rest of the body stays unread, so the connection can't carry another
-	// request.
-	w.Header().Set("Connection", "close")
-	var sizeError *http.MaxBytesError
-	if errors.As(err, &sizeError) {
-		return tooLarge
-	}
-	return refuse(http.StatusRequestTimeout, outcome.BodyTimeout, "the body did not come whole")
-}
-
-func readAll(r *http.Request) ([]byte, error) {
-	if r.ContentLength < 0 {
-		return io.ReadAll(r.Body)
-	}
-	body := make([]byte, r.ContentLength)
-	_, err := io.ReadFull(r.Body, body)
-	return body, err
-}
-
 // priority is the organisation's priority if it has one, otherwise the route's. Metrics
 // are labelled with it.
 func (req *request) priority() int {
@@ -320,7 +284,7 @@
 		h.Set(platform.HeaderLastEvent, lastEventID)
 	}
 	return backendclient.Request{
-		Method: req.method, Path: req.target, Host: req.host, Header: h, Body: req.body,
+		Method: req.method, Path: req.target, Host: req.host, Header: h, Body: req.body.parts,
 		IDHeader: platform.HeaderRequestID, ID: req.id,
 		AtMostOnce: !req.route.MayRetry(), Deadline: req.deadline, HeaderDeadline: req.deadline,
 	}
--- a/edge/reverseproxy/response_buffer.go
+++ b/edge/reverseproxy/response_buffer.go
@@ -1,79 +1,109 @@
 package reverseproxy
 
 import (
+	"context"
 	"io"
-	"sync/atomic"
+	"time"
 
 	"github.com/go-faster/errors"
+
+	"bergamotpin.example/bergamotpin/memoryaccount"
 )
 
 const (
-	// unreservedBytes is the size up to which a response or an event of a stream is
-	// always buffered. Nearly all are smaller.
-	unreservedBytes = 64 << 10
-	// firstBufferBytes is the size of the first buffer of a response without a length.
+	// firstBufferBytes is the size of the first buffer of a response, which the flat cost of a
+	// connection covers.
 	firstBufferBytes = 4 << 10
+	// maxFirstBytes is the announced length up to which a response gets one buffer at once.
+	maxFirstBytes = 64 << 10
+	// assuredEventBytes is the size up to which an event of a stream is always buffered. Nearly
+	// all are smaller.
+	assuredEventBytes = 64 << 10
 )
 
-// errBuffersFull reports that the larger responses that are being read leave no memory
-// for more of this one.
+// errBuffersFull reports that what is held for callers leaves no memory for more of a response.
 var errBuffersFull = errors.New("the memory for responses is in use")
 
-// bufferBudget bounds the memory in which the larger responses of all servers are held,
-// so that servers that send without end can't use up the instance's memory. It is safe
-// for concurrent use.
-type bufferBudget struct{ free atomic.Int64 }
-
-func newBufferBudget(bytes int64) *bufferBudget {
-	b := &bufferBudget{}
-	b.free.Store(bytes)
-	return b
-}
-
-// reservation is the part of a budget that one response or event uses. The zero value
-// reserves nothing and must get a budget before use.
+// reservation is the memory that one response or event uses.
 type reservation struct {
-	budget *bufferBudget
+	memory *memoryaccount.Reservation
 	bytes  int64
+	// ctx ends when the caller leaves. From deadline on the response is of no use.
+	ctx      context.Context
+	deadline time.Time
+}
+
+// newReservation returns a reservation for responses to the request.
+func (f *forwarder) newReservation() reservation {
+	return reservation{
+		memory: f.handler.Memory.Reserve(memoryaccount.Responses, f.request.party()),
+		ctx:    f.callerCtx, deadline: f.request.deadline,
+	}
 }
 
 // grow reserves memory for a buffer of the given size. It fails if too little is free.
 func (r *reservation) grow(size int) error {
-	more := max(int64(size)-unreservedBytes, 0) - r.bytes
-	if more <= 0 {
+	more := r.missing(size)
+	if more > 0 && !r.memory.TryGrow(more) {
+		return errBuffersFull
+	}
+	r.bytes += more
+	return nil
+}
+
+// growPatiently is grow, but waits until there is memory.
+func (r *reservation) growPatiently(size int) error {
+	more := r.missing(size)
+	if more == 0 {
 		return nil
 	}
-	if r.budget.free.Add(-more) < 0 {
-		r.budget.free.Add(more)
-		return errBuffersFull
+	ctx, cancel := context.WithDeadline(r.ctx, r.deadline)
+	defer cancel()
+	if err := r.memory.GrowPatiently(ctx, more); err != nil {
+		return err
 	}
 	r.bytes += more
 	return nil
 }
 
+// growEvent is grow for an event of a stream. Up to assuredEventBytes it does not fail.
+func (r *reservation) growEvent(size int) error {
+	if size > assuredEventBytes {
+		return r.growPatiently(size)
+	}
+	if more := r.missing(size); more > 0 {
+		r.memory.Force(more)
+		r.bytes += more
+	}
+	return nil
+}
+
+// missing returns how much memory a buffer of the given size needs beyond what is reserved.
+func (r *reservation) missing(size int) int64 {
+	return max(int64(size)-firstBufferBytes-r.bytes, 0)
+}
+
 // release gives the reserved memory back.
 func (r *reservation) release() {
-	r.budget.free.Add(r.bytes)
-	r.bytes = 0
+	if r.bytes > 0 {
+		r.memory.Release()
+		r.bytes = 0
+	}
 }
 
 // readWhole reads a body to its end. length is its announced length, or -1. It fails if
-// the body is larger than limit or the budget's memory is used up.
-func (r *reservation) readWhole(body io.Reader, length int64, limit int) ([]byte, error) {
-	size := firstBufferBytes
-	if length >= 0 && length <= int64(limit) {
-		// One more byte, since the end is known only after another read.
-		size = int(length) + 1
-	}
-	buffer := make([]byte, 0, min(size, unreservedBytes))
+// the body is larger than limit. If the memory is used up it waits, or if mayPass is set returns
+// errBuffersFull and what it has read.
+func (r *reservation) readWhole(body io.Reader, length int64, limit int, mayPass bool) ([]byte, error) {
+	buffer := make([]byte, 0, r.firstBuffer(length))
 	for {
 		if len(buffer) > limit {
 			return nil, errors.New("the response body exceeds the size limit")
 		}
 		if len(buffer) == cap(buffer) {
-			next := min(max(2*cap(buffer), firstBufferBytes), limit+1)
-			if err := r.grow(next); err != nil {
-				return nil, err
+			next := nextBufferBytes(cap(buffer), length, limit)
+			if err := r.growBuffer(next, mayPass); err != nil {
+				return buffer, err
 			}
 			buffer = append(make([]byte, 0, next), buffer...)
 		}
@@ -87,3 +117,35 @@
 		}
 	}
 }
+
+// growBuffer reserves memory for the next buffer of a response. If there is none, it fails if the
+// response may be passed on as it is read, and waits otherwise.
+func (r *reservation) growBuffer(size int, mayPass bool) error {
+	if mayPass {
+		return r.grow(size)
+	}
+	return r.growPatiently(size)
+}
+
+// firstBuffer returns the size of the first buffer, for which memory is reserved. A response that
+// announces a length of up to maxFirstBytes is read into one buffer, if there is memory.
+func (r *reservation) firstBuffer(length int64) int {
+	if length < 0 || length > maxFirstBytes {
+		return firstBufferBytes
+	}
+	// One more byte, since the end is known only after another read.
+	size := int(length) + 1
+	if r.grow(size) != nil {
+		return firstBufferBytes
+	}
+	return size
+}
+
+// nextBufferBytes returns the size of the buffer that follows one of the given size.
+func nextBufferBytes(size int, length int64, limit int) int {
+	next := min(max(2*size, firstBufferBytes), limit+1)
+	if length >= int64(size) && length < int64(next) {
+		return int(length) + 1
+	}
+	return next
+}
--- a/edge/reverseproxy/retry.go
+++ b/edge/reverseproxy/retry.go
@@ -65,7 +65,7 @@
 // is silent, further ones are tried beside it.
 func (f *forwarder) run(ctx context.Context) {
 	f.request.tried = make(map[string]bool)
-	f.wholeBody.budget = f.handler.buffers
+	f.wholeBody = f.newReservation()
 	defer f.wholeBody.release()
 	if f.relayAtOnce() {
 		return
--- a/edge/reverseproxy/stream_relay.go
+++ b/edge/reverseproxy/stream_relay.go
@@ -88,7 +88,7 @@
 // whole event has arrived.
 func (f *forwarder) relayStream(s *sending) (bool, failure) {
 	reader := bufio.NewReaderSize(s.response, eventBufferBytes)
-	buffered := reservation{budget: f.handler.buffers}
+	buffered := f.newReservation()
 	defer buffered.release()
 	var progress streamProgress
 	for {
@@ -193,7 +193,7 @@
 		if len(event) > maxEventBytes {
 			return nil, errors.New("an event exceeds the size limit")
 		}
-		if err := buffered.grow(cap(event)); err != nil {
+		if err := buffered.growEvent(cap(event)); err != nil {
 			return nil, err
 		}
 	}
--- a/edge/reverseproxy/whole_relay.go
+++ b/edge/reverseproxy/whole_relay.go
@@ -28,7 +28,13 @@
 
 // relayWhole reads a response to its end before any of it is passed on.
 func (f *forwarder) relayWhole(response *backendclient.Response, a *balancer.Attempt) (bool, failure) {
-	body, err := f.wholeBody.readWhole(response, response.ContentLength, maxResponseBytes)
+	// A server error is kept, in case another server responds.
+	mayPass := response.ContentLength >= 0 && response.StatusCode < http.StatusInternalServerError
+	body, err := f.wholeBody.readWhole(response, response.ContentLength, maxResponseBytes, mayPass)
+	if errors.Is(err, errBuffersFull) {
+		f.relayAsRead(response, body, a)
+		return true, failure{}
+	}
 	if err != nil {
 		return false, failure{reason: readErrorReason(err), mayHaveRun: true, err: err}
 	}
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -120,6 +120,8 @@
 	VersionNotListed
 	// ServersRest means that all servers that could run the request asked for time.
 	ServersRest
+	// MemoryShort means that there was no memory for the request's body.
+	MemoryShort
 	reasonCount
 )
 
@@ -136,7 +138,7 @@
 	"server_error", "preempted", "caller_left", "pool_pressure", "continued", "resumed",
 	"body_timeout", "key_completed", "key_unknown",
 	"unknown_route", "garbled", "server_moved", "held_back", "prompt_withheld", "servers_limited", "request_withheld",
-	"stream_origin_unknown", "version_not_listed", "servers_rest",
+	"stream_origin_unknown", "version_not_listed", "servers_rest", "memory_short",
 }
 
 // String returns the reason's name in metrics, logs and responses.
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"os"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/pelletier/go-toml/v2"
+
+	"bergamotpin.example/bergamotpin/api"
 )
 
 // Edge holds the product's own options of the edge command. What the platform states is in
@@ -19,13 +22,31 @@
 }
 
 // EdgeCallers bounds what callers may use of an instance.
-type EdgeCallers struct{}
+type EdgeCallers struct {
+	// MaxConnections is how many connections callers may have open, in all. 0 derives the number
+	// from the descriptors and the memory of the process.
+	MaxConnections int `toml:"max_connections"`
+	// MaxConnectionsPerAddress is how many connections may be open from one address. 0 means no
+	// bound of its own: the platform may forward all callers from one address.
+	MaxConnectionsPerAddress int `toml:"max_connections_per_address"`
+	// MemoryWait is how long a body waits for memory before one of those that wait is refused.
+	MemoryWait api.Duration `toml:"memory_wait"`
+}
+
+// defaultMemoryWait is the default of EdgeCallers.MemoryWait. Bodies of others are sent on within
+// it, and a caller that is refused afterwards still has time to return.
+const defaultMemoryWait = 250 * time.Millisecond
+
+// maxMemoryWait bounds EdgeCallers.MemoryWait: callers wait no longer for a server either.
+const maxMemoryWait = 10 * time.Second
 
 // EdgeSecondAttempts limits the extra attempts that are made for slow answers.
 type EdgeSecondAttempts struct{}
 
 // DefaultEdge returns the options that hold without an options file.
-func DefaultEdge() Edge { return Edge{} }
+func DefaultEdge() Edge {
+	return Edge{Callers: EdgeCallers{MemoryWait: api.Duration(defaultMemoryWait)}}
+}
 
 // LoadEdge reads and checks an options file of the edge command. It returns an *Error if the
 // file's content is invalid.
@@ -61,6 +82,17 @@
 	return nil
 }
 
-func checkEdgeCallers(Edge) *problem { return nil }
+func checkEdgeCallers(o Edge) *problem {
+	c := o.Callers
+	switch {
+	case c.MaxConnections < 0:
+		return &problem{"callers.max_connections", "must be at least 0"}
+	case c.MaxConnectionsPerAddress < 0:
+		return &problem{"callers.max_connections_per_address", "must be at least 0"}
+	case c.MemoryWait <= 0 || c.MemoryWait > api.Duration(maxMemoryWait):
+		return &problem{"callers.memory_wait", "must be above 0, and at most 10s"}
+	}
+	return nil
+}
 
 func checkEdgeSecondAttempts(Edge) *problem { return nil }
