Hold the duties of a deployment by one lease, and guard each call

The platform takes calls that one instance at a time must make, and nothing in edge could make them. The existing lease is extended instead of copied: it keeps the machines that held it shortly before, so that no two act by turns within its duration, and takes off the time that the machine was suspended, which the monotonic clock does not count. One lease serves all duties, since its token rises with each holder. This is the interface that reports of usage and orders for servers are built on; neither is made yet, and no test has been run.

--- a/edge/instance.go
+++ b/edge/instance.go
@@ -78,6 +78,8 @@
 	healthChanges healthChangeCounts
 	eraChanges    eraChanges
 	unreadable    *unreadableEntries
+	// duties is nil if the deployment asks for none.
+	duties *duties
 }
 
 // Options configures an instance.
@@ -129,6 +131,7 @@
 	var err error
 	i.origins = i.newOrigins(s)
 	i.watchReachability()
+	i.duties = i.newDuties(s)
 	i.gossip, err = gossip.Listen(gossip.Options{
 		Name: s.Name, DataCentre: s.DataCentre, Cluster: s.StoreAddress.String(), Address: s.PeersAddress, Seeds: s.Seeds, Catalog: i.catalog,
 		Reports: i.selector.Reports, ReceiveReports: i.selector.ReceiveReports, OnChange: i.catalogChanged,
@@ -197,6 +200,9 @@
 	tasks.Go(func() { i.watcher.Run(background) })
 	tasks.Go(func() { i.origins.Run(background) })
 	tasks.Go(func() { i.cleanUp(background) })
+	dutyTime, handOver := context.WithCancel(background)
+	defer handOver()
+	tasks.Go(func() { i.duties.run(dutyTime) })
 	tasks.Go(func() { i.watchSettings(background, reload) })
 	tasks.Go(func() { i.metrics.NewCollector(i.readings).Run(background) })
 
@@ -215,6 +221,7 @@
 	case err = <-serveErrors:
 		i.log.StateChanges.Error("a listener failed", "error", err.Error())
 	}
+	handOver()
 	i.shutDown()
 	stop()
 	_ = callerServer.Close()
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -46,6 +46,12 @@
 	// Renewals changes with each renewal, so that each renewal gives the object
 	// a new version.
 	Renewals int64 `json:"renewals"`
+	// Machine is where the holder runs, or ran if the lease was released. It is empty if the
+	// holder states none.
+	Machine string `json:"machine,omitempty"`
+	// Previous lists the machines that held the lease before Machine within the last Duration
+	// or so, and released it.
+	Previous []string `json:"previous,omitempty"`
 }
 
 // Store is the part of the object API that a Lease uses.
@@ -67,6 +73,16 @@
 	// Margin is how long before the end the holder stops acting.
 	Duration time.Duration
 	Margin   time.Duration
+	// Machine names the machine that this instance runs on, if no machine may hold the lease
+	// again within Duration after another one held it in between. Otherwise it is empty.
+	Machine string
+	// Suspended returns for how long this machine has been suspended so far. The monotonic
+	// clock does not count that time. It may be nil if the machine is never suspended.
+	Suspended func() time.Duration
+	// Quiet reports whether everything that was sent in this term has been received or
+	// dropped. If it has not, the lease is left to expire instead of being released. It may
+	// be nil if the receivers check fencing tokens.
+	Quiet func() bool
 }
 
 // Counters counts what happened to a lease. Acquired counts the terms that
@@ -82,7 +98,7 @@
 	// FencingToken is higher than the tokens of all earlier terms.
 	FencingToken int64
 	// ValidUntil is the time on the monotonic clock at which the holder must
-	// stop acting.
+	// stop acting, if the machine is not suspended before.
 	ValidUntil time.Time
 	// AcquiredAt is when the holder learnt that it had acquired the lease.
 	AcquiredAt time.Time
@@ -98,6 +114,8 @@
 
 	mu   sync.Mutex
 	term Term // zero if the lease was never held, or was lost or released
+	// suspendedBefore is the value of Suspended when the term was last extended.
+	suspendedBefore time.Duration
 
 	// The fields below are used by the goroutine of Run only.
 	object      api.Object // latest version of the lease's object that was seen, zero if none is known
@@ -122,7 +140,16 @@
 func (l *Lease) CurrentTerm() (Term, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.term, l.term.FencingToken > 0 && time.Now().Before(l.term.ValidUntil)
+	term := l.term
+	term.ValidUntil = term.ValidUntil.Add(l.suspendedBefore - l.suspended())
+	return term, term.FencingToken > 0 && time.Now().Before(term.ValidUntil)
+}
+
+func (l *Lease) suspended() time.Duration {
+	if l.opts.Suspended == nil {
+		return 0
+	}
+	return l.opts.Suspended()
 }
 
 // Run acquires and renews the lease while shouldHold returns true, and releases
@@ -161,11 +188,11 @@
 		return
 	}
 	if term, held := l.CurrentTerm(); held {
-		l.writeRecord(ctx, Record{FencingToken: term.FencingToken, Renewals: l.record.Renewals + 1})
+		l.writeRecord(ctx, Record{FencingToken: term.FencingToken, Renewals: l.record.Renewals + 1, Previous: l.previousAtRenewal(term)})
 		return
 	}
 	if l.mayAcquire() || l.readObject(ctx) && l.mayAcquire() {
-		l.writeRecord(ctx, Record{})
+		l.writeRecord(ctx, Record{Previous: l.previousAtAcquisition()})
 	}
 }
 
@@ -177,12 +204,18 @@
 	if l.object.Version == 0 {
 		return false
 	}
-	if l.record.Holder == "" || l.record.Holder == l.opts.Holder {
+	if l.record.Holder == l.opts.Holder {
 		return true
 	}
-	return time.Since(l.firstSeenAt) >= l.record.Duration.Std()
+	if l.record.Holder == "" && l.mayFollow() {
+		return true
+	}
+	return l.hasExpired()
 }
 
+// hasExpired reports whether the latest version has not changed for the lease's duration.
+func (l *Lease) hasExpired() bool { return time.Since(l.firstSeenAt) >= l.record.Duration.Std() }
+
 // createObject creates the lease's object without acquiring the lease. An
 // earlier object may have been deleted while an instance held the lease. So all
 // instances must wait for the lease's duration, as if the lease were held now.
@@ -242,12 +275,12 @@
 // writeRecord acquires or renews the lease. It changes the term only if the
 // platform responds.
 func (l *Lease) writeRecord(ctx context.Context, rec Record) {
-	rec.Holder, rec.Duration = l.opts.Holder, api.Duration(l.opts.Duration)
-	sentAt := time.Now()
+	rec.Holder, rec.Duration, rec.Machine = l.opts.Holder, api.Duration(l.opts.Duration), l.opts.Machine
+	sentAt, suspended := time.Now(), l.suspended()
 	stored, err := l.sendRecord(ctx, rec)
 	if err == nil {
 		l.observe(stored)
-		l.recordTerm(rec, stored, sentAt)
+		l.recordTerm(rec, stored, sentAt, suspended)
 		return
 	}
 	var conflict *objects.ConflictError
@@ -292,8 +325,9 @@
 	return l.opts.Store.Update(ctx, obj)
 }
 
-// recordTerm starts a term or extends the current one after a confirmed write.
-func (l *Lease) recordTerm(rec Record, stored api.Object, sentAt time.Time) {
+// recordTerm starts a term or extends the current one after a confirmed write. sentAt is when
+// the write was sent, and suspended is for how long the machine had been suspended by then.
+func (l *Lease) recordTerm(rec Record, stored api.Object, sentAt time.Time, suspended time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if rec.FencingToken == 0 {
@@ -303,6 +337,7 @@
 		l.Counters.Renewed.Add(1)
 	}
 	l.term.ValidUntil = sentAt.Add(l.opts.Duration - l.opts.Margin)
+	l.suspendedBefore = suspended
 }
 
 // endTerm ends the term at once.
@@ -320,10 +355,13 @@
 func (l *Lease) release(ctx context.Context) {
 	term, _ := l.CurrentTerm()
 	l.endTerm()
-	if term.FencingToken == 0 || l.uncertain {
+	if term.FencingToken == 0 || l.uncertain || l.opts.Quiet != nil && !l.opts.Quiet() {
 		return
 	}
-	raw, err := json.Marshal(Record{Duration: api.Duration(l.opts.Duration), Renewals: l.record.Renewals + 1})
+	raw, err := json.Marshal(Record{
+		Duration: api.Duration(l.opts.Duration), Renewals: l.record.Renewals + 1,
+		Machine: l.opts.Machine, Previous: l.previousAtRenewal(term),
+	})
 	if err != nil {
 		return
 	}
