Count usage by organisation and window, and report it once

The platform wants the requests of each organisation that began to run, by windows of true time, from one instance at a time. Each instance counts and sends its sums to the holder of the duties and three deputies twice a second; sums only grow, so lost and repeated datagrams do no harm. The holder stores a window's counts before it sends them, so that a successor repeats them exactly.

--- a/edge/balancer/balancer.go
+++ b/edge/balancer/balancer.go
@@ -260,16 +260,18 @@
 	s.recordSentBlocks(sharedBlocks, now)
 }
 
-// RecordFirstEvent records that the first event of the response arrived.
-func (b *Balancer) RecordFirstEvent(a *Attempt, now time.Time) {
+// RecordFirstEvent records that the first event of the response arrived. It reports whether that
+// was not recorded before.
+func (b *Balancer) RecordFirstEvent(a *Attempt, now time.Time) bool {
 	if a.waitEnded {
-		return
+		return false
 	}
 	a.waitEnded = true
 	s := b.serverState(a.Key)
 	s.localLoad.Waiting--
 	s.localLoad.PrefillTokens -= a.prefillTokens
 	s.localStats.recordDelay(a.ExpectedDelay, now.Sub(a.sentAt), now)
+	return true
 }
 
 // EndAttempt records how the attempt ended.
--- a/edge/catalog/snapshot.go
+++ b/edge/catalog/snapshot.go
@@ -112,6 +112,15 @@
 	return nil, false
 }
 
+// OrganisationNames returns the names of the organisations that have keys.
+func (s *Snapshot) OrganisationNames() []string {
+	names := make([]string, 0, len(s.organisationsByKey))
+	for _, org := range s.organisationsByKey {
+		names = append(names, org.Name)
+	}
+	return names
+}
+
 // Organisation returns the organisation that an API key belongs to.
 func (s *Snapshot) Organisation(key string) (Organisation, bool) {
 	org, ok := s.organisationsByKey[key]
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -4,9 +4,11 @@
 	"context"
 	"net"
 	"strconv"
+	"sync"
 	"time"
 
 	"bergamotpin.example/bergamotpin/edge/duty"
+	"bergamotpin.example/bergamotpin/edge/usage"
 	"bergamotpin.example/bergamotpin/lease"
 	"bergamotpin.example/bergamotpin/metrics"
 	"bergamotpin.example/bergamotpin/objects"
@@ -24,6 +26,9 @@
 	api      *platform.DutyAPI
 	holder   *duty.Holder
 	guard    *duty.Guard
+	// accounts and reporter are nil if the deployment asks for no reports of usage.
+	accounts *usage.Accounts
+	reporter *usage.Reporter
 }
 
 // newDuties returns the duties of a deployment, or nil if it asks for none.
@@ -43,9 +48,28 @@
 		Machine: s.CallersAddress.Addr().String(), LeaseTime: s.Duties.LeaseTime,
 		Candidate: i.isDutyCandidate, Suspended: lease.SuspendedTime, Quiet: d.guard.Quiet,
 	})
+	if s.Duties.Usage {
+		i.addUsage(d, s)
+	}
 	return d
 }
 
+// addUsage adds the reports of usage.
+func (i *Instance) addUsage(d *duties, s platform.Settings) {
+	now := time.Now()
+	clock := usage.NewClock(lease.SuspendedTime, now)
+	d.accounts = usage.NewAccounts(usage.AccountsOptions{
+		Name: s.Name, Address: s.PeersAddress, Started: now, Clock: clock, Window: s.Duties.ReportWindow,
+	})
+	d.reporter = usage.NewReporter(usage.ReporterOptions{
+		Accounts: d.accounts, Clock: clock, Store: i.newStore(s.StoreAddress), API: d.api, Guard: d.guard, Terms: d.holder,
+		Window: s.Duties.ReportWindow, Due: s.Duties.UsageLate,
+		Live:          func() []string { return i.gossip.View().Live },
+		Organisations: func() []string { return i.catalog.Snapshot().OrganisationNames() },
+		Log:           i.log.StateChanges,
+	})
+}
+
 // isDutyCandidate reports whether this instance should try to become the holder of the duties: it
 // is one of the few that follow the metadata store, which responds to it.
 func (i *Instance) isDutyCandidate() bool {
@@ -53,12 +77,33 @@
 	return i.gossip.ShouldWatchStore(now) && i.storeAge(now) < maxCandidateStoreAge
 }
 
+// usageAccounts returns the accounts of usage, or nil if there are none.
+func (d *duties) usageAccounts() *usage.Accounts {
+	if d == nil {
+		return nil
+	}
+	return d.accounts
+}
+
+// usageCounter returns the function that counts a request, or nil if requests are not counted.
+func (d *duties) usageCounter() func(organisation string) {
+	if d == nil || d.accounts == nil {
+		return nil
+	}
+	return d.accounts.Count
+}
+
 // run competes for the duties and carries them out until ctx ends. It hands them over then.
 func (d *duties) run(ctx context.Context) {
 	if d == nil {
 		return
 	}
+	var tasks sync.WaitGroup
+	if d.reporter != nil {
+		tasks.Go(func() { d.reporter.Run(ctx) })
+	}
 	d.holder.Run(ctx)
+	tasks.Wait()
 }
 
 // dialDutyAPI connects to the platform's API. Closing the connection drops what was not yet sent,
@@ -78,11 +123,25 @@
 	}
 	_, held := d.holder.Term(time.Now())
 	c := d.holder.Counters()
-	return []metrics.Reading{
+	return append(d.usageReadings(),
 		metrics.GaugeReading("duties_held", "", "", boolGauge(held)),
 		metrics.CounterReading("duty_lease", "event", "acquired", c.Acquired.Load()),
 		metrics.CounterReading("duty_lease", "event", "renewed", c.Renewed.Load()),
 		metrics.CounterReading("duty_lease", "event", "unanswered", c.Unanswered.Load()),
 		metrics.CounterReading("duty_lease", "event", "ended", c.Ended.Load()),
+	)
+}
+
+func (d *duties) usageReadings() []metrics.Reading {
+	if d.reporter == nil {
+		return nil
+	}
+	c := &d.reporter.Counters
+	return []metrics.Reading{
+		metrics.CounterReading("usage_reports", "outcome", "sent", c.Sent.Load()),
+		metrics.CounterReading("usage_reports", "outcome", "sent_late", c.Late.Load()),
+		metrics.CounterReading("usage_reports", "outcome", "failed", c.Failed.Load()),
+		metrics.CounterReading("usage_reports", "outcome", "given_up", c.GivenUp.Load()),
+		metrics.CounterReading("usage_reports", "outcome", "store_failed", c.StoreFailed.Load()),
 	}
 }
--- a/edge/gossip/message.go
+++ b/edge/gossip/message.go
@@ -9,6 +9,7 @@
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/crashguard"
 	"bergamotpin.example/bergamotpin/edge/serverlimit"
+	"bergamotpin.example/bergamotpin/edge/usage"
 )
 
 // maxDatagramBytes is the largest datagram that is sent without IP fragmentation.
@@ -58,6 +59,10 @@
 	// it takes requests. A summary has neither.
 	CutOff  bool           `cbor:"21,keyasint,omitempty"`
 	Callers netip.AddrPort `cbor:"22,keyasint,omitzero"`
+	// Usage says what the sender knows about the holder of the duties and the time, or holds
+	// sums of usage and nothing else. It is empty if the deployment asks for no duties. A summary
+	// has none.
+	Usage usage.Message `cbor:"24,keyasint,omitzero"`
 	stated
 }
 
--- a/edge/gossip/node.go
+++ b/edge/gossip/node.go
@@ -17,6 +17,7 @@
 	"bergamotpin.example/bergamotpin/edge/catalog"
 	"bergamotpin.example/bergamotpin/edge/crashguard"
 	"bergamotpin.example/bergamotpin/edge/serverlimit"
+	"bergamotpin.example/bergamotpin/edge/usage"
 	"bergamotpin.example/bergamotpin/objects"
 )
 
@@ -30,7 +31,7 @@
 	cycleRounds = 2.5
 )
 
-// Options configures a Node. All fields but Seeds are required.
+// Options configures a Node. All fields but Seeds and Usage are required.
 type Options struct {
 	Name       string
 	DataCentre string
@@ -71,6 +72,8 @@
 	Callers netip.AddrPort
 	// StoreAge returns how long ago the metadata store last responded to this instance.
 	StoreAge func(now time.Time) time.Duration
+	// Usage counts requests for reports, or is nil if the deployment asks for none.
+	Usage *usage.Accounts
 	// OnChange is called with the changes that fetched records made to the catalog.
 	OnChange func(source string, changes []catalog.Change)
 	Log      *slog.Logger
@@ -95,6 +98,8 @@
 	// behindSince is the time at which this instance was first found to lack another
 	// instance's records. It is zero if this instance lacks none.
 	behindSince time.Time
+	// usageSentAt is when the sums of usage were last sent.
+	usageSentAt time.Time
 	sendNow     chan struct{}
 	tasks       sync.WaitGroup
 }
@@ -208,9 +213,11 @@
 	defer ticker.Stop()
 	for {
 		n.sendRound(time.Now())
+		n.sendUsageIfDue(time.Now(), false)
 		select {
 		case <-ctx.Done():
 			n.sendRound(time.Now())
+			n.sendUsageIfDue(time.Now(), true)
 			return
 		case <-ticker.C:
 		case <-n.sendNow:
@@ -235,7 +242,7 @@
 		Known: n.members.knownAddresses(n.sequence, maxKnown), Reports: reports.Servers, DataCentre: n.opts.DataCentre,
 		StoreAgeMs: storeAge.Milliseconds(), Urgencies: reports.Urgencies,
 		Crashes: crashReports, Limits: limitReports, Listed: n.opts.ListedVersions(), LeavingServers: n.opts.LeavingServers(now),
-		CutOff: n.opts.CutOff(), Callers: n.opts.Callers, stated: newStated(digest),
+		CutOff: n.opts.CutOff(), Callers: n.opts.Callers, Usage: n.usageNotice(now), stated: newStated(digest),
 	}
 	withoutReports := complete
 	withoutReports.Reports, withoutReports.Urgencies, withoutReports.Known = nil, nil, n.members.knownAddresses(n.sequence, maxKnownRemote)
@@ -305,7 +312,9 @@
 			n.handleSummary(m, buffer[:size], from, time.Now())
 			continue
 		}
-		n.handleMessage(m, time.Now())
+		if !n.receiveUsage(m, time.Now()) {
+			n.handleMessage(m, time.Now())
+		}
 	}
 }
 
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -141,7 +141,7 @@
 		ListedVersions: i.origins.Listed, ReceiveListedVersions: i.origins.Learn,
 		LeavingServers: i.states.Leaving, ReceiveLeavingServers: i.states.Learn,
 		CutOff: i.reach.CutOff, Callers: s.CallersAddress,
-		StoreAge: i.storeAge, Log: i.log.StateChanges,
+		StoreAge: i.storeAge, Usage: i.duties.usageAccounts(), Log: i.log.StateChanges,
 	})
 	if err != nil {
 		return err
@@ -149,8 +149,9 @@
 	i.selector.SetInstances(i.gossip.CountInstances)
 	i.handler = reverseproxy.New(reverseproxy.Options{
 		Catalog: i.catalog, Selector: i.selector, Client: i.client, Metrics: i.metrics, Crashes: crashes, Limits: i.limits, Origins: i.origins, States: i.states,
-		PeerRelay: reverseproxy.PeerRelay{Reach: i.reach, Relays: i.gossip.Relays, Client: i.peerClient},
-		Successes: i.log.Successes, Failures: i.log.Failures,
+		PeerRelay:  reverseproxy.PeerRelay{Reach: i.reach, Relays: i.gossip.Relays, Client: i.peerClient},
+		CountUsage: i.duties.usageCounter(),
+		Successes:  i.log.Successes, Failures: i.log.Failures,
 		BufferBytes: int64(bufferFraction * float64(s.MemoryBytes)),
 	})
 	if i.callerListener, err = net.Listen("tcp4", s.CallersAddress.String()); err != nil {
--- a/edge/reverseproxy/handler.go
+++ b/edge/reverseproxy/handler.go
@@ -46,6 +46,9 @@
 	Origins *streamorigin.Ledger
 	// PeerRelay hands requests on while this instance reaches no server.
 	PeerRelay PeerRelay
+	// CountUsage counts a request of an organisation that a server began to run. It is nil if
+	// nobody asks for the counts.
+	CountUsage func(organisation string)
 	// Successes logs each send of a request to a server, before its result is
 	// known, and each request that ended with a server's response. Failures logs
 	// each failed attempt, and each request that ended in another way.
--- a/edge/reverseproxy/server_selector.go
+++ b/edge/reverseproxy/server_selector.go
@@ -111,11 +111,12 @@
 	return a, nil
 }
 
-// RecordFirstEvent records that the attempt's response began.
-func (s *ServerSelector) RecordFirstEvent(a *balancer.Attempt) {
+// RecordFirstEvent records that the attempt's response began. It reports whether that was not
+// recorded before.
+func (s *ServerSelector) RecordFirstEvent(a *balancer.Attempt) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.balancer.RecordFirstEvent(a, time.Now())
+	return s.balancer.RecordFirstEvent(a, time.Now())
 }
 
 // RecordEvent records that more of the attempt's response arrived. This shows
--- a/edge/reverseproxy/stream_relay.go
+++ b/edge/reverseproxy/stream_relay.go
@@ -134,7 +134,9 @@
 			return failure{reason: outcome.ResponseMismatch, mayHaveRun: true, err: errEventsSkipped}, false
 		}
 	}
-	f.handler.Selector.RecordFirstEvent(a)
+	if f.handler.Selector.RecordFirstEvent(a) {
+		f.countUsage()
+	}
 	if s.started {
 		f.handler.Selector.RecordEvent(a)
 	} else {
--- a/edge/reverseproxy/whole_relay.go
+++ b/edge/reverseproxy/whole_relay.go
@@ -32,7 +32,9 @@
 	if err != nil {
 		return false, failure{reason: readErrorReason(err), mayHaveRun: true, err: err}
 	}
-	f.handler.Selector.RecordFirstEvent(a)
+	if f.handler.Selector.RecordFirstEvent(a) {
+		f.countUsage()
+	}
 	whole := &wholeResponse{status: response.StatusCode, header: platform.ForwardedResponseHeader(response.Header), body: body, server: a.Server.ID}
 	if whole.status >= http.StatusInternalServerError {
 		f.serverError = whole
--- /dev/null
+++ b/edge/usage/plan.go
@@ -0,0 +1,94 @@
+package usage
+
+// This file answers a load of a few reports a minute for the whole deployment, of 24 to 40
+// organisations each, while instances come, go and are cut off.
+
+import (
+	"slices"
+	"time"
+
+	"bergamotpin.example/bergamotpin/platform"
+)
+
+// timing says when a report is made. All times are relative to the end of its window.
+type timing struct {
+	// patience is how long a report waits for the sums of instances that lack some.
+	patience time.Duration
+	// due is when the platform must have the report.
+	due time.Duration
+	// giveUp is when a report that could not be made or sent is given up.
+	giveUp time.Duration
+	// settle is how long a new holder waits, so that sums can reach it.
+	settle time.Duration
+	// hurry is when a new holder doesn't wait any more.
+	hurry time.Duration
+}
+
+const (
+	// patienceShare is the share of the time in which a report is due that it waits for sums.
+	// A successor still has time to take over and report in the rest.
+	patienceShare = 0.4
+	// hurryShare is the same for the wait of a new holder.
+	hurryShare = 0.8
+	// giveUpFactor says after how many times the due time a report is given up. A late one is
+	// still better for the platform's books than none.
+	giveUpFactor = 6
+	// settleTime is two intervals of sums, with what the holder's token needs to get around.
+	settleTime = 1200 * time.Millisecond
+)
+
+func newTiming(due time.Duration) timing {
+	return timing{
+		patience: time.Duration(patienceShare * float64(due)), due: due, giveUp: giveUpFactor * due,
+		settle: settleTime, hurry: time.Duration(hurryShare * float64(due)),
+	}
+}
+
+// ready reports whether a window's counts should be taken now. age is the time since the end of
+// the window, and held the time for which this instance has been the holder.
+func (t timing) ready(age, held time.Duration, missing int) bool {
+	switch {
+	case age <= 0:
+		return false
+	case held < t.settle && age < t.hurry:
+		return false
+	default:
+		return missing == 0 || age >= t.patience
+	}
+}
+
+// firstWindow returns the first window that is worth a report, given the first one without a
+// plan. Without any plan, that is the first one that is not due yet.
+func (t timing) firstWindow(next int64, length, unix time.Duration) int64 {
+	if next == 0 {
+		return int64((unix - t.due) / length)
+	}
+	return max(next, int64((unix-t.giveUp)/length))
+}
+
+// prune drops the plans that were sent, or that are too old to be.
+func (t timing) prune(plans []platform.UsagePlan, length, unix time.Duration) []platform.UsagePlan {
+	oldest := int64((unix - t.giveUp) / length)
+	return slices.DeleteFunc(plans, func(p platform.UsagePlan) bool { return p.Sent || p.Window < oldest })
+}
+
+// nextToSend returns the position of the plan to send next, or -1. Reports that are in time go
+// first, the oldest before the others, then late ones.
+func (t timing) nextToSend(plans []platform.UsagePlan, length, unix time.Duration) int {
+	best := -1
+	for n, plan := range plans {
+		if plan.Sent {
+			continue
+		}
+		if best < 0 {
+			best = n
+			continue
+		}
+		late := func(w int64) bool { return unix-time.Duration(w+1)*length > t.due }
+		a, b := plans[best].Window, plan.Window
+		if late(a) != late(b) && late(a) || late(a) == late(b) && b < a {
+			best = n
+		}
+	}
+	return best
+}
