Don't release a lease that another instance has acquired

An instance whose term had expired, and that had learnt of its successor's record, released that record if it stopped competing at that moment: the write's condition was the successor's version. A third instance then held the lease beside the successor. Ruled out: late writes, whose condition fails. The release is now left out unless the record is this instance's own; the new test fails without that.

--- a/lease/handover_test.go
+++ b/lease/handover_test.go
@@ -74,3 +74,26 @@
 		}
 	}, "a")
 }
+
+// TestExpiredHolderDoesNotReleaseItsSuccessorsLease guards against an instance whose term expired
+// and that releases the lease that another one holds now.
+func TestExpiredHolderDoesNotReleaseItsSuccessorsLease(t *testing.T) {
+	runMachines(t, func(t *testing.T, leases map[string]*Lease, _ *time.Duration) {
+		a, b, c := leases["a"], leases["b"], leases["c"]
+		a.acquireOrRenew(t.Context())
+		time.Sleep(DefaultDuration)
+		if !acquires(t, a) {
+			t.Fatal("the lease is not acquired")
+		}
+		b.acquireOrRenew(t.Context())
+		time.Sleep(DefaultDuration)
+		if !acquires(t, b) {
+			t.Fatal("the expired lease is not acquired")
+		}
+		a.acquireOrRenew(t.Context()) // learns of b
+		a.release(t.Context())
+		if acquires(t, c) {
+			t.Error("a third instance acquires the lease while the second one holds it")
+		}
+	}, "a", "b", "c")
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -355,6 +355,10 @@
 func (l *Lease) release(ctx context.Context) {
 	term, _ := l.CurrentTerm()
 	l.endTerm()
+	if l.record.Holder != l.opts.Holder {
+		// The term expired, and another instance has acquired the lease since.
+		return
+	}
 	if term.FencingToken == 0 || l.uncertain || l.opts.Quiet != nil && !l.opts.Quiet() {
 		return
 	}
