Give each new term of a lease a version of its own

An acquisition always wrote a record with zero renewals. A holder that lost its first term without any renewal, for example because the store turned it away right after it acquired, acquired again with the very same record. A write that changes nothing gets no new revision at the metadata store, so other candidates measured the duration from the first acquisition and took over while the second term ran: two holders, and a lower token after a higher one. Ruled out: the condition on the version does not help, since the version does not change. Before: TestNewTermIsSeenByOthers failed. After: the counter of writes goes on over acquisitions, and it passes, with the lease package under the race detector.

--- a/lease/handover_test.go
+++ b/lease/handover_test.go
@@ -1,10 +1,13 @@
 package lease
 
 import (
+	"bytes"
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"bergamotpin.example/bergamotpin/api"
 	"bergamotpin.example/bergamotpin/objects"
 	"bergamotpin.example/bergamotpin/objects/objectstest"
 	"bergamotpin.example/bergamotpin/standin/platform"
@@ -97,3 +100,46 @@
 		}
 	}, "a", "b", "c")
 }
+
+// idleWriteStore gives an object no new version if a write changes nothing, as some stores do.
+type idleWriteStore struct {
+	Store
+	cut bool
+}
+
+func (s *idleWriteStore) Update(ctx context.Context, obj api.Object) (api.Object, error) {
+	if s.cut {
+		return api.Object{}, objects.ErrUnavailable
+	}
+	current, err := s.Get(ctx, obj.Kind, obj.Name)
+	if err == nil && current.Version == obj.Version && bytes.Equal(current.Spec, obj.Spec) {
+		return current, nil
+	}
+	return s.Store.Update(ctx, obj)
+}
+
+// TestNewTermIsSeenByOthers guards against two holders: an instance loses its first term without
+// a renewal and acquires the lease again with the same record, so that the others see no change
+// and take the lease for expired.
+func TestNewTermIsSeenByOthers(t *testing.T) {
+	runMachines(t, func(t *testing.T, leases map[string]*Lease, _ *time.Duration) {
+		a, b := leases["a"], leases["b"]
+		store := &idleWriteStore{Store: a.opts.Store}
+		a.opts.Store = store
+		a.acquireOrRenew(t.Context())
+		time.Sleep(DefaultDuration)
+		a.acquireOrRenew(t.Context())
+		b.acquireOrRenew(t.Context())
+		store.cut = true
+		time.Sleep(DefaultDuration - DefaultMargin + time.Second)
+		store.cut = false
+		a.acquireOrRenew(t.Context())
+		if _, held := a.CurrentTerm(); !held {
+			t.Fatal("the instance does not acquire its own lease again")
+		}
+		time.Sleep(DefaultMargin)
+		if acquires(t, b) {
+			t.Error("a second instance acquires the lease during the first one's new term")
+		}
+	}, "a", "b")
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -43,14 +43,15 @@
 	// is never used again.
 	FencingToken int64        `json:"fence,omitempty"`
 	Duration     api.Duration `json:"duration"`
-	// Renewals changes with each renewal, so that each renewal gives the object
-	// a new version.
+	// Renewals changes with each write, so that each write gives the object a new
+	// version, also one that would otherwise repeat the record. Others measure the
+	// lease's duration from there.
 	Renewals int64 `json:"renewals"`
 	// Machine is where the holder runs, or ran if the lease was released. It is empty if the
 	// holder states none.
 	Machine string `json:"machine,omitempty"`
 	// Previous lists the machines that held the lease before Machine within the last Duration
-	// or so, and released it.
+	// or so.
 	Previous []string `json:"previous,omitempty"`
 }
 
@@ -192,7 +193,7 @@
 		return
 	}
 	if l.mayAcquire() || l.readObject(ctx) && l.mayAcquire() {
-		l.writeRecord(ctx, Record{Previous: l.previousAtAcquisition()})
+		l.writeRecord(ctx, Record{Renewals: l.record.Renewals + 1, Previous: l.previousAtAcquisition()})
 	}
 }
 
