Keep the machine of an expired term from following its successor at once

The list of machines that may not take a released lease was emptied when a lease was acquired after it had expired. But the holder of the expired term may have acted until Margin before the expiry, 0.6 s of 3 s. If its successor was stopped as planned within the next 2.4 s, the first machine acquired the released lease at once: machines A, B, A act within the duration. Only the machines before the expired term are older than the duration. Before: TestExpiredLeaseIsNotHeldByTurns failed. After: the machine of a term that expired is listed, that of one that was released and then expired is not, and the test passes with the others of the package.

--- a/lease/handover.go
+++ b/lease/handover.go
@@ -20,12 +20,20 @@
 }
 
 // previousAtAcquisition returns the machines that held the lease within its duration before this
-// instance acquires it.
+// instance acquires it. A term that expired ended Margin before, so its holder acted not long ago;
+// those before it did not act within the duration.
 func (l *Lease) previousAtAcquisition() []string {
-	if l.opts.Machine == "" || l.hasExpired() {
+	if l.opts.Machine == "" {
+		return nil
+	}
+	expired := l.hasExpired()
+	if expired && l.record.Holder == "" {
 		return nil
 	}
-	previous := slices.Clone(l.record.Previous)
+	var previous []string
+	if !expired {
+		previous = slices.Clone(l.record.Previous)
+	}
 	if m := l.record.Machine; m != "" && m != l.opts.Machine && !slices.Contains(previous, m) {
 		previous = append(previous, m)
 	}
--- a/lease/handover_test.go
+++ b/lease/handover_test.go
@@ -143,3 +143,31 @@
 		}
 	}, "a", "b")
 }
+
+// TestExpiredLeaseIsNotHeldByTurns guards against receivers that see a machine act, then the one
+// that took over its expired lease, and the first one again because the other released it soon.
+func TestExpiredLeaseIsNotHeldByTurns(t *testing.T) {
+	runMachines(t, func(t *testing.T, leases map[string]*Lease, _ *time.Duration) {
+		a, b := leases["a"], leases["b"]
+		a.acquireOrRenew(t.Context())
+		time.Sleep(DefaultDuration)
+		a.acquireOrRenew(t.Context())
+		b.acquireOrRenew(t.Context())
+		time.Sleep(DefaultDuration - DefaultMargin - time.Millisecond)
+		if _, held := a.CurrentTerm(); !held {
+			t.Fatal("the lease is not held to the end of its term")
+		}
+		time.Sleep(DefaultMargin + time.Millisecond)
+		if !acquires(t, b) {
+			t.Fatal("the expired lease is not acquired")
+		}
+		b.release(t.Context())
+		if acquires(t, a) {
+			t.Error("the first machine holds the lease again shortly after another one did, want it to wait")
+		}
+		time.Sleep(DefaultDuration)
+		if !acquires(t, a) {
+			t.Error("the lease is not acquired after its duration, want it to be")
+		}
+	}, "a", "b")
+}
