--- a/edge/usage/model_test.go
+++ b/edge/usage/model_test.go
@@ -106,7 +106,6 @@
 	w := h.world
 	now := time.Now()
 	i := &instance{name: fmt.Sprintf("i%d", h.machine), started: now}
-	h.instance = i
 	i.clock = NewClock(func() time.Duration { return 0 }, now)
 	i.clock.timeOfDay = func(now time.Time) time.Duration {
 		w.mu.Lock()
@@ -129,11 +128,19 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	i.stop = cancel
+	w.set(func() { h.instance = i })
 	i.done.Go(func() { i.holder.Run(ctx) })
 	i.done.Go(func() { reporter.Run(ctx) })
 	i.done.Go(func() { h.work(ctx, i) })
 }
 
+// receiver returns the instance that runs on the machine now.
+func (h *host) receiver() *instance {
+	h.world.mu.Lock()
+	defer h.world.mu.Unlock()
+	return h.instance
+}
+
 func address(machine int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(machine)}), 7000)
 }
@@ -180,7 +187,7 @@
 	n := i.accounts.Notice(time.Now())
 	for _, to := range h.world.hosts {
 		if to != h && !h.world.chance(0.2) {
-			to.accounts.ReceiveNotice(i.name, n, time.Now())
+			to.receiver().accounts.ReceiveNotice(i.name, n, time.Now())
 		}
 	}
 }
@@ -192,7 +199,7 @@
 		for _, to := range h.world.hosts {
 			for times := 0; to != h && times < 2; times++ {
 				if !h.world.chance(0.3) {
-					to.accounts.ReceiveSums(i.name, m.Sums, now)
+					to.receiver().accounts.ReceiveSums(i.name, m.Sums, now)
 				}
 			}
 		}
@@ -200,7 +207,7 @@
 	for _, m := range i.accounts.SilentSums(now) {
 		for _, to := range h.world.hosts {
 			if address(to.machine) == i.accounts.Holder() && to != h {
-				to.accounts.ReceiveSums(i.name, m.Sums, now)
+				to.receiver().accounts.ReceiveSums(i.name, m.Sums, now)
 			}
 		}
 	}
