--- a/edge/usage/model_test.go
+++ b/edge/usage/model_test.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"reflect"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -49,7 +50,9 @@
 	down     bool // the store, for all
 	apiDown  bool
 	revision int64
-	stored   map[string]api.Object
+	// trace says what happened, for the case that the test fails.
+	trace  []string
+	stored map[string]api.Object
 	// What the API has seen.
 	reports  map[int64]map[string]int64
 	reported map[int64]time.Time
@@ -88,6 +91,12 @@
 	holder   *duty.Holder
 }
 
+// note adds to the trace. The caller holds the lock.
+func (w *world) note(format string, args ...any) {
+	text := time.Now().Format("05.000 ") + fmt.Sprintf(format, args...)
+	w.trace = append(w.trace, text)
+}
+
 // chance reports true with a probability, and only while there are troubles.
 func (w *world) chance(p float64) bool {
 	w.mu.Lock()
@@ -226,9 +235,11 @@
 	if !w.chance(0.02) {
 		return
 	}
+	begin := time.Now()
 	time.Sleep(w.upTo(8 * time.Second))
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.note("machine %d was paused from %s", l.host.machine, begin.Format("05.000"))
 	l.host.thawedAt = time.Now()
 }
 
@@ -294,6 +305,7 @@
 		return current, nil
 	}
 	w.revision++
+	w.note("%d was %s %s, is %s", w.revision, current.Name, current.Spec, obj.Spec)
 	obj.Version, obj.SpecVersion = w.revision, w.revision
 	w.stored[obj.Name] = obj
 	return obj, nil
@@ -354,6 +366,7 @@
 // shortly after.
 func (w *world) check(h *host, sentAt time.Time, token, number int64, counts map[string]int64) {
 	now := time.Now()
+	w.note("machine %d sends window %d with token %d, sent at %s", h.machine, number, token, sentAt.Format("05.000"))
 	if first, known := w.reports[number]; known && !reflect.DeepEqual(first, counts) {
 		w.t.Errorf("window %d is reported as %v, and again as %v", number, first, counts)
 	} else if !known {
@@ -384,7 +397,9 @@
 // disturb does something bad, or ends it.
 func (w *world) disturb() {
 	h := w.hosts[w.upTo(machines)]
-	switch w.upTo(8) {
+	kind := w.upTo(8)
+	w.set(func() { w.note("disturbance %d at machine %d", kind, h.machine) })
+	switch kind {
 	case 0, 1:
 		h.kill()
 		time.Sleep(w.upTo(3 * time.Second))
@@ -452,7 +467,7 @@
 			}
 			time.Sleep(10 * time.Second)
 			if t.Failed() {
-				t.Fatalf("seed %d", seed)
+				t.Fatalf("seed %d\n%s", seed, strings.Join(w.trace, "\n"))
 			}
 		})
 	}
