Give a lease that is acquired again a new version

A holder whose term ended before its first renewal, while the store was away, acquired the lease again with the very record that was stored. The store keeps the version of an object that a write doesn't change, so the holder had a new term with the old token, and others, who saw the version unchanged for the lease's duration, took it too: two holders acted by turns. Each write now counts on.

--- a/lease/handover_test.go
+++ b/lease/handover_test.go
@@ -97,3 +97,27 @@
 		}
 	}, "a", "b", "c")
 }
+
+// TestReacquiredLeaseHasANewVersion guards against a holder whose term expired before its first
+// renewal, and that writes the same record again: the object would keep its version, and others
+// would take the lease as expired.
+func TestReacquiredLeaseHasANewVersion(t *testing.T) {
+	runMachines(t, func(t *testing.T, leases map[string]*Lease, _ *time.Duration) {
+		a, b := leases["a"], leases["b"]
+		a.acquireOrRenew(t.Context())
+		time.Sleep(DefaultDuration)
+		a.acquireOrRenew(t.Context())
+		first, _ := a.CurrentTerm()
+		b.acquireOrRenew(t.Context())
+		time.Sleep(DefaultDuration - DefaultMargin)
+		a.acquireOrRenew(t.Context())
+		if second, held := a.CurrentTerm(); !held || second.FencingToken <= first.FencingToken {
+			t.Errorf("got the token %d after %d, want a higher one", second.FencingToken, first.FencingToken)
+		}
+		time.Sleep(DefaultMargin)
+		b.acquireOrRenew(t.Context())
+		if _, held := b.CurrentTerm(); held {
+			t.Error("another instance acquires the lease during the second term")
+		}
+	}, "a", "b")
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -43,8 +43,8 @@
 	// is never used again.
 	FencingToken int64        `json:"fence,omitempty"`
 	Duration     api.Duration `json:"duration"`
-	// Renewals changes with each renewal, so that each renewal gives the object
-	// a new version.
+	// Renewals changes with each write, so that each write gives the object a new
+	// version: the platform keeps the version if a write changes nothing.
 	Renewals int64 `json:"renewals"`
 	// Machine is where the holder runs, or ran if the lease was released. It is empty if the
 	// holder states none.
@@ -192,7 +192,7 @@
 		return
 	}
 	if l.mayAcquire() || l.readObject(ctx) && l.mayAcquire() {
-		l.writeRecord(ctx, Record{Previous: l.previousAtAcquisition()})
+		l.writeRecord(ctx, Record{Renewals: l.record.Renewals + 1, Previous: l.previousAtAcquisition()})
 	}
 }
 
