--- a/edge/usage/model_test.go
+++ b/edge/usage/model_test.go
@@ -115,7 +115,6 @@
 	w := h.world
 	now := time.Now()
 	i := &instance{name: fmt.Sprintf("i%d", h.machine), started: now}
-	h.instance = i
 	i.clock = NewClock(func() time.Duration { return 0 }, now)
 	i.clock.timeOfDay = func(now time.Time) time.Duration {
 		w.mu.Lock()
@@ -138,11 +137,19 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	i.stop = cancel
+	w.set(func() { h.instance = i })
 	i.done.Go(func() { i.holder.Run(ctx) })
 	i.done.Go(func() { reporter.Run(ctx) })
 	i.done.Go(func() { h.work(ctx, i) })
 }
 
+// current returns the instance that runs on the machine now, or ran there last.
+func (h *host) current() *instance {
+	h.world.mu.Lock()
+	defer h.world.mu.Unlock()
+	return h.instance
+}
+
 func address(machine int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(machine)}), 7000)
 }
@@ -152,7 +159,7 @@
 	defer w.mu.Unlock()
 	var names []string
 	for _, h := range w.hosts {
-		if !h.killed {
+		if h.instance != nil && !h.killed {
 			names = append(names, h.name)
 		}
 	}
@@ -189,7 +196,7 @@
 	n := i.accounts.Notice(time.Now())
 	for _, to := range h.world.hosts {
 		if to != h && !h.world.chance(0.2) {
-			to.accounts.ReceiveNotice(i.name, n, time.Now())
+			to.current().accounts.ReceiveNotice(i.name, n, time.Now())
 		}
 	}
 }
@@ -201,7 +208,7 @@
 		for _, to := range h.world.hosts {
 			for times := 0; to != h && times < 2; times++ {
 				if !h.world.chance(0.3) {
-					to.accounts.ReceiveSums(i.name, m.Sums, now)
+					to.current().accounts.ReceiveSums(i.name, m.Sums, now)
 				}
 			}
 		}
@@ -209,7 +216,7 @@
 	for _, m := range i.accounts.SilentSums(now) {
 		for _, to := range h.world.hosts {
 			if address(to.machine) == i.accounts.Holder() && to != h {
-				to.accounts.ReceiveSums(i.name, m.Sums, now)
+				to.current().accounts.ReceiveSums(i.name, m.Sums, now)
 			}
 		}
 	}
@@ -217,10 +224,9 @@
 
 // kill ends the process: nothing that it does arrives any more.
 func (h *host) kill() {
-	h.world.mu.Lock()
-	h.killed = true
-	h.world.mu.Unlock()
-	h.stop()
+	i := h.current()
+	h.world.set(func() { i.killed = true })
+	i.stop()
 }
 
 // link is an instance's way to the platform. It is its lease.Store, PlanStore, API and Terms.
@@ -405,7 +411,7 @@
 		time.Sleep(w.upTo(3 * time.Second))
 		h.start()
 	case 2: // a planned stop
-		h.stop()
+		h.current().stop()
 		time.Sleep(w.upTo(2 * time.Second))
 		h.kill()
 		h.start()
@@ -463,7 +469,7 @@
 			time.Sleep(calm)
 			w.checkCalm(calmFrom)
 			for _, h := range w.hosts {
-				h.stop()
+				h.current().stop()
 			}
 			time.Sleep(10 * time.Second)
 			if t.Failed() {
