--- a/edge/usage/model_test.go
+++ b/edge/usage/model_test.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"reflect"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -49,7 +50,9 @@
 	down     bool // the store, for all
 	apiDown  bool
 	revision int64
-	stored   map[string]api.Object
+	// trace says what happened, for the case that the test fails.
+	trace  []string
+	stored map[string]api.Object
 	// What the API has seen.
 	reports  map[int64]map[string]int64
 	reported map[int64]time.Time
@@ -88,6 +91,12 @@
 	holder   *duty.Holder
 }
 
+// note adds to the trace. The caller holds the lock.
+func (w *world) note(format string, args ...any) {
+	text := time.Now().Format("05.000 ") + fmt.Sprintf(format, args...)
+	w.trace = append(w.trace, text)
+}
+
 // chance reports true with a probability, and only while there are troubles.
 func (w *world) chance(p float64) bool {
 	w.mu.Lock()
@@ -134,8 +143,8 @@
 	i.done.Go(func() { h.work(ctx, i) })
 }
 
-// receiver returns the instance that runs on the machine now.
-func (h *host) receiver() *instance {
+// current returns the instance that runs on the machine now, or ran there last.
+func (h *host) current() *instance {
 	h.world.mu.Lock()
 	defer h.world.mu.Unlock()
 	return h.instance
@@ -150,7 +159,7 @@
 	defer w.mu.Unlock()
 	var names []string
 	for _, h := range w.hosts {
-		if !h.killed {
+		if h.instance != nil && !h.killed {
 			names = append(names, h.name)
 		}
 	}
@@ -187,7 +196,7 @@
 	n := i.accounts.Notice(time.Now())
 	for _, to := range h.world.hosts {
 		if to != h && !h.world.chance(0.2) {
-			to.receiver().accounts.ReceiveNotice(i.name, n, time.Now())
+			to.current().accounts.ReceiveNotice(i.name, n, time.Now())
 		}
 	}
 }
@@ -199,7 +208,7 @@
 		for _, to := range h.world.hosts {
 			for times := 0; to != h && times < 2; times++ {
 				if !h.world.chance(0.3) {
-					to.receiver().accounts.ReceiveSums(i.name, m.Sums, now)
+					to.current().accounts.ReceiveSums(i.name, m.Sums, now)
 				}
 			}
 		}
@@ -207,7 +216,7 @@
 	for _, m := range i.accounts.SilentSums(now) {
 		for _, to := range h.world.hosts {
 			if address(to.machine) == i.accounts.Holder() && to != h {
-				to.receiver().accounts.ReceiveSums(i.name, m.Sums, now)
+				to.current().accounts.ReceiveSums(i.name, m.Sums, now)
 			}
 		}
 	}
@@ -215,10 +224,9 @@
 
 // kill ends the process: nothing that it does arrives any more.
 func (h *host) kill() {
-	h.world.mu.Lock()
-	h.killed = true
-	h.world.mu.Unlock()
-	h.stop()
+	i := h.current()
+	h.world.set(func() { i.killed = true })
+	i.stop()
 }
 
 // link is an instance's way to the platform. It is its lease.Store, PlanStore, API and Terms.
@@ -233,9 +241,11 @@
 	if !w.chance(0.02) {
 		return
 	}
+	begin := time.Now()
 	time.Sleep(w.upTo(8 * time.Second))
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.note("machine %d was paused from %s", l.host.machine, begin.Format("05.000"))
 	l.host.thawedAt = time.Now()
 }
 
@@ -301,6 +311,7 @@
 		return current, nil
 	}
 	w.revision++
+	w.note("%d was %s %s, is %s", w.revision, current.Name, current.Spec, obj.Spec)
 	obj.Version, obj.SpecVersion = w.revision, w.revision
 	w.stored[obj.Name] = obj
 	return obj, nil
@@ -361,6 +372,7 @@
 // shortly after.
 func (w *world) check(h *host, sentAt time.Time, token, number int64, counts map[string]int64) {
 	now := time.Now()
+	w.note("machine %d sends window %d with token %d, sent at %s", h.machine, number, token, sentAt.Format("05.000"))
 	if first, known := w.reports[number]; known && !reflect.DeepEqual(first, counts) {
 		w.t.Errorf("window %d is reported as %v, and again as %v", number, first, counts)
 	} else if !known {
@@ -391,13 +403,15 @@
 // disturb does something bad, or ends it.
 func (w *world) disturb() {
 	h := w.hosts[w.upTo(machines)]
-	switch w.upTo(8) {
+	kind := w.upTo(8)
+	w.set(func() { w.note("disturbance %d at machine %d", kind, h.machine) })
+	switch kind {
 	case 0, 1:
 		h.kill()
 		time.Sleep(w.upTo(3 * time.Second))
 		h.start()
 	case 2: // a planned stop
-		h.stop()
+		h.current().stop()
 		time.Sleep(w.upTo(2 * time.Second))
 		h.kill()
 		h.start()
@@ -455,11 +469,11 @@
 			time.Sleep(calm)
 			w.checkCalm(calmFrom)
 			for _, h := range w.hosts {
-				h.stop()
+				h.current().stop()
 			}
 			time.Sleep(10 * time.Second)
 			if t.Failed() {
-				t.Fatalf("seed %d", seed)
+				t.Fatalf("seed %d\n%s", seed, strings.Join(w.trace, "\n"))
 			}
 		})
 	}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -44,8 +44,7 @@
 	FencingToken int64        `json:"fence,omitempty"`
 	Duration     api.Duration `json:"duration"`
 	// Renewals changes with each write, so that each write gives the object a new
-	// version, also one that would otherwise repeat the record. Others measure the
-	// lease's duration from there.
+	// version: the platform keeps the version if a write changes nothing.
 	Renewals int64 `json:"renewals"`
 	// Machine is where the holder runs, or ran if the lease was released. It is empty if the
 	// holder states none.
