Keep windows apart that are complete up to different times

A deputy passes on the sums of a silent instance window by window, each with the time up to which it is complete. But windows of one instance that came one after the other were joined under the time of the first. If the last message with a window was lost and a later window's came, the holder took the earlier one for complete and planned it without waiting for the deputy that had the missing sums. Before: TestSilentSumsKeepTheirTimes failed, with no instance missing.

--- a/edge/gossip/usage_test.go
+++ b/edge/gossip/usage_test.go
@@ -26,15 +26,17 @@
 		})
 		current := now.UnixNano() / int64(5*time.Second)
 		for n := range shape.instances {
-			sums := usage.InstanceSums{Instance: usage.InstanceHash(fmt.Sprint(n)), Started: math.MaxInt64, ThroughMs: now.UnixMilli()}
 			for w := range shape.windows {
+				// Each window is complete up to another time, so they are sent apart.
 				window := usage.WindowSums{Window: current - int64(w)}
 				for org := range shape.organisations {
 					window.Sums = append(window.Sums, usage.Sum{Organisation: math.MaxUint32 - uint32(org), Count: math.MaxUint32})
 				}
-				sums.Windows = append(sums.Windows, window)
+				accounts.ReceiveSums(fmt.Sprint(n), []usage.InstanceSums{{
+					Instance: usage.InstanceHash(fmt.Sprint(n)), Started: math.MaxInt64,
+					ThroughMs: now.UnixMilli() + int64(w), Windows: []usage.WindowSums{window},
+				}}, now)
 			}
-			accounts.ReceiveSums(fmt.Sprint(n), []usage.InstanceSums{sums}, now)
 		}
 		messages := accounts.SilentSums(now.Add(time.Minute))
 		if len(messages) == 0 {
--- a/edge/usage/message.go
+++ b/edge/usage/message.go
@@ -96,11 +96,14 @@
 	return messages
 }
 
-// add adds a window of an instance.
+// add adds a window of an instance. Windows that are complete up to different times stay apart.
 func (m *Message) add(s InstanceSums, w WindowSums) {
-	if n := len(m.Sums); n > 0 && m.Sums[n-1].Instance == s.Instance && m.Sums[n-1].Started == s.Started {
-		m.Sums[n-1].Windows = append(m.Sums[n-1].Windows, w)
-		return
+	if n := len(m.Sums); n > 0 {
+		last := &m.Sums[n-1]
+		if last.Instance == s.Instance && last.Started == s.Started && last.ThroughMs == s.ThroughMs {
+			last.Windows = append(last.Windows, w)
+			return
+		}
 	}
 	s.Windows = []WindowSums{w}
 	m.Sums = append(m.Sums, s)
