Don't let windows of a wrong clock take up the place of right ones

An instance that is alone for a while goes by its own clock. If that is an hour ahead, its counts fall into windows far in the future. At most 16 windows are kept, and beyond that the oldest went first: once the clock was right again, each new window was the oldest, and was dropped as soon as it was created, at the instance and in the table of the holder, for an hour. The windows of the future were also sent with each message. Ruled out: dropping them when the clock comes back, since the clock has no such moment. Before: TestWrongClockDoesNotDisplaceCounts found 0 of 2 requests at both. After: windows farthest from the current one go first, those after the next one are neither sent nor taken in, and the test finds 2 and 2.

--- a/edge/usage/accounts.go
+++ b/edge/usage/accounts.go
@@ -1,7 +1,6 @@
 package usage
 
 import (
-	"math"
 	"net/netip"
 	"slices"
 	"sync"
@@ -65,22 +64,11 @@
 	if counts == nil {
 		counts = make(map[uint32]uint32)
 		a.counts[window] = counts
-		a.dropOldest()
+		dropFarthest(a.counts, window)
 	}
 	counts[hash]++
 }
 
-// dropOldest keeps this instance's counts bounded while nobody reports them.
-func (a *Accounts) dropOldest() {
-	for len(a.counts) > maxWindowsPerInstance {
-		oldest := int64(math.MaxInt64)
-		for w := range a.counts {
-			oldest = min(oldest, w)
-		}
-		delete(a.counts, oldest)
-	}
-}
-
 // Notice returns what the instance's next datagrams state.
 func (a *Accounts) Notice(now time.Time) Notice {
 	a.mu.Lock()
@@ -106,7 +94,7 @@
 // learnPlanned takes in the first window that is not planned. One in the future is an error of the
 // peer's clock.
 func (a *Accounts) learnPlanned(planned int64, now time.Time) {
-	if planned <= a.planned || planned > a.window(a.options.Clock.Unix(now))+1 {
+	if planned <= a.planned || planned > a.lastWindow(now) {
 		return
 	}
 	a.planned = planned
@@ -143,15 +131,22 @@
 // ReceiveSums takes in sums of other instances from a peer.
 func (a *Accounts) ReceiveSums(peer string, all []InstanceSums, now time.Time) {
 	sender := InstanceHash(peer)
+	last := a.lastWindow(now)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, s := range all {
 		if s.Instance != a.self.instance || s.Started != a.self.started {
-			a.table.merge(s, s.Instance == sender, a.planned, now)
+			a.table.merge(s, s.Instance == sender, a.planned, last, now)
 		}
 	}
 }
 
+// lastWindow returns the last window that sums may be of. Clocks differ a little, so it is the one
+// after the current one. Later ones come from a wrong clock.
+func (a *Accounts) lastWindow(now time.Time) int64 {
+	return a.window(a.options.Clock.Unix(now)) + 1
+}
+
 // OwnSums returns what this instance counted, for the holder and its deputies. final is set if it
 // counts no more.
 func (a *Accounts) OwnSums(now time.Time, final bool) []Message {
@@ -169,7 +164,9 @@
 		named[w] = true
 	}
 	for w := range a.counts {
-		named[w] = true
+		if w <= current+1 {
+			named[w] = true
+		}
 	}
 	for w := range named {
 		sums := make([]Sum, 0, len(a.counts[w]))
@@ -194,7 +191,7 @@
 func (a *Accounts) state(window int64, live []uint64, now time.Time) windowState {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.table.merge(a.ownSums(now, false), true, a.planned, now)
+	a.table.merge(a.ownSums(now, false), true, a.planned, a.lastWindow(now), now)
 	st := windowState{window: window, end: a.endOf(window)}
 	st.missing = a.table.missing(window, st.end.Milliseconds(), live)
 	st.sums, st.instances = a.table.total(window)
--- a/edge/usage/accounts_test.go
+++ b/edge/usage/accounts_test.go
@@ -23,6 +23,42 @@
 	return total
 }
 
+// TestWrongClockDoesNotDisplaceCounts guards against counts that are dropped for good, at the
+// instance and at the holder, since windows far in the future take up their place: the instance
+// was alone for a while, and its clock was wrong.
+func TestWrongClockDoesNotDisplaceCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		step, right := time.Hour, time.Duration(0)
+		a, holder := newTestAccounts("a", &step), newTestAccounts("holder", &right)
+		count := func() {
+			a.options.Clock.Refresh(time.Now())
+			a.Count("org")
+			for _, m := range a.OwnSums(time.Now(), false) {
+				holder.ReceiveSums("a", m.Sums, time.Now())
+			}
+		}
+		for range 2 * maxWindowsPerInstance {
+			count()
+			a.state(0, nil, time.Now()) // as it does if it holds the duties
+			time.Sleep(window)
+		}
+		step = 0
+		now := a.window(time.Duration(time.Now().UnixNano()))
+		count()
+		count()
+		if own, there := countOf(a, now), countOf(holder, now); own != 2 || there != 2 {
+			t.Errorf("after the clock is right again: %d requests are counted, and %d at the holder, want 2", own, there)
+		}
+		for _, m := range a.OwnSums(time.Now(), false) {
+			for _, w := range m.Sums[0].Windows {
+				if w.Window > now+1 {
+					t.Fatalf("sums of window %d are sent in window %d", w.Window, now)
+				}
+			}
+		}
+	})
+}
+
 // TestSilentSumsKeepTheirTimes guards against a window that the holder takes for complete, since a
 // deputy passes it on with a later window of the same instance of which it knows more.
 func TestSilentSumsKeepTheirTimes(t *testing.T) {
--- a/edge/usage/table.go
+++ b/edge/usage/table.go
@@ -1,7 +1,6 @@
 package usage
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -41,8 +40,9 @@
 
 func newTable() *table { return &table{rows: make(map[process]*row)} }
 
-// merge takes in sums. own is set if the process itself sent them.
-func (t *table) merge(s InstanceSums, own bool, planned int64, now time.Time) {
+// merge takes in the sums of the windows from planned to last. own is set if the process itself
+// sent them.
+func (t *table) merge(s InstanceSums, own bool, planned, last int64, now time.Time) {
 	key := process{s.Instance, s.Started}
 	r := t.rows[key]
 	if r == nil {
@@ -58,18 +58,18 @@
 	}
 	r.final = r.final || s.Final
 	for _, w := range s.Windows {
-		if w.Window >= planned {
-			r.merge(w, s.ThroughMs)
+		if w.Window >= planned && w.Window <= last {
+			r.merge(w, s.ThroughMs, last)
 		}
 	}
 }
 
-func (r *row) merge(w WindowSums, throughMs int64) {
+func (r *row) merge(w WindowSums, throughMs, last int64) {
 	mine := r.windows[w.Window]
 	if mine == nil {
 		mine = &windowRow{sums: make(map[uint32]uint32, len(w.Sums))}
 		r.windows[w.Window] = mine
-		r.dropOldest()
+		dropFarthest(r.windows, last)
 	}
 	mine.throughMs = max(mine.throughMs, throughMs)
 	for _, s := range w.Sums {
@@ -79,14 +79,17 @@
 	}
 }
 
-// dropOldest keeps the row bounded while nobody reports.
-func (r *row) dropOldest() {
-	for len(r.windows) > maxWindowsPerInstance {
-		oldest := int64(math.MaxInt64)
-		for w := range r.windows {
-			oldest = min(oldest, w)
+// dropFarthest keeps the windows of a process bounded while nobody reports them. Those farthest from
+// the current window go: they are the oldest, or come from a time when the clock was wrong.
+func dropFarthest[T any](windows map[int64]T, current int64) {
+	for len(windows) > maxWindowsPerInstance {
+		farthest := current
+		for w := range windows {
+			if max(w-current, current-w) > max(farthest-current, current-farthest) {
+				farthest = w
+			}
 		}
-		delete(r.windows, oldest)
+		delete(windows, farthest)
 	}
 }
 
