Let the duty call under way end at a planned stop

The design says that the call under way ends before the lease is released. But the call's context came from the task that a planned stop cancels, so the call was broken off, counted as unanswered, and kept the lease from being released: nobody held the duties for its duration of 3 s, and the call may still have been executed. Ruled out: a missing wait in Quiet, which does wait, but for a call that has already been given up.

--- a/edge/duty/guard.go
+++ b/edge/duty/guard.go
@@ -58,9 +58,10 @@
 }
 
 // Do makes a call for a subject, which is a name for logs and errors, once the calls before it
-// have ended. It makes no call, and returns ErrNotHolder or ErrTermEnds, if the term doesn't allow
-// it. The call's context ends with the term. Otherwise Do returns what the call returns, which
-// must be platform.ErrDutyUncertain if it got no answer.
+// have ended. It makes no call if ctx has ended, or if the term doesn't allow it; then it returns
+// ErrNotHolder or ErrTermEnds. The call's own context ends with the term, and not with ctx.
+// Otherwise Do returns what the call returns, which must be platform.ErrDutyUncertain if it got no
+// answer.
 func (g *Guard) Do(ctx context.Context, subject string, call func(ctx context.Context, c platform.DutyCall) error) error {
 	select {
 	case g.turn <- struct{}{}:
@@ -80,7 +81,8 @@
 	if left < minCallTime {
 		return errors.Wrap(ErrTermEnds, subject)
 	}
-	ctx, cancel := context.WithTimeout(ctx, min(left, callTimeout))
+	// A planned stop doesn't break the call off, or the lease could not be released at once.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), min(left, callTimeout))
 	defer cancel()
 	err := call(ctx, platform.DutyCall{Holder: g.options.Name, FencingToken: term.FencingToken})
 	if errors.Is(err, platform.ErrDutyUncertain) {
