Wait longer for the sums of many instances than of a few

A report whose counts are off is as bad as none, so it pays to wait for the sums of a data centre that is cut off until 0.75 of the due time, while a few instances that the permitted error covers are waited for until 0.4 as before. Instances that fell silent within 20 s now count as missing also in windows of which they sent nothing.

--- a/edge/duties.go
+++ b/edge/duties.go
@@ -63,7 +63,7 @@
 	})
 	d.reporter = usage.NewReporter(usage.ReporterOptions{
 		Accounts: d.accounts, Clock: clock, Store: i.newStore(s.StoreAddress), API: d.api, Guard: d.guard, Terms: d.holder,
-		Window: s.Duties.ReportWindow, Due: s.Duties.UsageLate,
+		Window: s.Duties.ReportWindow, Due: s.Duties.UsageLate, PermittedError: s.Duties.UsageError,
 		Live:          func() []string { return i.gossip.View().Live },
 		Organisations: func() []string { return i.catalog.Snapshot().OrganisationNames() },
 		Log:           i.log.StateChanges,
--- a/edge/usage/accounts.go
+++ b/edge/usage/accounts.go
@@ -196,7 +196,7 @@
 	defer a.mu.Unlock()
 	a.table.merge(a.ownSums(now, false), true, a.planned, now)
 	st := windowState{window: window, end: a.endOf(window)}
-	st.missing = a.table.missing(window, st.end.Milliseconds(), live)
+	st.missing, st.expected = a.table.missing(window, st.end.Milliseconds(), live, now)
 	st.sums, st.instances = a.table.total(window)
 	return st
 }
@@ -206,8 +206,17 @@
 	window int64
 	end    time.Duration
 	// sums holds the counts by the hash of the organisation, from the given number of
-	// instances. missing is the number of instances that may lack some.
-	sums      map[uint32]int64
-	instances int
-	missing   int
+	// instances. missing is the number of instances that may have counted more, of the expected
+	// ones.
+	sums              map[uint32]int64
+	instances         int
+	missing, expected int
+}
+
+// missingShare returns the share of the instances whose counts may lack some.
+func (s windowState) missingShare() float64 {
+	if s.expected == 0 {
+		return 0
+	}
+	return float64(s.missing) / float64(s.expected)
 }
--- a/edge/usage/model_test.go
+++ b/edge/usage/model_test.go
@@ -104,6 +104,13 @@
 	return w.troubles && w.random.Float64() < p
 }
 
+// lost reports whether a datagram is lost.
+func (w *world) lost() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.random.Float64() < 0.2
+}
+
 func (w *world) upTo(most time.Duration) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -131,7 +138,7 @@
 		Suspended: func() time.Duration { return 0 }, Quiet: guard.Quiet,
 	})
 	reporter := NewReporter(ReporterOptions{
-		Accounts: i.accounts, Clock: i.clock, Store: link, API: link, Guard: guard, Terms: i.holder, Window: window, Due: due,
+		Accounts: i.accounts, Clock: i.clock, Store: link, API: link, Guard: guard, Terms: i.holder, Window: window, Due: due, PermittedError: usageError,
 		Live: w.live, Organisations: func() []string { return []string{"a", "b", "c"} },
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
@@ -195,7 +202,7 @@
 func (h *host) sendNotice(i *instance) {
 	n := i.accounts.Notice(time.Now())
 	for _, to := range h.world.hosts {
-		if to != h && !h.world.chance(0.2) {
+		if to != h && !h.world.lost() {
 			to.current().accounts.ReceiveNotice(i.name, n, time.Now())
 		}
 	}
@@ -207,7 +214,7 @@
 	for _, m := range i.accounts.OwnSums(now, final) {
 		for _, to := range h.world.hosts {
 			for times := 0; to != h && times < 2; times++ {
-				if !h.world.chance(0.3) {
+				if !h.world.lost() {
 					to.current().accounts.ReceiveSums(i.name, m.Sums, now)
 				}
 			}
@@ -445,17 +452,8 @@
 func TestModel(t *testing.T) {
 	for seed := range *modelSeeds {
 		synctest.Test(t, func(t *testing.T) {
-			w := &world{
-				t: t, random: rand.New(rand.NewPCG(seed, 2)), troubles: true, stored: make(map[string]api.Object),
-				reports: make(map[int64]map[string]int64), reported: make(map[int64]time.Time),
-				byToken: make(map[int64]int), truth: make(map[int64]map[string]int64),
-			}
-			for n := range w.hosts {
-				w.hosts[n] = &host{world: w, machine: n}
-			}
-			for _, h := range w.hosts {
-				h.start()
-			}
+			w := newWorld(t, seed)
+			w.set(func() { w.troubles = true })
 			for begin := time.Now(); time.Since(begin) < troubled; time.Sleep(w.upTo(4 * time.Second)) {
 				w.disturb()
 			}
@@ -468,10 +466,7 @@
 			calmFrom := time.Now().Add(15 * time.Second)
 			time.Sleep(calm)
 			w.checkCalm(calmFrom)
-			for _, h := range w.hosts {
-				h.current().stop()
-			}
-			time.Sleep(10 * time.Second)
+			w.stop()
 			if t.Failed() {
 				t.Fatalf("seed %d\n%s", seed, strings.Join(w.trace, "\n"))
 			}
@@ -479,6 +474,30 @@
 	}
 }
 
+// newWorld starts an instance on each machine.
+func newWorld(t *testing.T, seed uint64) *world {
+	w := &world{
+		t: t, random: rand.New(rand.NewPCG(seed, 2)), stored: make(map[string]api.Object),
+		reports: make(map[int64]map[string]int64), reported: make(map[int64]time.Time),
+		byToken: make(map[int64]int), truth: make(map[int64]map[string]int64),
+	}
+	for n := range w.hosts {
+		w.hosts[n] = &host{world: w, machine: n}
+	}
+	for _, h := range w.hosts {
+		h.start()
+	}
+	return w
+}
+
+// stop stops all instances, and waits for what is under way.
+func (w *world) stop() {
+	for _, h := range w.hosts {
+		h.current().stop()
+	}
+	time.Sleep(10 * time.Second)
+}
+
 // checkCalm checks the windows that began and were due while there were no faults.
 func (w *world) checkCalm(from time.Time) {
 	w.mu.Lock()
@@ -499,3 +518,36 @@
 		}
 	}
 }
+
+// TestCountsSurviveKills guards against counts that are lost, or counted twice, when single
+// instances are killed, the holder among them, while datagrams get lost and come twice.
+func TestCountsSurviveKills(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 7)
+		first := time.Now()
+		time.Sleep(2 * window)
+		for range 12 {
+			h := w.hosts[w.upTo(machines)]
+			if holder := w.holder(); w.upTo(2) == 0 && holder != nil {
+				h = holder
+			}
+			h.kill()
+			time.Sleep(window / 5)
+			h.start()
+			time.Sleep(window)
+		}
+		time.Sleep(3 * window)
+		w.checkCalm(first)
+		w.stop()
+	})
+}
+
+// holder returns the machine of the instance that made the newest call, or nil.
+func (w *world) holder() *host {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.acts) == 0 {
+		return nil
+	}
+	return w.hosts[w.acts[len(w.acts)-1].machine]
+}
--- a/edge/usage/plan.go
+++ b/edge/usage/plan.go
@@ -12,8 +12,11 @@
 
 // timing says when a report is made. All times are relative to the end of its window.
 type timing struct {
-	// patience is how long a report waits for the sums of instances that lack some.
-	patience time.Duration
+	// patience is how long a report waits for the sums of a few instances, whose requests are
+	// less than the tolerance, and longPatience how long it waits for those of more.
+	patience, longPatience time.Duration
+	// tolerance is the share of the instances whose sums may lack.
+	tolerance float64
 	// due is when the platform must have the report.
 	due time.Duration
 	// giveUp is when a report that could not be made or sent is given up.
@@ -28,6 +31,13 @@
 	// patienceShare is the share of the time in which a report is due that it waits for sums.
 	// A successor still has time to take over and report in the rest.
 	patienceShare = 0.4
+	// longPatienceShare is the same for sums without which the report is wrong. A successor
+	// may be late then, but a report without them is of no use.
+	longPatienceShare = 0.75
+	// toleranceShare is the share of the permitted error that may come from instances whose
+	// sums lack. The rest is for requests near the ends of a window, and for organisations whose
+	// requests are spread unevenly.
+	toleranceShare = 0.5
 	// hurryShare is the same for the wait of a new holder.
 	hurryShare = 0.8
 	// giveUpFactor says after how many times the due time a report is given up. A late one is
@@ -37,8 +47,11 @@
 	settleTime = 1200 * time.Millisecond
 )
 
-func newTiming(due time.Duration) timing {
+// newTiming returns the timing of reports that are due at the given time, and whose counts may be
+// off by the given fraction.
+func newTiming(due time.Duration, permitted float64) timing {
 	return timing{
+		longPatience: time.Duration(longPatienceShare * float64(due)), tolerance: toleranceShare * permitted,
 		patience: time.Duration(patienceShare * float64(due)), due: due, giveUp: giveUpFactor * due,
 		settle: settleTime, hurry: time.Duration(hurryShare * float64(due)),
 	}
@@ -46,14 +59,16 @@
 
 // ready reports whether a window's counts should be taken now. age is the time since the end of
 // the window, and held the time for which this instance has been the holder.
-func (t timing) ready(age, held time.Duration, missing int) bool {
+func (t timing) ready(age, held time.Duration, missingShare float64) bool {
 	switch {
 	case age <= 0:
 		return false
 	case held < t.settle && age < t.hurry:
 		return false
+	case missingShare <= t.tolerance:
+		return missingShare == 0 || age >= t.patience
 	default:
-		return missing == 0 || age >= t.patience
+		return age >= t.longPatience
 	}
 }
 
--- a/edge/usage/reporter.go
+++ b/edge/usage/reporter.go
@@ -56,6 +56,8 @@
 	Terms    duty.Terms
 	// Window is the length of a window, and Due how long after its end its report is due.
 	Window, Due time.Duration
+	// PermittedError is the fraction by which a count may be off.
+	PermittedError float64
 	// Live returns the names of the instances that run, this one included.
 	Live func() []string
 	// Organisations returns the names of the organisations that there are.
@@ -88,7 +90,7 @@
 
 // NewReporter returns a reporter. Run must be called for it to report.
 func NewReporter(o ReporterOptions) *Reporter {
-	return &Reporter{options: o, timing: newTiming(o.Due), names: make(map[uint32]string)}
+	return &Reporter{options: o, timing: newTiming(o.Due, o.PermittedError), names: make(map[uint32]string)}
 }
 
 // Run reports until ctx ends.
@@ -210,13 +212,13 @@
 	live := r.live()
 	for range maxPlansPerWrite {
 		st := r.options.Accounts.state(next.Next, live, now)
-		if !r.timing.ready(unix-st.end, now.Sub(term.HeldSince), st.missing) {
+		if !r.timing.ready(unix-st.end, now.Sub(term.HeldSince), st.missingShare()) {
 			break
 		}
 		next.Plans = append(next.Plans, platform.UsagePlan{Window: st.window, Counts: r.named(st.sums)})
 		next.Next++
 		r.options.Log.Info("usage planned", "window", st.window, "token", term.FencingToken, "instances", st.instances,
-			"missing", st.missing, "live", len(live), "after_ms", (unix - st.end).Milliseconds(),
+			"missing", st.missing, "expected", st.expected, "after_ms", (unix - st.end).Milliseconds(),
 			"clock_ahead_ms", r.options.Clock.Deviation(now).Milliseconds())
 	}
 	next.Plans = r.timing.prune(next.Plans, r.options.Window, unix)
--- a/edge/usage/table.go
+++ b/edge/usage/table.go
@@ -10,6 +10,8 @@
 	// silentAfter is how long after an instance's last own message its sums are passed on to
 	// the holder, who may not have got them.
 	silentAfter = 1500 * time.Millisecond
+	// cutOffTime is how long an instance that fell silent may still be cut off, and count.
+	cutOffTime = 20 * time.Second
 	// forgetAfter is how long after the last message an instance's sums are kept.
 	forgetAfter = 90 * time.Second
 	// maxInstances bounds the processes whose sums are kept.
@@ -121,8 +123,9 @@
 }
 
 // missing returns how many instances may have counted requests of a window that are not in the
-// sums. live lists the instances that run. endMs is the window's end.
-func (t *table) missing(window, endMs int64, live []uint64) int {
+// sums: those that run, which live lists, and those that were heard of lately and may be cut off.
+// expected is the number of all of these, the complete ones included. endMs is the window's end.
+func (t *table) missing(window, endMs int64, live []uint64, now time.Time) (missing, expected int) {
 	newest := make(map[uint64]int64)
 	complete := make(map[uint64]bool)
 	for key, r := range t.rows {
@@ -131,19 +134,23 @@
 			complete[key.instance] = true
 		}
 	}
-	n := 0
+	expected = len(live)
 	for _, instance := range live {
 		if !complete[instance] {
-			n++
+			missing++
 		}
 	}
 	for key, r := range t.rows {
-		gone := r.final || key.started < newest[key.instance] || complete[key.instance]
-		if !gone && r.windows[window] != nil && !slices.Contains(live, key.instance) {
-			n++
+		gone := r.final || key.started < newest[key.instance] || now.Sub(r.updatedAt) > cutOffTime
+		if gone || slices.Contains(live, key.instance) {
+			continue
+		}
+		expected++
+		if !complete[key.instance] {
+			missing++
 		}
 	}
-	return n
+	return missing, expected
 }
 
 // silent returns the sums of the processes that don't send any more.
