--- a/edge/instance_test.go
+++ b/edge/instance_test.go
@@ -109,7 +109,13 @@
 // startInstanceWith starts an instance with the given options. It sets their SettingsPath.
 func startInstanceWith(t *testing.T, o Options, ip string, peerPort uint16, storeURL string, graceSeconds int) *testInstance {
 	t.Helper()
-	r := &testInstance{settingsPath: writeSettings(t, settingsText(t, ip, peerPort, storeURL, graceSeconds)), reload: make(chan struct{})}
+	return startInstanceFrom(t, o, settingsText(t, ip, peerPort, storeURL, graceSeconds))
+}
+
+// startInstanceFrom starts an instance with the given options and the text of its settings.
+func startInstanceFrom(t *testing.T, o Options, settings string) *testInstance {
+	t.Helper()
+	r := &testInstance{settingsPath: writeSettings(t, settings), reload: make(chan struct{})}
 	o.SettingsPath = r.settingsPath
 	i, err := Start(o)
 	if err != nil {
