Let instances compete for the duties a second after they start

Suspected: in the first quarter of a second many instances that start together take themselves for followers of the store, and each creates the lease and tries to acquire it. They now wait a second.

--- a/edge/duties.go
+++ b/edge/duties.go
@@ -15,14 +15,21 @@
 	"bergamotpin.example/bergamotpin/platform"
 )
 
-// maxCandidateStoreAge is how long after the last response of the metadata store an instance may
-// still try to become the holder of the duties.
-const maxCandidateStoreAge = 1300 * time.Millisecond
+const (
+	// maxCandidateStoreAge is how long after the last response of the metadata store an instance
+	// may still try to become the holder of the duties.
+	maxCandidateStoreAge = 1300 * time.Millisecond
+	// candidateDelay is how long after its start an instance does not compete. By then it knows
+	// which few follow the store; before, many of those that start together take themselves for
+	// one.
+	candidateDelay = time.Second
+)
 
 // duties makes the calls to the platform that one instance at a time makes. It is nil if the
 // deployment asks for none.
 type duties struct {
 	settings platform.Duties
+	started  time.Time
 	api      *platform.DutyAPI
 	holder   *duty.Holder
 	guard    *duty.Guard
@@ -36,7 +43,7 @@
 	if s.Duties == nil {
 		return nil
 	}
-	d := &duties{settings: *s.Duties}
+	d := &duties{settings: *s.Duties, started: time.Now()}
 	d.api = &platform.DutyAPI{BaseURL: "http://" + s.Duties.Address.String(), HTTP: objects.NewHTTPClient(dialDutyAPI)}
 	d.guard = duty.NewGuard(duty.GuardOptions{
 		Terms: func() duty.Terms { return d.holder }, Name: s.Name,
@@ -74,6 +81,9 @@
 // is one of the few that follow the metadata store, which responds to it.
 func (i *Instance) isDutyCandidate() bool {
 	now := time.Now()
+	if now.Sub(i.duties.started) < candidateDelay {
+		return false
+	}
 	return i.gossip.ShouldWatchStore(now) && i.storeAge(now) < maxCandidateStoreAge
 }
 
--- a/edge/usage/model_test.go
+++ b/edge/usage/model_test.go
@@ -130,8 +130,7 @@
 	}
 	i.accounts = NewAccounts(AccountsOptions{Name: i.name, Address: address(h.machine), Started: now, Clock: i.clock, Window: window})
 	link := &link{host: h, instance: i}
-	var guard *duty.Guard
-	guard = duty.NewGuard(duty.GuardOptions{Terms: func() duty.Terms { return link }, Name: i.name, CallsPerSecond: 50, LeaseTime: leaseTime})
+	guard := duty.NewGuard(duty.GuardOptions{Terms: func() duty.Terms { return link }, Name: i.name, CallsPerSecond: 50, LeaseTime: leaseTime})
 	i.holder = duty.NewHolder(duty.HolderOptions{
 		Store: link, Process: fmt.Sprint(i.name, ".", now.UnixNano()), Machine: i.name, LeaseTime: leaseTime,
 		Candidate: func() bool { return h.machine%2 == 0 || w.chance(0.1) },
