--- a/edge/gossip/message.go
+++ b/edge/gossip/message.go
@@ -63,6 +63,8 @@
 	// sums of usage and nothing else. It is empty if the deployment asks for no duties. A summary
 	// has none.
 	Usage usage.Message `cbor:"24,keyasint,omitzero"`
+	// Moved is the deployment's identifier since it changed, or "" if it did not.
+	Moved string `cbor:"28,keyasint,omitempty"`
 	stated
 }
 
--- a/edge/gossip/usage.go
+++ b/edge/gossip/usage.go
@@ -104,8 +104,9 @@
 }
 
 func (n *Node) sendUsage(m usage.Message, targets []netip.AddrPort) {
+	first, moved := n.cluster.stated()
 	n.sendAll(message{
-		Cluster: n.opts.Cluster, Name: n.opts.Name, Started: n.started, Address: n.opts.Address,
+		Cluster: first, Moved: moved, Name: n.opts.Name, Started: n.started, Address: n.opts.Address,
 		DataCentre: n.opts.DataCentre, Usage: m,
 	}, targets)
 }
