--- a/edge/instance.go
+++ b/edge/instance.go
@@ -84,6 +84,8 @@
 	healthChanges healthChangeCounts
 	eraChanges    eraChanges
 	unreadable    *unreadableEntries
+	// duties is nil if the deployment asks for none.
+	duties *duties
 }
 
 // Options configures an instance.
@@ -138,6 +140,7 @@
 	var err error
 	i.origins = i.newOrigins(s)
 	i.watchReachability()
+	i.duties = i.newDuties(s)
 	i.gossip, err = gossip.Listen(gossip.Options{
 		Name: s.Name, DataCentre: s.DataCentre, Cluster: s.StoreAddress.String(), Address: s.PeersAddress, Seeds: s.Seeds, Catalog: i.catalog,
 		Reports: i.selector.Reports, ReceiveReports: i.selector.ReceiveReports, OnChange: i.catalogChanged,
@@ -147,7 +150,7 @@
 		ListedVersions: i.origins.Listed, ReceiveListedVersions: i.origins.Learn,
 		LeavingServers: i.states.Leaving, ReceiveLeavingServers: i.states.Learn,
 		CutOff: i.reach.CutOff, Callers: s.CallersAddress,
-		StoreAge: i.storeAge, Log: i.log.StateChanges,
+		StoreAge: i.storeAge, Usage: i.duties.usageAccounts(), Log: i.log.StateChanges,
 	})
 	if err != nil {
 		return err
@@ -155,8 +158,9 @@
 	i.selector.SetInstances(i.gossip.CountInstances)
 	i.handler = reverseproxy.New(reverseproxy.Options{
 		Catalog: i.catalog, Selector: i.selector, Client: i.client, Metrics: i.metrics, Crashes: crashes, Limits: i.limits, Origins: i.origins, States: i.states,
-		PeerRelay: reverseproxy.PeerRelay{Reach: i.reach, Relays: i.gossip.Relays, Client: i.peerClient},
-		Successes: i.log.Successes, Failures: i.log.Failures,
+		PeerRelay:  reverseproxy.PeerRelay{Reach: i.reach, Relays: i.gossip.Relays, Client: i.peerClient},
+		CountUsage: i.duties.usageCounter(),
+		Successes:  i.log.Successes, Failures: i.log.Failures,
 		Memory: i.memory,
 	})
 	if i.callerListener, err = net.Listen("tcp4", s.CallersAddress.String()); err != nil {
@@ -206,6 +210,9 @@
 	tasks.Go(func() { i.watcher.Run(background) })
 	tasks.Go(func() { i.origins.Run(background) })
 	tasks.Go(func() { i.cleanUp(background) })
+	dutyTime, handOver := context.WithCancel(background)
+	defer handOver()
+	tasks.Go(func() { i.duties.run(dutyTime) })
 	tasks.Go(func() { i.watchSettings(background, reload) })
 	tasks.Go(func() { i.metrics.NewCollector(i.readings).Run(background) })
 
@@ -224,6 +231,7 @@
 	case err = <-serveErrors:
 		i.log.StateChanges.Error("a listener failed", "error", err.Error())
 	}
+	handOver()
 	i.shutDown()
 	stop()
 	_ = callerServer.Close()
