Make second attempts for slow answers, within the operators' limit

Cause: the operators accept extra work for requests that may be repeated if it cuts the slowest answers. Until now a further server was asked only once the first one was silent for 2.5 times the latency target, when the answer was late already. Ruled out: a mechanism beside that one, a fixed delay, tied requests (docs/design/hedging.md says why). Before: one reason for a further attempt. After: a second one, decided by edge/hedging from delays learnt by kind, size and server, the limit (second_attempts in the options file, default none), the fleet's state and load, and the shared budget. A loser counts as half a failure of its server. Shown: go test -race -short ./edge/reverseproxy ./edge/hedging and go test ./edge/balancer ./edge/gossip ./settings ./cmd/... pass.

--- a/edge/balancer/balancer.go
+++ b/edge/balancer/balancer.go
@@ -279,6 +279,10 @@
 		a.waitEnded = true
 		s.localLoad.Waiting--
 		s.localLoad.PrefillTokens -= a.prefillTokens
+		if result == Outrun {
+			// The answer would have taken at least this long.
+			s.localStats.recordDelay(a.ExpectedDelay, now.Sub(a.sentAt), now)
+		}
 	}
 	s.localLoad.Running--
 	s.localLoad.MemoryTokens -= a.memoryTokens
--- a/edge/balancer/failure_detection.go
+++ b/edge/balancer/failure_detection.go
@@ -43,8 +43,15 @@
 	// Cancelled means that the attempt was ended for a reason that says nothing
 	// about the server.
 	Cancelled
+	// Outrun means that another server answered first, while this one took longer than
+	// nearly all answers do.
+	Outrun
 )
 
+// outrunFailure is the part of a failure that an outrun attempt counts as. A server that is
+// always outrun is soon avoided. One that is outrun as rarely as others is not.
+const outrunFailure = 0.5
+
 // attemptStats sums the results of attempts. Each result's weight halves every
 // statsHalfLife.
 type attemptStats struct {
@@ -80,6 +87,9 @@
 	case Failed, NoResponse:
 		s.sends++
 		s.failures++
+	case Outrun:
+		s.sends++
+		s.failures += outrunFailure
 	}
 }
 
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -20,6 +20,7 @@
 	"bergamotpin.example/bergamotpin/edge/catalog"
 	"bergamotpin.example/bergamotpin/edge/crashguard"
 	"bergamotpin.example/bergamotpin/edge/gossip"
+	"bergamotpin.example/bergamotpin/edge/hedging"
 	"bergamotpin.example/bergamotpin/edge/reachability"
 	"bergamotpin.example/bergamotpin/edge/reverseproxy"
 	"bergamotpin.example/bergamotpin/edge/serverlimit"
@@ -61,6 +62,7 @@
 	origins        *streamorigin.Ledger
 	reach          *reachability.Monitor
 	states         *serverstate.Table
+	hedging        *hedging.Controller
 	metrics        *metrics.Metrics
 	gossip         *gossip.Node
 	watcher        *catalog.Watcher
@@ -124,6 +126,7 @@
 	i.client = backendclient.NewClient(i.options.DialServer)
 	i.peerClient = backendclient.NewClient(nil)
 	crashes := crashguard.New(crashguard.Options{Seed: randomSeed(s.Name), Instances: i.selector.Instances})
+	i.hedging = hedging.New(hedgingLimits(i.options.Product.SecondAttempts))
 	i.metrics = metrics.New(s.Name, s.DataCentre)
 	i.watcher = i.newWatcher(s.StoreAddress)
 	var err error
@@ -146,6 +149,7 @@
 	i.selector.SetInstances(i.gossip.CountInstances)
 	i.handler = reverseproxy.New(reverseproxy.Options{
 		Catalog: i.catalog, Selector: i.selector, Client: i.client, Metrics: i.metrics, Crashes: crashes, Limits: i.limits, Origins: i.origins, States: i.states,
+		Hedging:   i.hedging,
 		PeerRelay: reverseproxy.PeerRelay{Reach: i.reach, Relays: i.gossip.Relays, Client: i.peerClient},
 		Successes: i.log.Successes, Failures: i.log.Failures,
 		BufferBytes: int64(bufferFraction * float64(s.MemoryBytes)),
@@ -312,6 +316,7 @@
 	}
 	i.limits.Retain(func(key uint64) bool { return current[key] })
 	i.selector.RetainServers(snapshot, func(key uint64) bool { return current[key] })
+	i.hedging.RetainServices(func(name string) bool { _, ok := snapshot.Service(name); return ok })
 }
 
 // serveReady handles the platform's readiness check.
--- a/edge/reverseproxy/fixture_test.go
+++ b/edge/reverseproxy/fixture_test.go
@@ -16,6 +16,7 @@
 	"bergamotpin.example/bergamotpin/edge/catalog"
 	"bergamotpin.example/bergamotpin/edge/crashguard"
 	"bergamotpin.example/bergamotpin/edge/gossip"
+	"bergamotpin.example/bergamotpin/edge/hedging"
 	"bergamotpin.example/bergamotpin/edge/reachability"
 	"bergamotpin.example/bergamotpin/edge/serverlimit"
 	"bergamotpin.example/bergamotpin/edge/serverstate"
@@ -69,6 +70,7 @@
 		Limits:  limits,
 		Origins: newOrigins(t),
 		States:  states,
+		Hedging: hedging.New(hedging.Limits{}),
 		PeerRelay: PeerRelay{
 			Reach:  newReach(t),
 			Relays: func() []gossip.Relay { return nil },
--- a/edge/reverseproxy/further_attempts.go
+++ b/edge/reverseproxy/further_attempts.go
@@ -4,11 +4,12 @@
 	"context"
 	"time"
 
+	"bergamotpin.example/bergamotpin/edge/hedging"
 	"bergamotpin.example/bergamotpin/outcome"
 )
 
 // furtherAttempts sends a request to further servers while the server of the current
-// attempt is silent. The current attempt stays open meanwhile, because no other server may
+// attempt is silent, or slow for a request of its kind. The current attempt stays open meanwhile, because no other server may
 // be able to go on with the request. The first further attempt with a usable response
 // takes the current attempt's place.
 //
@@ -22,7 +23,10 @@
 	current   *sending
 	lastHeard time.Time
 	patience  time.Duration
-	timer     *time.Timer
+	// hedgeAfter is when to ask for the first time whether to make a second attempt because
+	// the current server is slow; 0 means never.
+	hedgeAfter time.Duration
+	timer      *time.Timer
 	// news tells the goroutine of the timer what became of the current attempt. result
 	// gets one value at the end of that goroutine: the attempt that goes on, or nil.
 	news   chan currentNews
@@ -37,19 +41,24 @@
 	currentFailed
 )
 
-// watch begins further attempts unless spoke or failed is called within patience. It does
-// nothing if the request may not run at another server.
-func (o *furtherAttempts) watch(current *sending, patience time.Duration) {
+// watch begins further attempts unless spoke or failed is called within patience. Before
+// that, it may begin a second one from hedgeAfter on, unless this is 0. It does nothing if the
+// request may not run at another server.
+func (o *furtherAttempts) watch(current *sending, patience, hedgeAfter time.Duration) {
 	if !o.f.request.mayRunAtAnother(1) {
 		return
 	}
-	o.current, o.lastHeard, o.patience = current, time.Now(), patience
+	o.current, o.lastHeard, o.patience, o.hedgeAfter = current, time.Now(), patience, hedgeAfter
+	wait := patience
+	if hedgeAfter > 0 {
+		wait = min(hedgeAfter, patience)
+	}
 	if o.timer != nil {
-		o.timer.Reset(patience)
+		o.timer.Reset(wait)
 		return
 	}
 	o.news, o.result = make(chan currentNews, 1), make(chan *sending, 1)
-	o.timer = time.AfterFunc(patience, func() { o.result <- o.run() })
+	o.timer = time.AfterFunc(wait, func() { o.result <- o.run() })
 }
 
 // spoke ends the further attempts, because the current server has spoken. If one of them
@@ -78,13 +87,13 @@
 	return winner
 }
 
-// run makes further attempts, one after each patience, until one of them goes on with the
-// request, the current server speaks, or no attempt is open.
+// run makes further attempts, one after each patience and one before if the current server is
+// slow, until one of them goes on with the request, the current server speaks, or no attempt
+// is open.
 func (o *furtherAttempts) run() *sending {
 	r := &race{furtherAttempts: o, currentOpen: 1, answered: make(chan *sending)}
-	ticker := time.NewTicker(o.patience)
-	defer ticker.Stop()
-	r.begin()
+	timer := time.NewTimer(r.step())
+	defer timer.Stop()
 	for len(r.open) > 0 || r.currentOpen > 0 {
 		select {
 		case <-o.ctx.Done():
@@ -92,7 +101,7 @@
 			return nil
 		case n := <-o.news:
 			if n == currentSpoke {
-				r.cancelAll(o.f.endUnneeded)
+				r.cancelAll(r.lose)
 				return nil
 			}
 			r.currentOpen = 0
@@ -104,8 +113,8 @@
 			}
 			r.win(s)
 			return s
-		case <-ticker.C:
-			r.begin()
+		case <-timer.C:
+			timer.Reset(r.step())
 		}
 	}
 	return nil
@@ -119,6 +128,23 @@
 	open        map[*sending]bool
 	currentOpen int
 	answered    chan *sending
+	// asked is set once it was asked whether to make a second attempt, and hedged once one
+	// was made or is out of the question.
+	asked, hedged bool
+}
+
+// step makes a further attempt if it is time for one. It returns when to call it again.
+func (r *race) step() time.Duration {
+	silent := time.Since(r.lastHeard)
+	if silent >= r.patience {
+		r.begin()
+		return r.patience
+	}
+	wait := r.patience - silent
+	if r.hedged || r.hedgeAfter == 0 {
+		return wait
+	}
+	return min(r.hedge(silent), wait)
 }
 
 // begin makes a further attempt if the route, the retry budget and the servers allow it.
@@ -136,10 +162,16 @@
 	h.Metrics.CountRetry(outcome.ServerTimeout)
 	h.Failures.Info("silent", "request", req.id, "server", r.current.attempt.Server.ID,
 		"silent_ms", time.Since(r.lastHeard).Milliseconds(), "second", s.attempt.Server.ID)
+	r.send(s)
+}
+
+// send sends a further attempt, whose answer comes over answered.
+func (r *race) send(s *sending) {
 	if r.open == nil {
 		r.open = make(map[*sending]bool)
 	}
 	r.open[s] = true
+	h := r.f.handler
 	go func() {
 		s.send(h)
 		r.answered <- s
@@ -149,9 +181,11 @@
 // win lets a further attempt take the current one's place.
 func (r *race) win(s *sending) {
 	if r.currentOpen > 0 {
+		r.outrun(s)
 		r.current.leave()
 	}
-	r.cancelAll(r.f.endUnneeded)
+	r.recordSecond(s, hedging.Won)
+	r.cancelAll(r.lose)
 	r.f.handler.Failures.Info("goes on at another server", "request", r.f.request.id, "server", s.attempt.Server.ID,
 		"left", r.current.attempt.Server.ID, "silent_ms", time.Since(r.lastHeard).Milliseconds())
 }
@@ -159,6 +193,7 @@
 // settle ends and records a further attempt that failed. It doesn't wait for long for the
 // body of a server error, since the current server may speak meanwhile.
 func (r *race) settle(s *sending) {
+	r.recordSecond(s, hedging.Failed)
 	if s.response != nil {
 		// After an error, reading the body fails too.
 		_ = s.response.SetReadDeadline(time.Now().Add(refusalReadTimeout))
@@ -171,6 +206,7 @@
 
 // end ends a further attempt when the request's time is over or its caller has left.
 func (r *race) end(s *sending) {
+	r.recordSecond(s, hedging.Lost)
 	if r.f.isUsable(s) {
 		r.f.endUnneeded(s)
 		return
--- a/edge/reverseproxy/handler.go
+++ b/edge/reverseproxy/handler.go
@@ -14,6 +14,7 @@
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
 	"bergamotpin.example/bergamotpin/edge/crashguard"
+	"bergamotpin.example/bergamotpin/edge/hedging"
 	"bergamotpin.example/bergamotpin/edge/serverlimit"
 	"bergamotpin.example/bergamotpin/edge/serverstate"
 	"bergamotpin.example/bergamotpin/edge/streamorigin"
@@ -44,6 +45,8 @@
 	States *serverstate.Table
 	// Origins knows at which software versions streams began.
 	Origins *streamorigin.Ledger
+	// Hedging decides on second attempts for slow answers.
+	Hedging *hedging.Controller
 	// PeerRelay hands requests on while this instance reaches no server.
 	PeerRelay PeerRelay
 	// Successes logs each send of a request to a server, before its result is
--- a/edge/reverseproxy/retry.go
+++ b/edge/reverseproxy/retry.go
@@ -253,13 +253,13 @@
 // response. It reports whether the caller has its final response.
 func (f *forwarder) attempt(s *sending) (done bool, failed failure) {
 	if !s.sent {
-		f.others.watch(s, f.request.headerPatience(&s.attempt))
+		f.others.watch(s, f.request.headerPatience(&s.attempt), s.plan.After)
 		s.send(f.handler)
 	}
 	switch {
 	case s.err != nil:
 		failed = sendFailure(s.err)
-		if f.callerCtx.Err() == nil && failed.reason != outcome.ServerRefused {
+		if f.callerCtx.Err() == nil && failed.reason != outcome.ServerRefused && !s.outrun.Load() {
 			f.handler.PeerRelay.Reach.Suspect()
 		}
 	case f.isUsable(s):
@@ -316,6 +316,8 @@
 	switch {
 	case f.callerCtx.Err() != nil, failed.reason == outcome.CallerLeft:
 		return balancer.Cancelled
+	case errors.Is(failed.err, errOutrun):
+		return balancer.Outrun
 	case errors.Is(failed.err, syscall.ECONNREFUSED), errors.Is(failed.err, syscall.ECONNRESET):
 		// The server's host replied, so the network path to it works.
 		return balancer.Failed
--- /dev/null
+++ b/edge/reverseproxy/second_attempt_test.go
@@ -0,0 +1,200 @@
+package reverseproxy
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"bergamotpin.example/bergamotpin/edge/hedging"
+	"bergamotpin.example/bergamotpin/platform"
+	"bergamotpin.example/bergamotpin/platform/platformtest"
+)
+
+// allowSecondAttempts allows second attempts for slow answers, up to a share of the requests.
+func (f *fixture) allowSecondAttempts(share float64) {
+	f.handler.Hedging = hedging.New(hedging.Limits{All: share})
+}
+
+// learnDelays has the instance answer requests, so that it learns how long answers take.
+func (f *fixture) learnDelays(path string) {
+	f.t.Helper()
+	for range 40 {
+		f.expectStatus(f.do(f.request(path)), 200)
+	}
+	for _, s := range f.servers {
+		s.ForgetReceived()
+	}
+}
+
+// newHedgingFixture returns a fixture that allows second attempts and has learnt the delays on
+// a path.
+func newHedgingFixture(t *testing.T, servers int, path string, usual platformtest.Behaviour) *fixture {
+	f := newFixture(t, servers)
+	f.allowSecondAttempts(0.2)
+	f.setBehaviour(usual)
+	f.learnDelays(path)
+	return f
+}
+
+// stalledFor is longer than answers take, and shorter than the time after which a silent
+// server is left.
+const stalledFor = 250 * time.Millisecond
+
+// TestSlowAnswerIsCut guards against a caller that waits for a slow server although another one
+// has its answer, against a loser that works on, and against a loser that counts as sound or
+// as unreachable.
+func TestSlowAnswerIsCut(t *testing.T) {
+	for path, usual := range map[string]platformtest.Behaviour{pathSafe: {}, pathResumable: {Events: 3}} {
+		t.Run(path, func(t *testing.T) {
+			f := newHedgingFixture(t, 2, path, usual)
+			slow := usual
+			slow.Hang = true
+			f.setBehaviour(slow)
+			got, first := f.doWithOthers(f.request(path), usual)
+			f.expectStatus(got, 200)
+			f.waitForCancelled(f.servers[first])
+			counts := f.handler.Hedging.Counts()
+			if counts.Begun != 1 || counts.Results[hedging.Won] != 1 || counts.WastedTime <= 0 {
+				t.Errorf("got the counts %+v, want one second attempt that won, and wasted time", counts)
+			}
+			for _, report := range f.handler.Selector.Reports(time.Now()).Servers {
+				if report.Load.Running != 0 || report.Load.Waiting != 0 {
+					t.Errorf("server %x has the load %+v after all requests ended, want none", report.Key, report.Load)
+				}
+			}
+		})
+	}
+}
+
+// TestSecondAttemptIsCancelledWhenFirstAnswers guards against a second server that works on
+// after the first one has answered.
+func TestSecondAttemptIsCancelledWhenFirstAnswers(t *testing.T) {
+	f := newHedgingFixture(t, 2, pathSafe, platformtest.Behaviour{})
+	f.setBehaviour(platformtest.Behaviour{Delay: stalledFor})
+	got, first := f.doWithOthers(f.request(pathSafe), platformtest.Behaviour{Hang: true})
+	f.expectStatus(got, 200)
+	f.waitForCancelled(f.servers[1-first])
+	counts := f.handler.Hedging.Counts()
+	if counts.Begun != 1 || counts.Results[hedging.Lost] != 1 {
+		t.Errorf("got the counts %+v, want one second attempt that lost", counts)
+	}
+}
+
+// TestNoSecondAttempt guards against second attempts that must not be made: of requests that may
+// run once, without a limit, without a budget, and while the servers leave no room.
+func TestNoSecondAttempt(t *testing.T) {
+	slow := platformtest.Behaviour{Delay: stalledFor, Events: 1}
+	for name, c := range map[string]struct {
+		path    string
+		prepare func(*fixture)
+	}{
+		"unsafe":        {pathUnsafe, func(*fixture) {}},
+		"not resumable": {pathStream, func(*fixture) {}},
+		"no limit":      {pathResumable, func(f *fixture) { f.allowSecondAttempts(0) }},
+		"cold start":    {pathResumable, func(f *fixture) { f.allowSecondAttempts(0.2) }},
+		"no budget":     {pathResumable, func(f *fixture) { f.spendRetryBudget() }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newHedgingFixture(t, 2, pathResumable, platformtest.Behaviour{Events: 1})
+			c.prepare(f)
+			f.setBehaviour(slow)
+			f.expectStatus(f.do(f.request(c.path)), 200)
+			if ran := f.serversThatRan(); len(ran) != 1 {
+				t.Errorf("the request ran at %v, want one server", ran)
+			}
+		})
+	}
+}
+
+// TestRefusalAfterSecondAttemptPromisesNothing guards against a status that says that a request
+// has not run, although one of two attempts may have.
+func TestRefusalAfterSecondAttemptPromisesNothing(t *testing.T) {
+	f := newHedgingFixture(t, 3, pathSafe, platformtest.Behaviour{})
+	f.setBehaviour(platformtest.Behaviour{Hang: true})
+	got, _ := f.doWithOthers(f.request(pathSafe), platformtest.Behaviour{Hang: true})
+	f.expectStatus(got, 504)
+	if ran := f.serversThatRan(); len(ran) != 2 {
+		t.Errorf("the request ran at %v, want the two servers that the route allows", ran)
+	}
+	for _, s := range f.servers {
+		if len(s.Received()) > 0 {
+			f.waitForCancelled(s)
+		}
+	}
+}
+
+// TestBothServersAnswerAtOnce guards against a late answer that reaches a caller, mixed or
+// doubled answers and more runs than the route allows, if both servers answer at the moment at
+// which one of them wins. It is of use with the race detector.
+func TestBothServersAnswerAtOnce(t *testing.T) {
+	for _, path := range []string{pathSafe, pathResumable} {
+		t.Run(path, func(t *testing.T) {
+			usual := platformtest.Behaviour{}
+			if path == pathResumable {
+				usual.Events = 2
+			}
+			f := newHedgingFixture(t, 3, path, usual)
+			for _, delay := range []time.Duration{40, 60, 80, 100} {
+				usual.Delay = delay * time.Millisecond
+				f.setBehaviour(usual)
+				f.raceAnswers(path)
+			}
+			if f.handler.Hedging.Counts().Begun == 0 {
+				t.Error("no second attempt was made, so nothing was tested")
+			}
+		})
+	}
+}
+
+// raceAnswers sends requests at once and checks that each answer is whole and from one server.
+func (f *fixture) raceAnswers(path string) {
+	f.t.Helper()
+	const requests = 20
+	answers := make(chan response, requests)
+	ids := make(map[string]bool)
+	for range requests {
+		r := f.request(path)
+		id := r.Header.Get(platform.HeaderRequestID)
+		ids[id] = true
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		f.t.Cleanup(cancel)
+		go func() { answers <- f.do(r.WithContext(ctx)) }()
+	}
+	for range requests {
+		got := <-answers
+		f.expectStatus(got, 200)
+		if !f.isWholeAnswer(path, got.body, ids) {
+			f.t.Errorf("got the body %q, which isn't the whole answer of one server", got.body)
+		}
+	}
+	runs := make(map[string]int)
+	for _, s := range f.servers {
+		for _, r := range s.Received() {
+			runs[r.Header.Get(platform.HeaderRequestID)]++
+		}
+	}
+	for id, n := range runs {
+		if n > 2 {
+			f.t.Errorf("request %s ran %d times, want at most the 2 that the route allows", id, n)
+		}
+	}
+}
+
+// isWholeAnswer reports whether a body is one server's answer to a request that was sent. Each
+// request may be answered once.
+func (f *fixture) isWholeAnswer(path, body string, ids map[string]bool) bool {
+	for _, s := range f.servers {
+		if path == pathResumable && body == streamBody(slices.Repeat([]string{s.ID}, 2)...) {
+			return true
+		}
+		for id := range ids {
+			if body == "body of "+id+" by "+s.ID {
+				delete(ids, id)
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/edge/reverseproxy/sending.go
+++ b/edge/reverseproxy/sending.go
@@ -10,6 +10,7 @@
 
 	"bergamotpin.example/bergamotpin/edge/backendclient"
 	"bergamotpin.example/bergamotpin/edge/balancer"
+	"bergamotpin.example/bergamotpin/edge/hedging"
 	"bergamotpin.example/bergamotpin/outcome"
 	"bergamotpin.example/bergamotpin/platform"
 )
@@ -18,6 +19,10 @@
 // while the attempt's server was silent.
 var errLeftForSilence = errors.New("another server responded while this one was silent")
 
+// errOutrun reports that an attempt was ended because a second attempt got an answer, which
+// was made because the attempt's server was slow.
+var errOutrun = errors.New("a second attempt was answered before this one")
+
 // sending is one attempt with its connection.
 type sending struct {
 	attempt balancer.Attempt
@@ -31,8 +36,16 @@
 	sent     bool
 	response *backendclient.Response
 	err      error
-	// left is set if another server responded while this one was silent.
-	left atomic.Bool
+	// left is set if another server responded while this one was silent. outrun is set too if
+	// that server was asked because this one was slow.
+	left, outrun atomic.Bool
+	// begunAt is when the attempt began. timing describes it for the decision on second
+	// attempts, and plan says when to ask for one. isSecond is set if the attempt
+	// is itself one, until its result was recorded.
+	begunAt  time.Time
+	timing   hedging.Send
+	plan     hedging.Plan
+	isSecond bool
 }
 
 // newSending chooses a server for the next attempt and counts the attempt. It refuses the
@@ -53,6 +66,7 @@
 	if req.mayRunAtAnother(1) {
 		s.ctx, s.cancel = context.WithCancel(ctx)
 	}
+	f.beginTiming(s)
 	return s, nil
 }
 
@@ -63,6 +77,7 @@
 	s.sent = true
 	if s.err == nil {
 		h.recordStatements(&s.attempt, s.response, sentAt)
+		s.recordTiming(h)
 	}
 }
 
@@ -77,6 +92,9 @@
 	if s.left.Load() {
 		seen.reason, seen.err = outcome.ServerTimeout, errLeftForSilence
 	}
+	if s.outrun.Load() {
+		seen.err = errOutrun
+	}
 	return seen
 }
 
--- a/edge/reverseproxy/server_selector.go
+++ b/edge/reverseproxy/server_selector.go
@@ -64,29 +64,40 @@
 	instances := s.Instances()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.begin(r, candidates, instances)
+	return s.begin(r, candidates, instances, acceptAny)
 }
 
 // BeginFurtherAttempt is like BeginAttempt, but also refuses the request if the service's
 // retry budget is spent. It takes one retry from the budget only if it counts an attempt.
 func (s *ServerSelector) BeginFurtherAttempt(r balancer.Request, candidates []catalog.BackendServer) (balancer.Attempt, *refusal) {
+	return s.beginFurther(r, candidates, acceptAny)
+}
+
+// beginFurther is BeginFurtherAttempt for an attempt that accept may reject.
+func (s *ServerSelector) beginFurther(r balancer.Request, candidates []catalog.BackendServer, accept acceptFunc) (balancer.Attempt, *refusal) {
 	now := time.Now()
 	instances := s.Instances()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	budget := s.budget(r.Service.Name)
 	if budget.Remaining(s.retries.Ratio, s.retries.Allowance, instances, now) < 1 {
-		return balancer.Attempt{}, refuseNotRun(outcome.NoBackendServer, retrySoon)
+		return balancer.Attempt{}, refuseNotRun(outcome.RetryBudgetSpent, retrySoon)
 	}
-	a, refused := s.begin(r, candidates, instances)
+	a, refused := s.begin(r, candidates, instances, accept)
 	if refused == nil {
 		budget.AllowRetry(s.retries.Ratio, s.retries.Allowance, instances, now)
 	}
 	return a, refused
 }
 
+// acceptFunc decides whether the chosen attempt is made, from the load of all candidates. It
+// returns a refusal if not. The balancer may only be read.
+type acceptFunc func(a *balancer.Attempt, load func() balancer.ServiceLoad) *refusal
+
+func acceptAny(*balancer.Attempt, func() balancer.ServiceLoad) *refusal { return nil }
+
 // begin is BeginAttempt for a caller that holds the lock.
-func (s *ServerSelector) begin(r balancer.Request, candidates []catalog.BackendServer, instances int) (balancer.Attempt, *refusal) {
+func (s *ServerSelector) begin(r balancer.Request, candidates []catalog.BackendServer, instances int, accept acceptFunc) (balancer.Attempt, *refusal) {
 	now := time.Now()
 	s.balancer.SetInstances(instances)
 	candidates, refused := s.notFull(candidates, instances)
@@ -101,6 +112,10 @@
 	if !ok {
 		return a, refuseNotRun(outcome.NoBackendServer, retrySoon)
 	}
+	load := func() balancer.ServiceLoad { return s.balancer.ServiceLoad(r.Service, candidates, now) }
+	if refused := accept(&a, load); refused != nil {
+		return a, refused
+	}
 	if reason, retryAfter := s.balancer.Admit(r, &a, now); reason != outcome.ReasonNone {
 		refused := refuseNotRun(reason, retryAfter)
 		refused.overload = &overloadDetails{attempt: a, reports: s.balancer.ReportsInUse(now)}
--- a/edge/reverseproxy/stream_relay.go
+++ b/edge/reverseproxy/stream_relay.go
@@ -93,7 +93,7 @@
 	var progress streamProgress
 	for {
 		buffered.release()
-		f.others.watch(s, eventPatience)
+		f.others.watch(s, eventPatience, 0)
 		event, err := readEvent(reader, &buffered)
 		ended := err == io.EOF && len(event) == 0
 		switch {
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 
 	"github.com/go-faster/errors"
@@ -21,8 +22,25 @@
 // EdgeCallers bounds what callers may use of an instance.
 type EdgeCallers struct{}
 
-// EdgeSecondAttempts limits the extra attempts that are made for slow answers.
-type EdgeSecondAttempts struct{}
+// EdgeSecondAttempts limits the extra attempts that are made for slow answers. Each limit is a
+// share of the requests that may be repeated, from 0 to MaxSecondAttemptShare. For a request
+// the limit of its route holds, or else that of its service, or else Share.
+type EdgeSecondAttempts struct {
+	// Share is the limit for all routes and services that are not listed.
+	Share    float64     `toml:"share"`
+	Services []EdgeShare `toml:"service"`
+	Routes   []EdgeShare `toml:"route"`
+}
+
+// EdgeShare is the limit of one route or service.
+type EdgeShare struct {
+	Name  string  `toml:"name"`
+	Share float64 `toml:"share"`
+}
+
+// MaxSecondAttemptShare is the largest limit of second attempts. A larger share would repeat
+// ordinary answers rather than the slowest, and leave too little for requests that failed.
+const MaxSecondAttemptShare = 0.2
 
 // DefaultEdge returns the options that hold without an options file.
 func DefaultEdge() Edge { return Edge{} }
@@ -63,4 +81,39 @@
 
 func checkEdgeCallers(Edge) *problem { return nil }
 
-func checkEdgeSecondAttempts(Edge) *problem { return nil }
+func checkEdgeSecondAttempts(o Edge) *problem {
+	s := o.SecondAttempts
+	if p := checkShare("second_attempts.share", s.Share); p != nil {
+		return p
+	}
+	if p := checkShares("second_attempts.service", s.Services); p != nil {
+		return p
+	}
+	return checkShares("second_attempts.route", s.Routes)
+}
+
+func checkShares(table string, shares []EdgeShare) *problem {
+	named := make(map[string]bool, len(shares))
+	for i, s := range shares {
+		entry := arrayEntry(table, i)
+		switch {
+		case s.Name == "":
+			return &problem{joinKey(entry, "name"), "missing"}
+		case named[s.Name]:
+			return &problem{joinKey(entry, "name"), "the same name as that of an entry before"}
+		}
+		named[s.Name] = true
+		if p := checkShare(joinKey(entry, "share"), s.Share); p != nil {
+			return p
+		}
+	}
+	return nil
+}
+
+// checkShare rejects a share out of its bounds, and one that is no number.
+func checkShare(key string, share float64) *problem {
+	if share >= 0 && share <= MaxSecondAttemptShare {
+		return nil
+	}
+	return &problem{key, fmt.Sprintf("must be from 0 to %v", MaxSecondAttemptShare)}
+}
--- a/settings/lines.go
+++ b/settings/lines.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2/unstable"
@@ -9,11 +10,13 @@
 
 // lineOf returns the line of a dotted key in the TOML text raw. If the text does
 // not have the key, it returns the line of the key's table. If the text does not
-// have that table either, it returns 1.
+// have that table either, it returns 1. Entries of an array of tables are named as
+// by arrayEntry.
 func lineOf(raw []byte, key string) int {
 	table, _, _ := strings.Cut(key, ".")
 	found := 1
 	prefix := ""
+	entries := make(map[string]int)
 	parser := unstable.Parser{}
 	parser.Reset(raw)
 	for parser.NextExpression() {
@@ -25,6 +28,12 @@
 			if name == table {
 				found = line
 			}
+		case unstable.ArrayTable:
+			prefix = arrayEntry(name, entries[name])
+			entries[name]++
+			if strings.HasPrefix(key, prefix+".") {
+				found = line
+			}
 		case unstable.KeyValue:
 			if joinKey(prefix, name) == key {
 				return line
@@ -50,6 +59,9 @@
 	return strings.Join(parts, "."), line
 }
 
+// arrayEntry returns the dotted key of an entry of an array of tables, counted from 0.
+func arrayEntry(table string, index int) string { return fmt.Sprintf("%s[%d]", table, index) }
+
 // joinKey returns the dotted key of a name in a table. Outside of tables the prefix
 // is empty.
 func joinKey(prefix, name string) string {
