Hedge at the last moment that helps, and not with long prompts

Cause: on small twins of a new deployment, 26 of 38 second attempts at the learnt delay lost, most of them of long prompts that were on time by far, and 254,000 prompt tokens were read in vain. Ruled out: a mean backlog relative to the route's own target as the sign of full servers; it refused short prompts beside idle engines. Before: after the learnt delay. After: also not while the target leaves twice the usual delay, at most 8,192 tokens to read, full from 300 ms of mean backlog on.

--- a/edge/hedging/controller.go
+++ b/edge/hedging/controller.go
@@ -88,7 +88,8 @@
 		c.counts.Refused[NotLearnt]++
 		return Plan{}
 	}
-	return Plan{delayFor(learnt.delay, s.Target), learnt.typicalRatio}
+	usual := time.Duration(learnt.typicalRatio * float64(s.expected()))
+	return Plan{delayFor(learnt.delay, usual, s.Target), learnt.typicalRatio}
 }
 
 // Ask decides whether the request of a send that has no answer after the elapsed time gets a
--- a/edge/hedging/decision.go
+++ b/edge/hedging/decision.go
@@ -22,6 +22,8 @@
 	FleetSlow
 	// ServersFull means that the servers have little room or much waiting work.
 	ServersFull
+	// PromptTooLong means that the second server would have to read too much of the prompt.
+	PromptTooLong
 	// NoGain means that the second server would presumably answer no sooner.
 	NoGain
 	// NoBudget means that the retries that all instances share are spent.
@@ -35,7 +37,7 @@
 // String returns the name used in logs and metrics.
 func (r Reason) String() string {
 	names := [reasonCount]string{
-		"hedge", "too_early", "not_learnt", "limit", "fleet_slow", "servers_full", "no_gain", "budget", "no_server",
+		"hedge", "too_early", "not_learnt", "limit", "fleet_slow", "servers_full", "prompt_too_long", "no_gain", "budget", "no_server",
 	}
 	if r < reasonCount {
 		return names[r]
@@ -50,6 +52,9 @@
 	// targetFraction is the fraction of the latency target that must have passed. An answer
 	// that comes sooner is on time by far, however slow it is for its kind.
 	targetFraction = 0.25
+	// secondFactor is how many times the usual delay is left for the second attempt, if it is
+	// to be on time. Before that, most answers still come from the first server in time.
+	secondFactor = 2
 	// minQuantile and maxQuantile bound the quantile of delays after which a second attempt
 	// begins. It is 1 less the operators' share, so that the share goes to the slowest.
 	minQuantile = 0.9
@@ -63,9 +68,10 @@
 // quantileFor returns the quantile of delays after which a second attempt begins.
 func quantileFor(share float64) float64 { return min(max(1-share, minQuantile), maxQuantile) }
 
-// delayFor returns the delay after which a second attempt begins, from the learnt one.
-func delayFor(learnt, target time.Duration) time.Duration {
-	return max(learnt, time.Duration(targetFraction*float64(target)), minDelay)
+// delayFor returns the delay after which a second attempt begins, from the learnt one, the
+// usual one and the latency target.
+func delayFor(learnt, usual, target time.Duration) time.Duration {
+	return max(learnt, target-secondFactor*usual, time.Duration(targetFraction*float64(target)), minDelay)
 }
 
 // Facts are what the decision on one request needs, apart from the servers' load.
@@ -111,9 +117,12 @@
 	// roomFraction is the fraction of the places at the servers, and of the memory of the
 	// second one, up to which there is room for second attempts.
 	roomFraction = 0.7
-	// backlogFraction is the fraction of the latency target up to which the servers' mean
-	// time for waiting prompts leaves room.
-	backlogFraction = 0.15
+	// maxBacklog is the servers' mean time for the prompts that wait, up to which there is
+	// room. Engines that keep up with long prompts stay below it.
+	maxBacklog = 300 * time.Millisecond
+	// maxPromptTokens is how much of a prompt the second server may have to read. While it
+	// reads, the streams that it runs pause between their events.
+	maxPromptTokens = 8192
 )
 
 // Load describes the server that would get the second attempt, and all that may get it.
@@ -126,18 +135,20 @@
 	// fraction of its memory that is in use.
 	SecondRunning, SecondSlots int
 	SecondMemory               float64
+	// SecondPrompt is the number of prompt tokens that it doesn't hold.
+	SecondPrompt int
 	// SecondDelay is the delay of the answer there, as far as it can be told.
 	SecondDelay time.Duration
 }
 
 // Judge decides whether the servers have room for a second attempt that begins after the given
-// delay, and whether it would help a request with this latency target. It returns Hedge if so.
-func Judge(l Load, delay, target time.Duration) Reason {
+// delay, and whether it would help. It returns Hedge if so.
+func Judge(l Load, delay time.Duration) Reason {
 	switch {
-	case isFull(l.Running, l.Slots), isFull(l.SecondRunning, l.SecondSlots), l.SecondMemory > roomFraction:
-		return ServersFull
-	case target > 0 && l.MeanBacklog > time.Duration(backlogFraction*float64(target)):
+	case isFull(l.Running, l.Slots), isFull(l.SecondRunning, l.SecondSlots), l.SecondMemory > roomFraction, l.MeanBacklog > maxBacklog:
 		return ServersFull
+	case l.SecondPrompt > maxPromptTokens:
+		return PromptTooLong
 	case l.SecondDelay > delay:
 		return NoGain
 	}
--- a/edge/hedging/patterns_test.go
+++ b/edge/hedging/patterns_test.go
@@ -69,7 +69,7 @@
 	for elapsed, first := after, true; after > 0 && elapsed < min(delay, time.Second); first = false {
 		d := w.c.Ask(&s, plan, elapsed, first, w.now.Add(elapsed))
 		if d.Reason == Hedge {
-			why := Judge(w.load, after, testTarget)
+			why := Judge(w.load, after)
 			if why == Hedge {
 				w.seconds++
 				w.hedgedAt[s.Server]++
@@ -193,7 +193,8 @@
 		"places":         func(l *Load) { l.Running = 80 },
 		"second server":  func(l *Load) { l.SecondRunning = 8 },
 		"memory":         func(l *Load) { l.SecondMemory = 0.8 },
-		"waiting work":   func(l *Load) { l.MeanBacklog = 100 * time.Millisecond },
+		"waiting work":   func(l *Load) { l.MeanBacklog = 400 * time.Millisecond },
+		"long prompt":    func(l *Load) { l.SecondPrompt = 10_000 },
 		"slower instead": func(l *Load) { l.SecondDelay = 10 * usualDelay },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/edge/reverseproxy/second_attempt.go
+++ b/edge/reverseproxy/second_attempt.go
@@ -67,7 +67,7 @@
 func (f *forwarder) newSecond(ctx context.Context, plan hedging.Plan) (*sending, hedging.Reason) {
 	judged := hedging.Hedge
 	accept := func(a *balancer.Attempt, load func() balancer.ServiceLoad) *refusal {
-		if judged = hedging.Judge(f.loadFor(a, load(), plan), plan.After, f.request.route.LatencyTarget); judged != hedging.Hedge {
+		if judged = hedging.Judge(f.loadFor(a, load(), plan), plan.After); judged != hedging.Hedge {
 			return refuseNotRun(outcome.NoBackendServer, retrySoon)
 		}
 		return nil
@@ -97,6 +97,7 @@
 		SecondDelay: time.Duration(plan.TypicalRatio * float64(a.Delay())),
 	}
 	if service.IsEngine() {
+		load.SecondPrompt = f.request.uncachedTokens(a)
 		load.SecondMemory = float64(a.Load.MemoryTokens) / float64(service.MemoryTokens)
 	}
 	return load
@@ -141,5 +142,10 @@
 // waste returns the work of an attempt whose answer nobody needs. Whether its server has read
 // the whole prompt is not known.
 func (s *sending) waste(req *request) hedging.Waste {
-	return hedging.Waste{PromptTokens: max(req.prompt.Tokens-s.attempt.CachedTokens, 0), Time: time.Since(s.begunAt)}
+	return hedging.Waste{PromptTokens: req.uncachedTokens(&s.attempt), Time: time.Since(s.begunAt)}
+}
+
+// uncachedTokens is how much of the prompt the attempt's server presumably has to read.
+func (req *request) uncachedTokens(a *balancer.Attempt) int {
+	return max(req.prompt.Tokens-a.CachedTokens, 0)
 }
