--- a/edge/hedging/decision.go
+++ b/edge/hedging/decision.go
@@ -59,8 +59,9 @@
 	// begins. It is 1 less the operators' share, so that the share goes to the slowest.
 	minQuantile = 0.9
 	maxQuantile = 0.99
-	// lookAgainFraction is how much of the delay passes before the next look, after a
-	// decision against a second attempt that may change. minLookAgain bounds it.
+	// lookAgainFraction is the part of the time so far that passes before the next look, after
+	// a decision against a second attempt that may change. So there are few looks while many
+	// requests are slow. minLookAgain bounds it.
 	lookAgainFraction = 0.5
 	minLookAgain      = 25 * time.Millisecond
 )
@@ -102,15 +103,15 @@
 	case f.Elapsed < f.Delay:
 		return Decision{TooEarly, f.Delay - f.Elapsed}
 	case f.FleetSlow:
-		return Decision{FleetSlow, lookAgain(f.Delay)}
+		return Decision{FleetSlow, lookAgain(f.Elapsed)}
 	case !f.WithinLimit:
-		return Decision{LimitReached, lookAgain(f.Delay)}
+		return Decision{LimitReached, lookAgain(f.Elapsed)}
 	}
-	return Decision{Hedge, lookAgain(f.Delay)}
+	return Decision{Hedge, lookAgain(f.Elapsed)}
 }
 
-func lookAgain(delay time.Duration) time.Duration {
-	return max(time.Duration(lookAgainFraction*float64(delay)), minLookAgain)
+func lookAgain(elapsed time.Duration) time.Duration {
+	return max(time.Duration(lookAgainFraction*float64(elapsed)), minLookAgain)
 }
 
 const (
--- a/edge/reverseproxy/second_attempt.go
+++ b/edge/reverseproxy/second_attempt.go
@@ -65,6 +65,10 @@
 // newSecond chooses a server for a second attempt and counts the attempt, like newSending. It
 // returns nil and the reason if there is none. plan is that of the slow attempt.
 func (f *forwarder) newSecond(ctx context.Context, plan hedging.Plan) (*sending, hedging.Reason) {
+	if f.handler.Limits.Count() > 0 {
+		// The room of servers that name limits is for requests that have no attempt yet.
+		return nil, hedging.ServersFull
+	}
 	judged := hedging.Hedge
 	accept := func(a *balancer.Attempt, load func() balancer.ServiceLoad) *refusal {
 		if judged = hedging.Judge(f.loadFor(a, load(), plan), plan.After); judged != hedging.Hedge {
