Count each answer once among the learnt delays

Cause: the histogram of a kind and that of its small requests had the same key, since small was the zero value, so each answer to a small request counted twice there and ten answers passed for the twenty that a quantile needs. Found by reading. Before: sizes as a flag. After: a type whose zero value stands for all sizes; the longest unused histograms are emptied and used again rather than replaced, which allocated 4 KB for each answer of a server that had none before. The test of a cold start now has one answer too few and lost answers after it, and fails on the old code's condition.

--- a/edge/hedging/delays.go
+++ b/edge/hedging/delays.go
@@ -34,12 +34,27 @@
 type Class struct {
 	Service string
 	// Kind is the name of the route's kind.
-	Kind  string
-	Large bool
+	Kind string
+	Size Size
 }
 
-// IsLarge reports whether a prompt of this many tokens makes a large request.
-func IsLarge(promptTokens int) bool { return promptTokens >= largePromptTokens }
+// Size is how long a request's prompt is.
+type Size uint8
+
+// Sizes of requests. AnySize stands for all of them.
+const (
+	AnySize Size = iota
+	Small
+	Large
+)
+
+// SizeOf returns the size of a request by the tokens of its prompt.
+func SizeOf(promptTokens int) Size {
+	if promptTokens >= largePromptTokens {
+		return Large
+	}
+	return Small
+}
 
 // delayKey selects a histogram. A server of 0 stands for all servers, and a class with only a
 // service for all its requests.
@@ -123,9 +138,10 @@
 	r, ok := t.histograms[key]
 	if !ok {
 		if len(t.histograms) >= maxHistograms {
-			t.dropOldest()
+			r = t.takeOldest()
+		} else {
+			r = &rotating{current: newRatios(), previous: newRatios()}
 		}
-		r = &rotating{current: newRatios(), previous: newRatios()}
 		t.histograms[key] = r
 	}
 	r.at(now)
@@ -133,7 +149,8 @@
 	return r
 }
 
-func (t *delayTable) dropOldest() {
+// takeOldest removes the longest unused histograms and empties them.
+func (t *delayTable) takeOldest() *rotating {
 	var oldest delayKey
 	last := time.Duration(math.MaxInt64)
 	for key, r := range t.histograms {
@@ -141,7 +158,12 @@
 			oldest, last = key, r.lastUsed
 		}
 	}
+	r := t.histograms[oldest]
 	delete(t.histograms, oldest)
+	r.current.Reset()
+	r.previous.Reset()
+	r.cached = cachedQuantiles{}
+	return r
 }
 
 // learntDelay is what is known of the delays of a send's like. The given share of them stays
--- a/edge/hedging/patterns_test.go
+++ b/edge/hedging/patterns_test.go
@@ -59,7 +59,7 @@
 func (w *world) send() {
 	w.sends++
 	s := Send{
-		Class: Class{Service: "s", Kind: "safe"}, Route: "r", Server: 1 + w.random.Uint64N(testServers),
+		Class: Class{Service: "s", Kind: "safe", Size: Small}, Route: "r", Server: 1 + w.random.Uint64N(testServers),
 		Expected: usualDelay, Slowness: 1, Target: testTarget, MayHedge: true,
 	}
 	plan := w.c.Begin(&s, w.now)
@@ -100,15 +100,11 @@
 // answers, at the start and for a server, kind and service not seen before.
 func TestColdStartHedgesNothing(t *testing.T) {
 	w := newWorld(Limits{All: 0.2})
-	w.delay = func(uint64) time.Duration {
-		if w.random.IntN(2) == 0 {
-			return never
-		}
-		return usualDelay
-	}
-	w.run(minAnswers)
+	w.run(minAnswers - 1)
+	w.delay = func(uint64) time.Duration { return never }
+	w.run(20)
 	w.expectAtMost(t, 0)
-	s := Send{Class: Class{Service: "other", Kind: "safe"}, Server: 99, Expected: usualDelay, Slowness: 1, MayHedge: true}
+	s := Send{Class: Class{Service: "other", Kind: "safe", Size: Small}, Server: 99, Expected: usualDelay, Slowness: 1, MayHedge: true}
 	if after := w.c.Begin(&s, w.now).After; after != 0 {
 		t.Errorf("a service without answers is hedged after %v, want never", after)
 	}
@@ -119,7 +115,7 @@
 	w := newWorld(Limits{All: testShare})
 	w.run(500)
 	w.now = w.now.Add(2*delayWindow + time.Second)
-	s := Send{Class: Class{Service: "s", Kind: "safe"}, Server: 1, Expected: usualDelay, Slowness: 1, MayHedge: true}
+	s := Send{Class: Class{Service: "s", Kind: "safe", Size: Small}, Server: 1, Expected: usualDelay, Slowness: 1, MayHedge: true}
 	if after := w.c.Begin(&s, w.now).After; after != 0 {
 		t.Errorf("an answer is slow after %v by what was learnt a minute ago, want never", after)
 	}
@@ -262,14 +258,14 @@
 func TestHistogramsAreBounded(t *testing.T) {
 	w := newWorld(Limits{All: testShare})
 	for server := range uint64(2000) {
-		s := Send{Class: Class{Service: "s", Kind: "safe"}, Server: server, Expected: usualDelay, Slowness: 1, MayHedge: true}
+		s := Send{Class: Class{Service: "s", Kind: "safe", Size: Small}, Server: server, Expected: usualDelay, Slowness: 1, MayHedge: true}
 		w.now = w.now.Add(time.Millisecond)
 		w.c.Answered(&s, usualDelay, w.now)
 	}
 	if n := len(w.c.delays.histograms); n > maxHistograms {
 		t.Errorf("got %d histograms, want at most %d", n, maxHistograms)
 	}
-	s := Send{Class: Class{Service: "s", Kind: "safe"}, Server: 1999, Expected: usualDelay, Slowness: 1, MayHedge: true}
+	s := Send{Class: Class{Service: "s", Kind: "safe", Size: Small}, Server: 1999, Expected: usualDelay, Slowness: 1, MayHedge: true}
 	for range minAnswers {
 		w.c.Answered(&s, 6*usualDelay, w.now)
 	}
--- a/edge/reverseproxy/further_attempts.go
+++ b/edge/reverseproxy/further_attempts.go
@@ -9,9 +9,9 @@
 )
 
 // furtherAttempts sends a request to further servers while the server of the current
-// attempt is silent, or slow for a request of its kind. The current attempt stays open meanwhile, because no other server may
-// be able to go on with the request. The first further attempt with a usable response
-// takes the current attempt's place.
+// attempt is silent, or slow for a request of its kind. The current attempt stays open
+// meanwhile, because no other server may be able to go on with the request. The first further
+// attempt with a usable response takes the current attempt's place.
 //
 // Its methods are for the goroutine that serves the request. From watch to the next call
 // of spoke or failed, that goroutine does nothing but wait for the current server: the
--- a/edge/reverseproxy/second_attempt.go
+++ b/edge/reverseproxy/second_attempt.go
@@ -18,7 +18,7 @@
 		return
 	}
 	s.timing = hedging.Send{
-		Class: hedging.Class{Service: req.service.Name, Kind: req.route.Kind.String(), Large: hedging.IsLarge(req.prompt.Tokens)},
+		Class: hedging.Class{Service: req.service.Name, Kind: req.route.Kind.String(), Size: hedging.SizeOf(req.prompt.Tokens)},
 		Route: req.route.Name, Server: s.attempt.Key, Expected: s.attempt.ExpectedDelay, Slowness: s.attempt.Slowness,
 		Target: req.route.LatencyTarget, MayHedge: req.sends == 1 && req.mayRunAtAnother(1),
 	}
