Check a further attempt against the configuration it is sent under

A further attempt was checked against the route of the first send, but sent under the route of the newest configuration, which the selection of a server looks up again. If that allowed one run only, the request ran at a second server all the same, and its attempt could not be cancelled, so that the caller waited for it until the deadline. The delay of the second attempt made no difference; the older further attempts for silent servers had the same gap. The check is now made again on the route that was just looked up.

--- a/edge/reverseproxy/further_attempts.go
+++ b/edge/reverseproxy/further_attempts.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"bergamotpin.example/bergamotpin/edge/balancer"
+	"bergamotpin.example/bergamotpin/edge/catalog"
 	"bergamotpin.example/bergamotpin/edge/hedging"
 	"bergamotpin.example/bergamotpin/outcome"
 )
@@ -154,7 +156,7 @@
 	if !req.mayRunAtAnother(1 + len(r.open)) {
 		return
 	}
-	s, refused := r.f.newSending(r.ctx, h.Selector.BeginFurtherAttempt)
+	s, refused := r.f.newSending(r.ctx, r.ifStillAllowed(h.Selector.BeginFurtherAttempt))
 	if refused != nil {
 		return
 	}
@@ -165,6 +167,17 @@
 	r.send(s)
 }
 
+// ifStillAllowed returns a beginFunc that refuses the attempt if the route, as the current
+// configuration has it, does not allow one more. It may be another route than at the first send.
+func (r *race) ifStillAllowed(begin beginFunc) beginFunc {
+	return func(b balancer.Request, candidates []catalog.BackendServer) (balancer.Attempt, *refusal) {
+		if !r.f.request.mayRunAtAnother(1 + len(r.open)) {
+			return balancer.Attempt{}, refuseNotRun(outcome.NoBackendServer, retrySoon)
+		}
+		return begin(b, candidates)
+	}
+}
+
 // send sends a further attempt, whose answer comes over answered.
 func (r *race) send(s *sending) {
 	if r.open == nil {
--- a/edge/reverseproxy/second_attempt.go
+++ b/edge/reverseproxy/second_attempt.go
@@ -1,7 +1,6 @@
 package reverseproxy
 
 import (
-	"context"
 	"time"
 
 	"bergamotpin.example/bergamotpin/edge/balancer"
@@ -48,7 +47,7 @@
 	if decision.Reason != hedging.Hedge {
 		return decision.LookAgain
 	}
-	s, why := r.f.newSecond(r.ctx, current.plan)
+	s, why := r.newSecond(current.plan)
 	if s == nil {
 		h.Hedging.Return(&current.timing, why, first, now)
 		return decision.LookAgain
@@ -64,7 +63,8 @@
 
 // newSecond chooses a server for a second attempt and counts the attempt, like newSending. It
 // returns nil and the reason if there is none. plan is that of the slow attempt.
-func (f *forwarder) newSecond(ctx context.Context, plan hedging.Plan) (*sending, hedging.Reason) {
+func (r *race) newSecond(plan hedging.Plan) (*sending, hedging.Reason) {
+	f := r.f
 	if f.handler.Limits.Count() > 0 {
 		// The room of servers that name limits is for requests that have no attempt yet.
 		return nil, hedging.ServersFull
@@ -76,10 +76,10 @@
 		}
 		return nil
 	}
-	begin := func(r balancer.Request, candidates []catalog.BackendServer) (balancer.Attempt, *refusal) {
-		return f.handler.Selector.beginFurther(r, candidates, accept)
+	begin := func(b balancer.Request, candidates []catalog.BackendServer) (balancer.Attempt, *refusal) {
+		return f.handler.Selector.beginFurther(b, candidates, accept)
 	}
-	s, refused := f.newSending(ctx, begin)
+	s, refused := f.newSending(r.ctx, r.ifStillAllowed(begin))
 	switch {
 	case refused == nil:
 		s.isSecond = true
--- /dev/null
+++ b/edge/reverseproxy/second_attempt_guard_test.go
@@ -0,0 +1,32 @@
+package reverseproxy
+
+import (
+	"strings"
+	"testing"
+
+	"bergamotpin.example/bergamotpin/edge/catalog"
+	"bergamotpin.example/bergamotpin/platform/platformtest"
+)
+
+// TestNewConfigurationHoldsForSecondAttempt guards against a further server that runs a request
+// although the configuration that came since the first send allows no further run, and against a
+// caller that then waits for it.
+func TestNewConfigurationHoldsForSecondAttempt(t *testing.T) {
+	for name, change := range map[string]*strings.Replacer{
+		"may run once":    strings.NewReplacer(`"resumable":true,`, ""),
+		"one server only": strings.NewReplacer(`"max_attempts":2,"resumable"`, `"max_attempts":1,"resumable"`),
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newHedgingFixture(t, 2, pathResumable, platformtest.Behaviour{Events: 1})
+			f.setBehaviour(platformtest.Behaviour{Delay: stalledStreamFor, Events: 1})
+			got, _ := f.doMeanwhile(f.request(pathResumable), func(first int) {
+				f.setOthers(first, platformtest.Behaviour{Hang: true})
+				f.putRecord(catalog.KindConfiguration, "main", change.Replace(platformtest.Configuration(2, streamTimeoutMs, "key")))
+			})
+			f.expectStatus(got, 200)
+			if ran := f.serversThatRan(); len(ran) != 1 {
+				t.Errorf("the request ran at %v, want one server", ran)
+			}
+		})
+	}
+}
