Make no second attempt while a server ended under the request lately

A prompt that ends servers is often slow at one before it ends, and is a suspect, but not yet withheld, until three servers have ended under it. Second attempts sent it to another server meanwhile, so that the third end came twice as soon. A part that is withheld and tried was safe already, since a try holds off the next one for 5 s. Before: TestSuspectGetsNoSecondAttempt ran at two servers. After: at one. The older attempts for silent servers are left as they are.

--- a/edge/hedging/counts.go
+++ b/edge/hedging/counts.go
@@ -64,7 +64,7 @@
 
 // Reasons returns the reasons for which a second attempt may be refused.
 func Reasons() []Reason {
-	return []Reason{NotLearnt, LimitReached, FleetSlow, ServersFull, PromptTooLong, NoGain, NoBudget, NoServer}
+	return []Reason{NotLearnt, LimitReached, FleetSlow, ServersFull, PromptTooLong, NoGain, NoBudget, NoServer, CrashSuspect}
 }
 
 // Results returns all results.
--- a/edge/hedging/decision.go
+++ b/edge/hedging/decision.go
@@ -30,6 +30,8 @@
 	NoBudget
 	// NoServer means that no other server takes the request.
 	NoServer
+	// CrashSuspect means that a server ended lately under the request or a part of its prompt.
+	CrashSuspect
 
 	reasonCount
 )
@@ -37,7 +39,7 @@
 // String returns the name used in logs and metrics.
 func (r Reason) String() string {
 	names := [reasonCount]string{
-		"hedge", "too_early", "not_learnt", "limit", "fleet_slow", "servers_full", "prompt_too_long", "no_gain", "budget", "no_server",
+		"hedge", "too_early", "not_learnt", "limit", "fleet_slow", "servers_full", "prompt_too_long", "no_gain", "budget", "no_server", "crash_suspect",
 	}
 	if r < reasonCount {
 		return names[r]
--- a/edge/reverseproxy/second_attempt.go
+++ b/edge/reverseproxy/second_attempt.go
@@ -69,6 +69,9 @@
 		// The room of servers that name limits is for requests that have no attempt yet.
 		return nil, hedging.ServersFull
 	}
+	if f.handler.Crashes.Suspected(f.request.guardKeys, time.Now()) {
+		return nil, hedging.CrashSuspect
+	}
 	judged := hedging.Hedge
 	accept := func(a *balancer.Attempt, load func() balancer.ServiceLoad) *refusal {
 		if judged = hedging.Judge(f.loadFor(a, load(), plan), plan.After); judged != hedging.Hedge {
--- a/edge/reverseproxy/second_attempt_guard_test.go
+++ b/edge/reverseproxy/second_attempt_guard_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"bergamotpin.example/bergamotpin/edge/catalog"
 	"bergamotpin.example/bergamotpin/platform/platformtest"
@@ -30,3 +31,16 @@
 		})
 	}
 }
+
+// TestSuspectGetsNoSecondAttempt guards against a prompt that ends servers and that gets a second
+// one while the first is not known to have ended.
+func TestSuspectGetsNoSecondAttempt(t *testing.T) {
+	f := newHedgingFixture(t, 2, pathResumable, platformtest.Behaviour{Events: 1})
+	f.setBehaviour(platformtest.Behaviour{Delay: stalledStreamFor, Events: 1})
+	r := f.promptRequest(pathResumable, "a1:100")
+	f.handler.Crashes.RecordCrash(1, partsOf(r), time.Now())
+	f.expectStatus(f.do(r), 200)
+	if ran := f.serversThatRan(); len(ran) != 1 {
+		t.Errorf("the request ran at %v, want one server", ran)
+	}
+}
