Keep the histograms of all servers, and forget servers that are gone

Two bounds of what an instance learns of delays did not hold at the size of the target. With more servers than histograms, the histograms of single servers pushed out those of all servers of a service with few requests within a second, so that it never learnt a delay. And the last sends to servers were dropped only when something was slow, so they grew with each start of a server. Before: TestQuietServiceLearns had learnt nothing after 40 answers beside a service of 600 servers, and TestServersThatAreGoneAreForgotten found 5,010 servers. After: both pass; the histograms of single servers go first, and each window of 4 s drops the servers not heard of for 8 s.

--- a/edge/hedging/delays.go
+++ b/edge/hedging/delays.go
@@ -149,13 +149,16 @@
 	return r
 }
 
-// takeOldest removes the longest unused histograms and empties them.
+// takeOldest removes the longest unused histograms and empties them. Those of all servers go
+// last: a busy service has more servers than there are histograms, and would drop them for any
+// service with few requests.
 func (t *delayTable) takeOldest() *rotating {
 	var oldest delayKey
-	last := time.Duration(math.MaxInt64)
+	last, general := time.Duration(math.MaxInt64), true
 	for key, r := range t.histograms {
-		if r.lastUsed < last {
-			oldest, last = key, r.lastUsed
+		ofAll := key.server == 0
+		if general && !ofAll || general == ofAll && r.lastUsed < last {
+			oldest, last, general = key, r.lastUsed, ofAll
 		}
 	}
 	r := t.histograms[oldest]
--- a/edge/hedging/fleet.go
+++ b/edge/hedging/fleet.go
@@ -92,6 +92,7 @@
 		return
 	}
 	f.learnUsual()
+	f.dropOld(now)
 	f.previous = answerWindowSums{}
 	if window == f.window+1 {
 		f.previous = f.current
@@ -100,6 +101,15 @@
 	f.window = window
 }
 
+// dropOld drops the servers whose last send counts no more.
+func (f *fleet) dropOld(now time.Duration) {
+	for server, s := range f.servers {
+		if now-s.at > lateMemory {
+			delete(f.servers, server)
+		}
+	}
+}
+
 // learnUsual takes the window that ends into the long run.
 func (f *fleet) learnUsual() {
 	if f.current.answers < minRecent {
@@ -120,12 +130,9 @@
 }
 
 func (f *fleet) mostAreLate(now time.Duration) bool {
+	f.dropOld(now)
 	late := 0
-	for server, s := range f.servers {
-		if now-s.at > lateMemory {
-			delete(f.servers, server)
-			continue
-		}
+	for _, s := range f.servers {
 		if s.isLate() {
 			late++
 		}
--- a/edge/hedging/patterns_test.go
+++ b/edge/hedging/patterns_test.go
@@ -273,3 +273,38 @@
 		t.Errorf("a server that always takes %v is hedged after %v", 6*usualDelay, after)
 	}
 }
+
+// TestQuietServiceLearns guards against a service with few requests whose histograms are dropped
+// for those of single servers of a busy one, so that it never gets a second attempt.
+func TestQuietServiceLearns(t *testing.T) {
+	c := New(Limits{All: testShare})
+	now := time.Unix(1_700_000_000, 0)
+	quiet := Send{Class: Class{Service: "quiet", Kind: "safe", Size: Small}, Server: 1, Expected: usualDelay, Slowness: 1, MayHedge: true}
+	for n := range uint64(600 * minAnswers) {
+		busy := Send{Class: Class{Service: "busy", Kind: "safe", Size: Small}, Server: 2 + n%600, Expected: usualDelay, Slowness: 1}
+		now = now.Add(time.Millisecond)
+		c.Answered(&busy, usualDelay, now)
+		if n%300 == 0 {
+			c.Answered(&quiet, usualDelay, now)
+		}
+	}
+	if after := c.Begin(&quiet, now).After; after == 0 {
+		t.Error("a service with 40 answers in 12 s has learnt no delay")
+	}
+}
+
+// TestServersThatAreGoneAreForgotten guards against memory that grows with each start of a server
+// while nothing is slow.
+func TestServersThatAreGoneAreForgotten(t *testing.T) {
+	w := newWorld(Limits{All: testShare})
+	w.run(100)
+	for server := range uint64(5000) {
+		s := Send{Class: Class{Service: "s", Kind: "safe", Size: Small}, Server: 100 + server, Expected: usualDelay, Slowness: 1, MayHedge: true}
+		w.now = w.now.Add(20 * time.Millisecond)
+		w.c.Begin(&s, w.now)
+		w.c.Answered(&s, usualDelay, w.now)
+	}
+	if n := len(w.c.fleets["s"].servers); n > 1000 {
+		t.Errorf("got %d servers, want those of the last seconds", n)
+	}
+}
