Decide how many replicas of a service to order, and of which kind

A service may have replicas on order, and nothing decided how many. The new package is pure: it observes replicas, load and the view of the fleet, and plans orders. The configuration's autoscale and a server's spot and leaves_ms are decoded into typed fields, and the balancer sums up what it knows of a service's demand.

--- /dev/null
+++ b/edge/autoscale/need.go
@@ -0,0 +1,200 @@
+package autoscale
+
+// The load that this file answers: waves of a few seconds, bursts to a multiple of the usual
+// requests that begin within a second, and engines that deliver less than expected. How many
+// replicas of ordinary speed are needed so that nobody waits too long?
+
+import (
+	"math"
+	"time"
+
+	"bergamotpin.example/bergamotpin/edge/catalog"
+)
+
+const (
+	// prefillTokensPerSecond is what an engine of ordinary speed reads if it does nothing else.
+	// Replica.Delivers relates to the same engine.
+	prefillTokensPerSecond = 56600.0
+	// startUtilisation is the part of a replica's time that prefill may take, as long as nothing
+	// else was learnt. Decoding takes about a tenth, and the rest keeps queues short although
+	// prompts differ in length by a factor of 100.
+	startUtilisation = 0.5
+	// minUtilisation and maxUtilisation bound what is learnt.
+	minUtilisation = 0.25
+	maxUtilisation = 0.6
+	// utilisationStep is the factor by which the bearable utilisation falls in an observation in
+	// which callers are late.
+	utilisationStep = 0.97
+	// slotFraction and memoryFraction are the parts of a replica's slots and memory that may be
+	// in use. Fuller engines answer each request more slowly, or turn requests away.
+	slotFraction   = 0.5
+	memoryFraction = 0.5
+	// lateLimit is the share of late requests from which the replicas don't suffice.
+	lateLimit = 1.0 / 12
+	// lateGrowth is how many replicas are needed while callers are late, compared with those
+	// that are ready.
+	lateGrowth = 1.1
+	// minKindRate is the rate of requests from which the share of late ones says something.
+	minKindRate = 5.0
+	// smoothing is the time constant with which load is averaged. Prompts differ much in length,
+	// so that a single observation says little.
+	smoothing = 1500 * time.Millisecond
+	// minWait is the shortest time to the first event that is believed, in seconds.
+	minWait = 0.04
+	// trendPeriod is the time over which the trend of the need is taken.
+	trendPeriod = 3 * time.Second
+	// maxTrend bounds how much the need is expected to grow within the boot time.
+	maxTrend = 1.5
+	// peakPeriod is how long a need counts. It is several times the boot time, and longer than
+	// the waves of traffic that an order could follow.
+	peakPeriod = 20 * time.Second
+)
+
+// load is the smoothed load.
+type load struct {
+	running, prefillTokens, memoryTokens, kindsWaiting, rate float64
+}
+
+// towards moves the load towards the demand by the given part.
+func (l load) towards(d Demand, part float64) load {
+	move := func(from, to float64) float64 { return from + part*(to-from) }
+	return load{
+		running: move(l.running, d.Running), prefillTokens: move(l.prefillTokens, d.PrefillTokens),
+		memoryTokens: move(l.memoryTokens, d.MemoryTokens), kindsWaiting: move(l.kindsWaiting, d.KindsWaiting),
+		rate: move(l.rate, d.rate()),
+	}
+}
+
+// rate returns the requests a second of all kinds.
+func (d Demand) rate() float64 {
+	sum := 0.0
+	for _, k := range d.Kinds {
+		sum += k.PerSecond
+	}
+	return sum
+}
+
+// areLate reports whether too many requests of a kind are late.
+func (d Demand) areLate() bool {
+	for _, k := range d.Kinds {
+		if k.PerSecond >= minKindRate && k.LateShare > lateLimit {
+			return true
+		}
+	}
+	return false
+}
+
+// urgentShare returns the part of the requests that is more urgent than the least urgent ones.
+func (d Demand) urgentShare() float64 {
+	least, urgent := 0, 0.0
+	for _, k := range d.Kinds {
+		least = max(least, k.RoutePriority)
+	}
+	for _, k := range d.Kinds {
+		if k.RoutePriority < least {
+			urgent += k.PerSecond
+		}
+	}
+	return urgent / max(d.rate(), 1e-9)
+}
+
+// prefillWork returns the number of replicas of ordinary speed that reading the prompts keeps
+// busy. By Little's law, the tokens that arrive in a second are those that wait, divided by how
+// long a request waits.
+func (l load) prefillWork() float64 {
+	if l.rate <= 0 {
+		return 0
+	}
+	wait := max(l.kindsWaiting/l.rate, minWait)
+	return l.prefillTokens / wait / prefillTokensPerSecond
+}
+
+// sample is the need at one moment.
+type sample struct {
+	at           time.Time
+	need, urgent float64
+}
+
+// needs learns what callers need.
+type needs struct {
+	load        load
+	observedAt  time.Time
+	startedAt   time.Time
+	utilisation float64
+	samples     []sample
+	// tokensRead sums the prompt tokens that replicas read since startedAt, at most for
+	// cacheMemory.
+	tokensRead float64
+	late       bool
+}
+
+// observe takes in the demand. ready is what the replicas that are ready deliver together.
+func (n *needs) observe(service catalog.Service, d Demand, ready float64, now time.Time) {
+	if n.startedAt.IsZero() {
+		n.startedAt, n.observedAt, n.utilisation = now, now, startUtilisation
+	}
+	elapsed := now.Sub(n.observedAt)
+	n.observedAt = now
+	n.load = n.load.towards(d, 1-math.Exp(-elapsed.Seconds()/smoothing.Seconds()))
+	work := n.load.prefillWork()
+	n.tokensRead = n.tokensRead*math.Exp(-elapsed.Seconds()/cacheMemory.Seconds()) + work*prefillTokensPerSecond*elapsed.Seconds()
+	n.late = d.areLate()
+	n.learnUtilisation(work/max(ready, 1), elapsed)
+	need := work / n.utilisation
+	if service.IsEngine() {
+		need = max(need, n.load.running/(slotFraction*float64(max(service.Slots, 1))), n.load.memoryTokens/(memoryFraction*float64(service.MemoryTokens)))
+	}
+	if n.late {
+		need = max(need, lateGrowth*ready)
+	}
+	n.samples = append(n.samples, sample{now, need, need * d.urgentShare()})
+	for len(n.samples) > 1 && now.Sub(n.samples[0].at) > peakPeriod {
+		n.samples = n.samples[1:]
+	}
+}
+
+// learnUtilisation lowers the bearable utilisation while callers are late at less, and raises it
+// to what was borne.
+func (n *needs) learnUtilisation(utilisation float64, elapsed time.Duration) {
+	switch {
+	case elapsed <= 0:
+	case n.late && utilisation < n.utilisation/utilisationStep:
+		n.utilisation = max(n.utilisation*utilisationStep, minUtilisation)
+	case !n.late && utilisation > n.utilisation:
+		n.utilisation = min(utilisation, maxUtilisation)
+	}
+}
+
+// wholePeriod reports whether a whole period has been observed.
+func (n *needs) wholePeriod(now time.Time) bool {
+	return !n.startedAt.IsZero() && now.Sub(n.startedAt) >= peakPeriod
+}
+
+// peak returns the highest need of the last period, and the highest of the urgent requests.
+func (n *needs) peak() (need, urgent float64) {
+	for _, s := range n.samples {
+		need, urgent = max(need, s.need), max(urgent, s.urgent)
+	}
+	return need, urgent
+}
+
+// forecast returns the need after the given time, by the trend of the last seconds.
+func (n *needs) forecast(after time.Duration) float64 {
+	if len(n.samples) == 0 {
+		return 0
+	}
+	last := n.samples[len(n.samples)-1]
+	first := last
+	for _, s := range n.samples {
+		if last.at.Sub(s.at) <= trendPeriod {
+			first = s
+			break
+		}
+	}
+	elapsed := last.at.Sub(first.at)
+	if elapsed <= 0 || last.need <= first.need {
+		return last.need
+	}
+	growth := (last.need - first.need) / elapsed.Seconds() * after.Seconds()
+	return min(last.need+growth, maxTrend*last.need)
+}
--- /dev/null
+++ b/edge/autoscale/planner.go
@@ -0,0 +1,366 @@
+package autoscale
+
+// The load that this file answers: traffic that changes within seconds, while a new replica takes
+// seconds to boot, replicas are lost or taken back meanwhile, and each order has a price.
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"bergamotpin.example/bergamotpin/edge/catalog"
+)
+
+const (
+	// maxCatalogAge is the age up to which a confirmation of the catalog is fresh.
+	maxCatalogAge = 3 * time.Second
+	// minLiveShare is the part of the known instances that must be live for any order, and
+	// minLiveToLower the part for one that lowers a number.
+	minLiveShare   = 0.5
+	minLiveToLower = 0.9
+	// trustDelay is how long the view must have been good before an order. Reports and entries
+	// of the whole fleet arrive within that time.
+	trustDelay = 3 * time.Second
+	// minSaving is the part of the cost by which orders that save must lower it.
+	minSaving = 0.05
+	// savingPeriod is the time over which a saving is weighed against the prompts that have to
+	// be read again.
+	savingPeriod = 60 * time.Second
+	// stableBefore is how long the replicas must have been the same before a number is lowered.
+	stableBefore = 2 * time.Second
+	// lowerPause is the time between two orders that lower the number of a group's replicas.
+	lowerPause = 4 * time.Second
+	// lowerStep is the part of a group's replicas that one order takes away while requests run.
+	lowerStep = 0.15
+	// cacheMemory is how long the prompts that a replica read are worth something.
+	cacheMemory = 30 * time.Second
+	// rereadTime is the time within which the fleet reads again what leaving replicas held.
+	rereadTime = 10 * time.Second
+)
+
+// Planner decides how many replicas of one service run. It is not safe for concurrent use.
+type Planner struct {
+	groups map[Group]*groupState
+	// leaving holds how many replicas of each group were leaving at the last observation.
+	leaving counts
+	needs   needs
+	last    Observation
+	// speed is what one replica delivers, on average.
+	speed        float64
+	trustedSince time.Time
+	// found is the need that the fleet bears that was there when the view was first trusted.
+	found float64
+}
+
+// New returns a planner that has observed nothing.
+func New() *Planner {
+	return &Planner{groups: make(map[Group]*groupState), leaving: make(counts), speed: 1}
+}
+
+// Observe takes in what the instance knows. It must be called about once a second, also by
+// instances that don't order.
+func (p *Planner) Observe(o Observation, now time.Time) {
+	p.last = o
+	p.observeReplicas(now)
+	if !o.View.trustworthy() {
+		p.trustedSince = time.Time{}
+		return
+	}
+	if p.trustedSince.IsZero() {
+		p.trustedSince = now
+	}
+	if o.Service.Autoscale == nil || !p.trusts(now) {
+		return
+	}
+	p.needs.observe(o.Service, o.Demand, p.speed*float64(p.ready().total()), now)
+	if p.found == 0 {
+		p.found = p.speed * p.ready().borne(p.dataCentres())
+	}
+}
+
+// observeReplicas counts the replicas by group.
+func (p *Planner) observeReplicas(now time.Time) {
+	ready, leaving := make(counts), make(counts)
+	var delivered []float64
+	for _, r := range p.last.Replicas {
+		if r.Leaving {
+			leaving[r.Group]++
+			continue
+		}
+		ready[r.Group]++
+		delivered = append(delivered, r.Delivers)
+	}
+	for g := range ready {
+		p.group(g)
+	}
+	for g, s := range p.groups {
+		reclaimed := 0
+		if g.Reclaimable && leaving[g] > p.leaving[g] && ready[g] == 0 {
+			reclaimed = leaving[g]
+		}
+		s.observe(ready[g], reclaimed, now)
+	}
+	p.leaving = leaving
+	p.speed = mean(delivered)
+}
+
+// mean returns the average, or 1 of no numbers.
+func mean(values []float64) float64 {
+	if len(values) == 0 {
+		return 1
+	}
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return sum / float64(len(values))
+}
+
+func (p *Planner) group(g Group) *groupState {
+	s, ok := p.groups[g]
+	if !ok {
+		s = &groupState{}
+		p.groups[g] = s
+	}
+	return s
+}
+
+// ready returns the replicas that are there.
+func (p *Planner) ready() counts {
+	c := make(counts, len(p.groups))
+	for g, s := range p.groups {
+		c[g] = s.ready
+	}
+	return c
+}
+
+// expected returns the replicas that are there or ordered.
+func (p *Planner) expected(now time.Time) counts {
+	c := make(counts, len(p.groups))
+	for g, s := range p.groups {
+		c[g] = s.expected(now)
+	}
+	return c
+}
+
+// dataCentres returns the data centres that have a price, or else those with replicas.
+func (p *Planner) dataCentres() []string {
+	var names []string
+	for dc := range p.last.Service.Autoscale.Prices {
+		names = append(names, dc)
+	}
+	if len(names) == 0 {
+		for g := range p.groups {
+			names = append(names, g.DataCentre)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// trustworthy reports whether the view is good now.
+func (v View) trustworthy() bool {
+	return !v.CutOff && v.CatalogAge <= maxCatalogAge && float64(v.Live) > minLiveShare*float64(v.Known)
+}
+
+// complete reports whether hardly any instance is missing, so that the load is not understated.
+func (v View) complete() bool { return float64(v.Live) >= minLiveToLower*float64(v.Known) }
+
+// trusts reports whether the view has been good for long enough.
+func (p *Planner) trusts(now time.Time) bool {
+	return !p.trustedSince.IsZero() && now.Sub(p.trustedSince) >= trustDelay
+}
+
+// requirement returns what the fleet must bear.
+func (p *Planner) requirement(now time.Time) requirement {
+	need, urgent := p.needs.peak()
+	if !p.needs.wholePeriod(now) {
+		need = max(need, p.found)
+	}
+	return requirement{max(need, p.needs.forecast(p.last.Service.Autoscale.BootTime)), urgent}
+}
+
+// Status is what the planner believes, for logs and metrics.
+type Status struct {
+	// Need and Urgent are in replicas of ordinary speed, Speed is what one replica delivers.
+	Need, Urgent, Speed, Utilisation float64
+	Trusted, Late                    bool
+	Ready, Expected                  int
+	// Cost is the price of the replicas that are ready for a second.
+	Cost float64
+}
+
+// Status returns what the planner believes.
+func (p *Planner) Status(now time.Time) Status {
+	if p.last.Service.Autoscale == nil {
+		return Status{}
+	}
+	r := p.requirement(now)
+	ready := p.ready()
+	return Status{
+		Need: r.need, Urgent: r.urgent, Speed: p.speed, Utilisation: p.needs.utilisation,
+		Trusted: p.trusts(now), Late: p.needs.late, Ready: ready.total(), Expected: p.expected(now).total(),
+		Cost: ready.cost(p.last.Service.Autoscale),
+	}
+}
+
+// Plan returns the orders to send now. Record must be called with the outcome of each order.
+func (p *Planner) Plan(now time.Time) []Order {
+	options := p.last.Service.Autoscale
+	if options == nil || !p.trusts(now) {
+		return nil
+	}
+	r, dataCentres, expected := p.requirement(now), p.dataCentres(), p.expected(now)
+	m := mixer{options: options, dataCentres: dataCentres, speed: p.speed, present: expected, refused: make(map[Group]bool)}
+	for g, s := range p.groups {
+		m.refused[g] = s.refused(now)
+	}
+	target := m.cheapest(r)
+	bears := expected.bears(r, p.speed, dataCentres)
+	saves := target.cost(options) < (1-minSaving)*expected.cost(options)
+	switch {
+	case !bears:
+		return p.raise(target, ReasonCapacity, now)
+	case saves && p.calm(now):
+		if orders := p.raise(target, ReasonSavings, now); len(orders) > 0 {
+			return orders
+		}
+		return p.lower(target, r, now)
+	}
+	return nil
+}
+
+// calm reports whether orders that save may be made.
+func (p *Planner) calm(now time.Time) bool {
+	if p.needs.late || !p.last.View.complete() {
+		return false
+	}
+	for _, s := range p.groups {
+		if s.underWay(now) || s.ready < s.highest || s.refused(now) || now.Sub(s.stableSince) < stableBefore {
+			return false
+		}
+	}
+	return true
+}
+
+// raise returns the orders that raise the numbers of the groups that have fewer than in the
+// target.
+func (p *Planner) raise(target counts, reason Reason, now time.Time) []Order {
+	var orders []Order
+	options := p.last.Service.Autoscale
+	room := make(map[string]int)
+	for g := range target {
+		room[g.DataCentre] = options.Max - p.platformCountOf(g.DataCentre, now)
+	}
+	for _, g := range sortedGroups(target) {
+		s := p.group(g)
+		expected := s.expected(now)
+		more := min(target[g]-expected, room[g.DataCentre])
+		if more <= 0 || now.Before(s.nextOrder) || s.refused(now) {
+			continue
+		}
+		room[g.DataCentre] -= more
+		orders = append(orders, Order{Group: g, Desired: s.platformCount(now) + more, Ready: s.ready, Expected: expected, Reason: reason})
+	}
+	return orders
+}
+
+func (p *Planner) platformCountOf(dataCentre string, now time.Time) int {
+	n := 0
+	for g, s := range p.groups {
+		if g.DataCentre == dataCentre {
+			n += s.platformCount(now)
+		}
+	}
+	return n
+}
+
+// lower returns the orders that lower the numbers of the groups that have more than in the
+// target, as far as the rest bears the requirement.
+func (p *Planner) lower(target counts, r requirement, now time.Time) []Order {
+	var orders []Order
+	options, dataCentres := p.last.Service.Autoscale, p.dataCentres()
+	left := p.ready()
+	removed := 0
+	for _, g := range p.byPrice(left) {
+		s := p.groups[g]
+		fewer := s.ready - target[g]
+		if fewer <= 0 || now.Before(s.nextOrder) || now.Sub(s.raisedAt) < minLife || now.Sub(s.stableSince) < lowerPause {
+			continue
+		}
+		if p.needs.load.running >= 1 {
+			fewer = min(fewer, int(math.Ceil(lowerStep*float64(s.ready))))
+		}
+		for ; fewer > 0; fewer-- {
+			left[g] -= fewer
+			with := requirement{r.need + p.rereadNeed(removed+fewer), r.urgent}
+			if left.bears(with, p.speed, dataCentres) && p.worthwhile(g, fewer, options) {
+				break
+			}
+			left[g] += fewer
+		}
+		if fewer > 0 {
+			removed += fewer
+			orders = append(orders, Order{Group: g, Desired: s.ready - fewer, Ready: s.ready, Expected: s.ready, Reason: ReasonSavings})
+		}
+	}
+	return orders
+}
+
+// cachedTokens returns how many prompt tokens a replica presumably holds in its cache.
+func (p *Planner) cachedTokens() float64 {
+	tokens := p.needs.tokensRead / float64(max(p.ready().total(), 1))
+	if capacity := float64(p.last.Service.MemoryTokens); capacity > 0 {
+		tokens = min(tokens, capacity)
+	}
+	return tokens
+}
+
+// rereadNeed returns the replicas that are needed to read again what n leaving replicas hold.
+func (p *Planner) rereadNeed(n int) float64 {
+	return float64(n) * p.cachedTokens() / (prefillTokensPerSecond * rereadTime.Seconds())
+}
+
+// worthwhile reports whether n replicas of a group cost more than to read again what they hold.
+func (p *Planner) worthwhile(g Group, n int, o *catalog.Autoscale) bool {
+	return price(o, g)*savingPeriod.Seconds() > p.cachedTokens()/prefillTokensPerSecond
+}
+
+// byPrice returns the groups, the most expensive first.
+func (p *Planner) byPrice(c counts) []Group {
+	groups := sortedGroups(c)
+	slices.SortStableFunc(groups, func(a, b Group) int {
+		return cmp.Compare(price(p.last.Service.Autoscale, b), price(p.last.Service.Autoscale, a))
+	})
+	return groups
+}
+
+func sortedGroups(c counts) []Group {
+	groups := make([]Group, 0, len(c))
+	for g := range c {
+		groups = append(groups, g)
+	}
+	slices.SortFunc(groups, func(a, b Group) int {
+		if c := cmp.Compare(a.DataCentre, b.DataCentre); c != 0 {
+			return c
+		}
+		if a.Reclaimable == b.Reclaimable {
+			return 0
+		}
+		if b.Reclaimable {
+			return -1
+		}
+		return 1
+	})
+	return groups
+}
+
+// Record takes in what became of an order.
+func (p *Planner) Record(o Order, outcome Outcome, now time.Time) {
+	bootTime := time.Duration(0)
+	if options := p.last.Service.Autoscale; options != nil {
+		bootTime = options.BootTime
+	}
+	p.group(o.Group).record(o, outcome, bootTime, now)
+}
--- a/edge/balancer/urgency.go
+++ b/edge/balancer/urgency.go
@@ -198,9 +198,8 @@
 	target, longestDelay time.Duration
 }
 
-// totalsByUrgency returns the totals of the request's service.
-func (b *Balancer) totalsByUrgency(r Request, now time.Time) map[catalog.Urgency]urgencyTotals {
-	service := urgencyKeyOf(r).service
+// totalsByUrgency returns the totals of the service with the given hash.
+func (b *Balancer) totalsByUrgency(service uint64, now time.Time) map[catalog.Urgency]urgencyTotals {
 	totals := make(map[catalog.Urgency]urgencyTotals)
 	add := func(report UrgencyReport) {
 		if report.Service != service || report.Target == 0 {
@@ -248,7 +247,7 @@
 // for the other, and neither is refused at a delay to which the other was admitted.
 func (b *Balancer) urgencyRulesFor(r Request, now time.Time) urgencyRules {
 	var rules urgencyRules
-	for urgency, totals := range b.totalsByUrgency(r, now) {
+	for urgency, totals := range b.totalsByUrgency(urgencyKeyOf(r).service, now) {
 		lessUrgentOrganisation := urgency.OrganisationPriority > r.Urgency.OrganisationPriority
 		lessUrgentRoute := urgency.RoutePriority > r.Urgency.RoutePriority
 		switch {
--- a/edge/catalog/types.go
+++ b/edge/catalog/types.go
@@ -84,6 +84,20 @@
 	Slots        int
 	MemoryTokens int
 	EventTokens  int
+	// Autoscale is nil if the service's replicas can't be ordered.
+	Autoscale *Autoscale
+}
+
+// Autoscale states what replicas of a service may be ordered.
+type Autoscale struct {
+	// Min and Max bound the number of replicas in each data centre, of both kinds together.
+	Min, Max int
+	// BootTime is how long a replica takes from the order until it serves.
+	BootTime time.Duration
+	// Prices holds what a second of a replica costs, by data centre. ReclaimablePrice is the
+	// fraction of it for replicas that the platform may take back, or 0 if there are none.
+	Prices           map[string]float64
+	ReclaimablePrice float64
 }
 
 // IsEngine reports whether the service's servers run a model.
@@ -132,6 +146,10 @@
 	// Leaving is set once the server has announced its shutdown. A leaving server
 	// gets no new requests.
 	Leaving bool
+	// Reclaimable is set if the platform may take the server back at any time. LeavesIn is how
+	// long a leaving one stayed when its entry was written, or 0 if it said nothing of that.
+	Reclaimable bool
+	LeavesIn    time.Duration
 	// EntryMissing is set while the store has no entry of the server. MissingSince is
 	// when this instance learned that the entry was deleted.
 	EntryMissing bool
