Order servers by what callers need, while this instance holds the duties

Nothing used the decision on replicas. Each instance now feeds its planner once a second from the reports that it has anyway, and the holder of the duties sends the orders through the guard, logs each with its inputs and token, and counts them. Growth within the swing of the last period counts as a wave, since the trend alone ordered up at each crest.

--- a/edge/autoscale/group.go
+++ b/edge/autoscale/group.go
@@ -34,7 +34,7 @@
 	desired   int
 	settledAt time.Time
 	raises    bool
-	// raisedAt is when the number was last raised by an order.
+	// raisedAt is when the number was last raised by an order, or grew.
 	raisedAt time.Time
 	// refusals counts the refusals in a row. There is no order before nextOrder, and none that
 	// raises the number before refusedUntil.
@@ -43,11 +43,15 @@
 }
 
 // observe takes in the number of the group's replicas that are ready, and of those that were
-// reclaimed since the last observation.
-func (s *groupState) observe(ready, reclaimed int, now time.Time) {
+// reclaimed since the last observation. known is set if the number was known before.
+func (s *groupState) observe(ready, reclaimed int, known bool, now time.Time) {
 	if ready != s.ready {
 		s.stableSince = now
 	}
+	if ready > s.ready && known {
+		// Another instance may have ordered them.
+		s.raisedAt = now
+	}
 	s.ready = ready
 	if ready >= s.highest || now.Sub(s.highestAt) > highestPeriod {
 		s.highest, s.highestAt = ready, now
--- a/edge/autoscale/mix.go
+++ b/edge/autoscale/mix.go
@@ -20,7 +20,13 @@
 )
 
 // requirement is what a fleet must bear, in replicas of ordinary speed.
-type requirement struct{ need, urgent float64 }
+type requirement struct {
+	// now must be borne by the whole fleet without lostShare. lasting must also be borne after
+	// the loss of a data centre, and after reclaims.
+	now, lasting float64
+	// urgent must be borne by the replicas that can't be reclaimed.
+	urgent float64
+}
 
 // counts holds numbers of replicas by group.
 type counts map[Group]int
@@ -33,7 +39,12 @@
 // bears reports whether the replicas meet a requirement. speed is what one replica delivers, and
 // dataCentres are those in which replicas may run.
 func (c counts) bears(r requirement, speed float64, dataCentres []string) bool {
-	return c.bearsLoss(r.need, speed, dataCentres) && c.bearsReclaim(r.need, speed, dataCentres) && c.bearsUrgent(r.urgent, speed)
+	return c.bearsSize(r, speed, dataCentres) && c.bearsReclaim(r.lasting, speed, dataCentres) && c.bearsUrgent(r.urgent, speed)
+}
+
+// bearsSize reports whether the replicas would meet a requirement if none could be reclaimed.
+func (c counts) bearsSize(r requirement, speed float64, dataCentres []string) bool {
+	return speed*(1-lostShare)*float64(c.total()) >= r.now && c.bearsLoss(r.lasting, speed, dataCentres)
 }
 
 // bearsLoss reports whether the replicas bear the need without the largest data centre and
@@ -137,9 +148,9 @@
 		for mix.of(dc) < m.options.Min && m.raise(mix, dc) {
 		}
 	}
-	for !mix.bearsLoss(r.need, m.speed, m.dataCentres) && m.raiseSmallest(mix) {
+	for !mix.bearsSize(r, m.speed, m.dataCentres) && m.raiseSmallest(mix) {
 	}
-	for !(mix.bearsReclaim(r.need, m.speed, m.dataCentres) && mix.bearsUrgent(r.urgent, m.speed)) {
+	for !(mix.bearsReclaim(r.lasting, m.speed, m.dataCentres) && mix.bearsUrgent(r.urgent, m.speed)) {
 		if !m.keepOne(mix) && !m.raiseSmallest(mix) {
 			break
 		}
--- a/edge/autoscale/need.go
+++ b/edge/autoscale/need.go
@@ -18,10 +18,10 @@
 	// startUtilisation is the part of a replica's time that prefill may take, as long as nothing
 	// else was learnt. Decoding takes about a tenth, and the rest keeps queues short although
 	// prompts differ in length by a factor of 100.
-	startUtilisation = 0.5
+	startUtilisation = 0.4
 	// minUtilisation and maxUtilisation bound what is learnt.
-	minUtilisation = 0.25
-	maxUtilisation = 0.6
+	minUtilisation = 0.2
+	maxUtilisation = 0.5
 	// utilisationStep is the factor by which the bearable utilisation falls in an observation in
 	// which callers are late.
 	utilisationStep = 0.97
@@ -43,6 +43,9 @@
 	minWait = 0.04
 	// trendPeriod is the time over which the trend of the need is taken.
 	trendPeriod = 3 * time.Second
+	// newPeak is how far the need must exceed that of the rest of the period for its trend to
+	// count.
+	newPeak = 1.1
 	// maxTrend bounds how much the need is expected to grow within the boot time.
 	maxTrend = 1.5
 	// peakPeriod is how long a need counts. It is several times the boot time, and longer than
@@ -178,21 +181,32 @@
 	return need, urgent
 }
 
-// forecast returns the need after the given time, by the trend of the last seconds.
+// average returns the average need of the last period.
+func (n *needs) average() float64 {
+	sum := 0.0
+	for _, s := range n.samples {
+		sum += s.need
+	}
+	return sum / float64(max(len(n.samples), 1))
+}
+
+// forecast returns the need after the given time, by the trend of the last seconds. Growth within
+// what the rest of the period has shown counts as a wave, which ends by itself.
 func (n *needs) forecast(after time.Duration) float64 {
 	if len(n.samples) == 0 {
 		return 0
 	}
 	last := n.samples[len(n.samples)-1]
-	first := last
+	first, before := last, 0.0
 	for _, s := range n.samples {
 		if last.at.Sub(s.at) <= trendPeriod {
 			first = s
 			break
 		}
+		before = max(before, s.need)
 	}
 	elapsed := last.at.Sub(first.at)
-	if elapsed <= 0 || last.need <= first.need {
+	if elapsed <= 0 || last.need <= first.need || last.need <= newPeak*before {
 		return last.need
 	}
 	growth := (last.need - first.need) / elapsed.Seconds() * after.Seconds()
--- a/edge/autoscale/planner.go
+++ b/edge/autoscale/planner.go
@@ -24,6 +24,9 @@
 	trustDelay = 3 * time.Second
 	// minSaving is the part of the cost by which orders that save must lower it.
 	minSaving = 0.05
+	// lowerMargin is how much more than the peak the replicas that stay must bear. So a slightly
+	// higher peak doesn't bring back what went.
+	lowerMargin = 1.1
 	// savingPeriod is the time over which a saving is weighed against the prompts that have to
 	// be read again.
 	savingPeriod = 60 * time.Second
@@ -99,7 +102,7 @@
 		if g.Reclaimable && leaving[g] > p.leaving[g] && ready[g] == 0 {
 			reclaimed = leaving[g]
 		}
-		s.observe(ready[g], reclaimed, now)
+		s.observe(ready[g], reclaimed, p.trusts(now), now)
 	}
 	p.leaving = leaving
 	p.speed = mean(delivered)
@@ -172,23 +175,44 @@
 	return !p.trustedSince.IsZero() && now.Sub(p.trustedSince) >= trustDelay
 }
 
-// requirement returns what the fleet must bear.
-func (p *Planner) requirement(now time.Time) requirement {
+// required returns what the fleet must bear for no order that raises its size.
+func (p *Planner) required(now time.Time) requirement {
+	_, urgent := p.needs.peak()
+	return requirement{
+		now:     p.needs.forecast(p.last.Service.Autoscale.BootTime),
+		lasting: p.atLeastFound(p.needs.average(), now), urgent: urgent,
+	}
+}
+
+// requiredToLower returns what the fleet must bear after an order that lowers its size.
+func (p *Planner) requiredToLower(now time.Time) requirement {
 	need, urgent := p.needs.peak()
-	if !p.needs.wholePeriod(now) {
-		need = max(need, p.found)
+	need = lowerMargin * max(need, p.needs.forecast(p.last.Service.Autoscale.BootTime))
+	need = p.atLeastFound(need, now)
+	return requirement{now: need, lasting: need, urgent: lowerMargin * urgent}
+}
+
+// atLeastFound returns the need, but at least that which the fleet bore that was found, until a
+// whole period has been observed.
+func (p *Planner) atLeastFound(need float64, now time.Time) float64 {
+	if p.needs.wholePeriod(now) {
+		return need
 	}
-	return requirement{max(need, p.needs.forecast(p.last.Service.Autoscale.BootTime)), urgent}
+	return max(need, p.found)
 }
 
 // Status is what the planner believes, for logs and metrics.
 type Status struct {
-	// Need and Urgent are in replicas of ordinary speed, Speed is what one replica delivers.
-	Need, Urgent, Speed, Utilisation float64
-	Trusted, Late                    bool
-	Ready, Expected                  int
+	// Need is what is expected to be needed in a boot time, in replicas of ordinary speed. Peak
+	// and Urgent are what must still be borne when replicas go. Speed is what a replica delivers.
+	Need, Peak, Urgent, Speed, Utilisation float64
+	// Load is how many replicas of ordinary speed reading the prompts keeps busy now.
+	Load            float64
+	Trusted, Late   bool
+	Ready, Expected int
 	// Cost is the price of the replicas that are ready for a second.
 	Cost float64
+	View View
 }
 
 // Status returns what the planner believes.
@@ -196,12 +220,12 @@
 	if p.last.Service.Autoscale == nil {
 		return Status{}
 	}
-	r := p.requirement(now)
+	r := p.requiredToLower(now)
 	ready := p.ready()
 	return Status{
-		Need: r.need, Urgent: r.urgent, Speed: p.speed, Utilisation: p.needs.utilisation,
+		Need: p.needs.forecast(p.last.Service.Autoscale.BootTime), Peak: r.lasting, Urgent: r.urgent, Speed: p.speed, Utilisation: p.needs.utilisation,
 		Trusted: p.trusts(now), Late: p.needs.late, Ready: ready.total(), Expected: p.expected(now).total(),
-		Cost: ready.cost(p.last.Service.Autoscale),
+		Cost: ready.cost(p.last.Service.Autoscale), Load: p.needs.load.prefillWork(), View: p.last.View,
 	}
 }
 
@@ -211,24 +235,23 @@
 	if options == nil || !p.trusts(now) {
 		return nil
 	}
-	r, dataCentres, expected := p.requirement(now), p.dataCentres(), p.expected(now)
+	dataCentres, expected := p.dataCentres(), p.expected(now)
 	m := mixer{options: options, dataCentres: dataCentres, speed: p.speed, present: expected, refused: make(map[Group]bool)}
 	for g, s := range p.groups {
 		m.refused[g] = s.refused(now)
 	}
+	if r := p.required(now); !expected.bears(r, p.speed, dataCentres) {
+		return p.raise(m.cheapest(r), ReasonCapacity, now)
+	}
+	r := p.requiredToLower(now)
 	target := m.cheapest(r)
-	bears := expected.bears(r, p.speed, dataCentres)
-	saves := target.cost(options) < (1-minSaving)*expected.cost(options)
-	switch {
-	case !bears:
-		return p.raise(target, ReasonCapacity, now)
-	case saves && p.calm(now):
-		if orders := p.raise(target, ReasonSavings, now); len(orders) > 0 {
-			return orders
-		}
-		return p.lower(target, r, now)
+	if target.cost(options) > (1-minSaving)*expected.cost(options) || !p.calm(now) {
+		return nil
+	}
+	if orders := p.raise(target, ReasonSavings, now); len(orders) > 0 {
+		return orders
 	}
-	return nil
+	return p.lower(target, r, now)
 }
 
 // calm reports whether orders that save may be made.
@@ -294,7 +317,8 @@
 		}
 		for ; fewer > 0; fewer-- {
 			left[g] -= fewer
-			with := requirement{r.need + p.rereadNeed(removed+fewer), r.urgent}
+			reread := p.rereadNeed(removed + fewer)
+			with := requirement{r.now + reread, r.lasting + reread, r.urgent}
 			if left.bears(with, p.speed, dataCentres) && p.worthwhile(g, fewer, options) {
 				break
 			}
--- a/edge/catalog/snapshot.go
+++ b/edge/catalog/snapshot.go
@@ -127,6 +127,22 @@
 	return service, ok
 }
 
+// ScalableServices returns the services whose servers can be ordered, ordered by name.
+func (s *Snapshot) ScalableServices() []Service {
+	var services []Service
+	for _, service := range s.servicesByName {
+		if service.Autoscale != nil {
+			services = append(services, service)
+		}
+	}
+	slices.SortFunc(services, func(a, b Service) int { return strings.Compare(a.Name, b.Name) })
+	return services
+}
+
+// ServersOf returns all servers of a service, also those that leave or whose entry is missing. The
+// caller must not modify the list.
+func (s *Snapshot) ServersOf(service string) []BackendServer { return s.serversByService[service] }
+
 // PriorityIndex returns how many priorities of the service's routes are more urgent
 // than the given one, and how many distinct priorities these routes have.
 func (s *Snapshot) PriorityIndex(service string, priority int) (index, levels int) {
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -80,6 +80,8 @@
 	unreadable    *unreadableEntries
 	// duties is nil if the deployment asks for none.
 	duties *duties
+	// serverOrders is nil if the deployment asks for no orders.
+	serverOrders *serverOrders
 }
 
 // Options configures an instance.
@@ -132,6 +134,7 @@
 	i.origins = i.newOrigins(s)
 	i.watchReachability()
 	i.duties = i.newDuties(s)
+	i.serverOrders = i.newServerOrders(s)
 	i.gossip, err = gossip.Listen(gossip.Options{
 		Name: s.Name, DataCentre: s.DataCentre, Cluster: s.StoreAddress.String(), Address: s.PeersAddress, Seeds: s.Seeds, Catalog: i.catalog,
 		Reports: i.selector.Reports, ReceiveReports: i.selector.ReceiveReports, OnChange: i.catalogChanged,
@@ -203,6 +206,7 @@
 	dutyTime, handOver := context.WithCancel(background)
 	defer handOver()
 	tasks.Go(func() { i.duties.run(dutyTime) })
+	tasks.Go(func() { i.serverOrders.run(dutyTime) })
 	tasks.Go(func() { i.watchSettings(background, reload) })
 	tasks.Go(func() { i.metrics.NewCollector(i.readings).Run(background) })
 
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -43,7 +43,7 @@
 // components maintain.
 func (i *Instance) readings() []metrics.Reading {
 	now := time.Now()
-	out := slices.Concat(i.storeCalls.readings(), i.logReadings(), i.peerReadings(), i.healthChanges.readings(), i.eraChanges.readings(), i.originReadings(), i.unreadable.readings(), i.duties.readings())
+	out := slices.Concat(i.storeCalls.readings(), i.logReadings(), i.peerReadings(), i.healthChanges.readings(), i.eraChanges.readings(), i.originReadings(), i.unreadable.readings(), i.duties.readings(), i.serverOrders.readings(now))
 	for _, remaining := range i.selector.RetryBudgetsLeft(now) {
 		out = append(out, metrics.GaugeReading("retries_left", "service", remaining.Service, int64(remaining.Retries)))
 	}
--- a/edge/reverseproxy/server_selector.go
+++ b/edge/reverseproxy/server_selector.go
@@ -190,6 +190,14 @@
 	s.balancer.ReceiveUrgencyReports(peer, reports.Urgencies)
 }
 
+// ServiceDemand returns what callers ask of a service with the given servers.
+func (s *ServerSelector) ServiceDemand(service string, servers []uint64, now time.Time) balancer.ServiceDemand {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.balancer.ExpireReports(now)
+	return s.balancer.ServiceDemand(service, servers, now)
+}
+
 // HealthChanges returns the servers and data centres whose health changed since
 // the last call.
 func (s *ServerSelector) HealthChanges(now time.Time) []balancer.HealthChange {
