Report the prompt tokens that replicas have to read, and order fewer replicas

So each instance now reports the tokens a second that it sent and no cache held (gossip key 28, about 8 bytes a service). So the fleet now changes its mix before callers come, keeps the found size after a reclaim, adds at most a quarter within a boot time, and repairs its reserve with reclaimable replicas only.

--- a/edge/autoscale/mix.go
+++ b/edge/autoscale/mix.go
@@ -19,11 +19,15 @@
 	reclaimedDataCentres = 2
 )
 
-// requirement is what a fleet must bear, in replicas of ordinary speed.
+// requirement is what a fleet must bear. All but size is in replicas of ordinary speed.
 type requirement struct {
-	// now must be borne by the whole fleet without lostShare. lasting must also be borne after
-	// the loss of a data centre, and after reclaims.
-	now, lasting float64
+	// size is the number of replicas that there must be at least.
+	size float64
+	// now must be borne by the whole fleet without lostShare.
+	now float64
+	// afterLoss must be borne without the largest data centre and lostShare of the rest, and
+	// afterReclaims without the reclaimable replicas of reclaimedDataCentres data centres.
+	afterLoss, afterReclaims float64
 	// urgent must be borne by the replicas that can't be reclaimed.
 	urgent float64
 }
@@ -39,18 +43,13 @@
 // bears reports whether the replicas meet a requirement. speed is what one replica delivers, and
 // dataCentres are those in which replicas may run.
 func (c counts) bears(r requirement, speed float64, dataCentres []string) bool {
-	return c.bearsSize(r, speed, dataCentres) && c.bearsReclaim(r.lasting, speed, dataCentres) && c.bearsUrgent(r.urgent, speed)
+	return c.bearsSize(r, speed, dataCentres) && c.bearsReclaims(r, speed, dataCentres)
 }
 
 // bearsSize reports whether the replicas would meet a requirement if none could be reclaimed.
 func (c counts) bearsSize(r requirement, speed float64, dataCentres []string) bool {
-	return speed*(1-lostShare)*float64(c.total()) >= r.now && c.bearsLoss(r.lasting, speed, dataCentres)
-}
-
-// bearsLoss reports whether the replicas bear the need without the largest data centre and
-// lostShare of the rest.
-func (c counts) bearsLoss(need, speed float64, dataCentres []string) bool {
-	return speed*c.borne(dataCentres) >= need
+	total := float64(c.total())
+	return total >= r.size && speed*(1-lostShare)*total >= r.now && speed*c.borne(dataCentres) >= r.afterLoss
 }
 
 // borne returns how many replicas are left without the largest data centre and lostShare of the
@@ -76,31 +75,20 @@
 	return sum
 }
 
-// bearsReclaim reports whether the replicas bear the need without the reclaimable ones of
-// reclaimedDataCentres data centres.
-func (c counts) bearsReclaim(need, speed float64, dataCentres []string) bool {
-	left := 0
+// bearsReclaims reports whether the replicas meet a requirement after reclaims.
+func (c counts) bearsReclaims(r requirement, speed float64, dataCentres []string) bool {
+	kept := 0
 	var reclaimable []int
 	for _, dc := range dataCentres {
-		left += c[Group{dc, false}]
+		kept += c[Group{dc, false}]
 		reclaimable = append(reclaimable, c[Group{dc, true}])
 	}
 	slices.Sort(reclaimable)
+	left := kept
 	for _, n := range reclaimable[:max(len(reclaimable)-reclaimedDataCentres, 0)] {
 		left += n
 	}
-	return speed*float64(left) >= need
-}
-
-// bearsUrgent reports whether the replicas that can't be reclaimed bear the urgent requests.
-func (c counts) bearsUrgent(urgent, speed float64) bool {
-	kept := 0
-	for g, n := range c {
-		if !g.Reclaimable {
-			kept += n
-		}
-	}
-	return speed*float64(kept) >= urgent
+	return speed*float64(left) >= r.afterReclaims && speed*float64(kept) >= r.urgent
 }
 
 // cost returns the price of the replicas for a second.
@@ -130,14 +118,16 @@
 	dataCentres []string
 	speed       float64
 	// present holds the replicas that are there or expected, and refused the groups of which no
-	// more can be had now.
-	present counts
-	refused map[Group]bool
+	// more can be had now. If reclaimableOnly is set, no others than reclaimable replicas may be
+	// added.
+	present         counts
+	refused         map[Group]bool
+	reclaimableOnly bool
 }
 
 // canRaise reports whether the number of a group may be raised from n.
 func (m *mixer) canRaise(g Group, n int) bool {
-	return !m.refused[g] || n < m.present[g]
+	return n < m.present[g] || !m.refused[g] && (g.Reclaimable || !m.reclaimableOnly)
 }
 
 // cheapest returns the fleet. If no fleet meets the requirement, it returns the one that comes
@@ -150,7 +140,7 @@
 	}
 	for !mix.bearsSize(r, m.speed, m.dataCentres) && m.raiseSmallest(mix) {
 	}
-	for !(mix.bearsReclaim(r.lasting, m.speed, m.dataCentres) && mix.bearsUrgent(r.urgent, m.speed)) {
+	for !mix.bearsReclaims(r, m.speed, m.dataCentres) {
 		if !m.keepOne(mix) && !m.raiseSmallest(mix) {
 			break
 		}
--- a/edge/autoscale/need.go
+++ b/edge/autoscale/need.go
@@ -15,13 +15,13 @@
 	// prefillTokensPerSecond is what an engine of ordinary speed reads if it does nothing else.
 	// Replica.Delivers relates to the same engine.
 	prefillTokensPerSecond = 56600.0
-	// startUtilisation is the part of a replica's time that prefill may take, as long as nothing
-	// else was learnt. Decoding takes about a tenth, and the rest keeps queues short although
-	// prompts differ in length by a factor of 100.
-	startUtilisation = 0.4
+	// startUtilisation is the part of a replica's time that prefill may take before callers wait
+	// too long, as long as nothing else was learnt. Decoding takes about a tenth, and prompts
+	// differ in length by a factor of 100.
+	startUtilisation = 0.65
 	// minUtilisation and maxUtilisation bound what is learnt.
-	minUtilisation = 0.2
-	maxUtilisation = 0.5
+	minUtilisation = 0.3
+	maxUtilisation = 0.75
 	// utilisationStep is the factor by which the bearable utilisation falls in an observation in
 	// which callers are late.
 	utilisationStep = 0.97
@@ -39,8 +39,6 @@
 	// smoothing is the time constant with which load is averaged. Prompts differ much in length,
 	// so that a single observation says little.
 	smoothing = 1500 * time.Millisecond
-	// minWait is the shortest time to the first event that is believed, in seconds.
-	minWait = 0.04
 	// trendPeriod is the time over which the trend of the need is taken.
 	trendPeriod = 3 * time.Second
 	// newPeak is how far the need must exceed that of the rest of the period for its trend to
@@ -55,16 +53,15 @@
 
 // load is the smoothed load.
 type load struct {
-	running, prefillTokens, memoryTokens, kindsWaiting, rate float64
+	running, memoryTokens, prefillPerSecond, prefillRunning float64
 }
 
 // towards moves the load towards the demand by the given part.
 func (l load) towards(d Demand, part float64) load {
 	move := func(from, to float64) float64 { return from + part*(to-from) }
 	return load{
-		running: move(l.running, d.Running), prefillTokens: move(l.prefillTokens, d.PrefillTokens),
-		memoryTokens: move(l.memoryTokens, d.MemoryTokens), kindsWaiting: move(l.kindsWaiting, d.KindsWaiting),
-		rate: move(l.rate, d.rate()),
+		running: move(l.running, d.Running), memoryTokens: move(l.memoryTokens, d.MemoryTokens),
+		prefillPerSecond: move(l.prefillPerSecond, d.PrefillPerSecond), prefillRunning: move(l.prefillRunning, d.PrefillRunning),
 	}
 }
 
@@ -102,14 +99,13 @@
 }
 
 // prefillWork returns the number of replicas of ordinary speed that reading the prompts keeps
-// busy. By Little's law, the tokens that arrive in a second are those that wait, divided by how
-// long a request waits.
+// busy. The rate of tokens is known for some of the instances, and the running requests of all.
 func (l load) prefillWork() float64 {
-	if l.rate <= 0 {
+	share := l.prefillRunning / max(l.running, 1)
+	if share <= 0 {
 		return 0
 	}
-	wait := max(l.kindsWaiting/l.rate, minWait)
-	return l.prefillTokens / wait / prefillTokensPerSecond
+	return l.prefillPerSecond / min(share, 1) / prefillTokensPerSecond
 }
 
 // sample is the need at one moment.
--- a/edge/autoscale/planner.go
+++ b/edge/autoscale/planner.go
@@ -8,8 +8,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"bergamotpin.example/bergamotpin/edge/catalog"
 )
 
 const (
@@ -22,6 +20,17 @@
 	// trustDelay is how long the view must have been good before an order. Reports and entries
 	// of the whole fleet arrive within that time.
 	trustDelay = 3 * time.Second
+	// reserveUtilisation is the part of the bearable utilisation at which the fleet is planned
+	// after losses. Callers' load may grow faster than a replica boots.
+	reserveUtilisation = 0.7
+	// foundSurplus and foundReclaimed are parts of the number of replicas that were found. Until a
+	// whole period has been observed, the fleet has foundSurplus of them, so that as many are left
+	// after a reclaim, and foundReclaimed after reclaimedDataCentres reclaims.
+	foundSurplus   = 1.25
+	foundReclaimed = 0.75
+	// maxBooting is the part of the fleet that may be ordered within a boot time. Instances have
+	// to learn of each replica, and each has an empty cache.
+	maxBooting = 0.25
 	// minSaving is the part of the cost by which orders that save must lower it.
 	minSaving = 0.05
 	// lowerMargin is how much more than the peak the replicas that stay must bear. So a slightly
@@ -52,8 +61,8 @@
 	// speed is what one replica delivers, on average.
 	speed        float64
 	trustedSince time.Time
-	// found is the need that the fleet bears that was there when the view was first trusted.
-	found float64
+	// found is the number of replicas that there were when the view was first trusted.
+	found int
 }
 
 // New returns a planner that has observed nothing.
@@ -78,7 +87,7 @@
 	}
 	p.needs.observe(o.Service, o.Demand, p.speed*float64(p.ready().total()), now)
 	if p.found == 0 {
-		p.found = p.speed * p.ready().borne(p.dataCentres())
+		p.found = p.ready().total()
 	}
 }
 
@@ -178,29 +187,33 @@
 // required returns what the fleet must bear for no order that raises its size.
 func (p *Planner) required(now time.Time) requirement {
 	_, urgent := p.needs.peak()
-	return requirement{
-		now:     p.needs.forecast(p.last.Service.Autoscale.BootTime),
-		lasting: p.atLeastFound(p.needs.average(), now), urgent: urgent,
-	}
+	lasting := p.needs.average() / reserveUtilisation
+	return p.withFound(requirement{
+		now: p.needs.forecast(p.last.Service.Autoscale.BootTime), afterLoss: lasting, afterReclaims: lasting, urgent: urgent,
+	}, now)
 }
 
 // requiredToLower returns what the fleet must bear after an order that lowers its size.
 func (p *Planner) requiredToLower(now time.Time) requirement {
 	need, urgent := p.needs.peak()
 	need = lowerMargin * max(need, p.needs.forecast(p.last.Service.Autoscale.BootTime))
-	need = p.atLeastFound(need, now)
-	return requirement{now: need, lasting: need, urgent: lowerMargin * urgent}
+	lasting := need / reserveUtilisation
+	return p.withFound(requirement{now: need, afterLoss: lasting, afterReclaims: lasting, urgent: lowerMargin * urgent}, now)
 }
 
-// atLeastFound returns the need, but at least that which the fleet bore that was found, until a
-// whole period has been observed.
-func (p *Planner) atLeastFound(need float64, now time.Time) float64 {
+// withFound adds what the fleet must bear until a whole period has been observed.
+func (p *Planner) withFound(r requirement, now time.Time) requirement {
 	if p.needs.wholePeriod(now) {
-		return need
+		return r
 	}
-	return max(need, p.found)
+	r.size = max(r.size, foundSurplus*float64(p.found))
+	r.afterReclaims = max(r.afterReclaims, p.speed*foundReclaimed*float64(p.found))
+	return r
 }
 
+// idle reports whether no caller has asked anything lately.
+func (p *Planner) idle() bool { return p.needs.load.running < 1 && p.last.Demand.rate() == 0 }
+
 // Status is what the planner believes, for logs and metrics.
 type Status struct {
 	// Need is what is expected to be needed in a boot time, in replicas of ordinary speed. Peak
@@ -223,7 +236,7 @@
 	r := p.requiredToLower(now)
 	ready := p.ready()
 	return Status{
-		Need: p.needs.forecast(p.last.Service.Autoscale.BootTime), Peak: r.lasting, Urgent: r.urgent, Speed: p.speed, Utilisation: p.needs.utilisation,
+		Need: p.needs.forecast(p.last.Service.Autoscale.BootTime), Peak: r.afterLoss, Urgent: r.urgent, Speed: p.speed, Utilisation: p.needs.utilisation,
 		Trusted: p.trusts(now), Late: p.needs.late, Ready: ready.total(), Expected: p.expected(now).total(),
 		Cost: ready.cost(p.last.Service.Autoscale), Load: p.needs.load.prefillWork(), View: p.last.View,
 	}
@@ -240,18 +253,35 @@
 	for g, s := range p.groups {
 		m.refused[g] = s.refused(now)
 	}
-	if r := p.required(now); !expected.bears(r, p.speed, dataCentres) {
+	r := p.required(now)
+	if !expected.bears(requirement{now: r.now, urgent: r.urgent}, p.speed, dataCentres) {
 		return p.raise(m.cheapest(r), ReasonCapacity, now)
 	}
+	if orders := p.save(m, expected, now); len(orders) > 0 {
+		return orders
+	}
+	if !expected.bears(r, p.speed, dataCentres) {
+		m.reclaimableOnly = true
+		return p.raise(m.cheapest(r), ReasonReserve, now)
+	}
+	return nil
+}
+
+// save returns the orders that lower the cost, if there are any worth making.
+func (p *Planner) save(m mixer, expected counts, now time.Time) []Order {
+	if !p.calm(now) {
+		return nil
+	}
 	r := p.requiredToLower(now)
 	target := m.cheapest(r)
-	if target.cost(options) > (1-minSaving)*expected.cost(options) || !p.calm(now) {
+	if target.cost(m.options) > (1-minSaving)*expected.cost(m.options) {
 		return nil
 	}
-	if orders := p.raise(target, ReasonSavings, now); len(orders) > 0 {
+	orders := p.raise(target, ReasonSavings, now)
+	if len(orders) > 0 && !p.idle() {
 		return orders
 	}
-	return p.lower(target, r, now)
+	return append(orders, p.lower(target, r, now)...)
 }
 
 // calm reports whether orders that save may be made.
@@ -260,7 +290,10 @@
 		return false
 	}
 	for _, s := range p.groups {
-		if s.underWay(now) || s.ready < s.highest || s.refused(now) || now.Sub(s.stableSince) < stableBefore {
+		if s.ready < s.highest || s.refused(now) {
+			return false
+		}
+		if !p.idle() && (s.underWay(now) || now.Sub(s.stableSince) < stableBefore) {
 			return false
 		}
 	}
@@ -276,10 +309,11 @@
 	for g := range target {
 		room[g.DataCentre] = options.Max - p.platformCountOf(g.DataCentre, now)
 	}
+	budget := p.bootBudget(target, now)
 	for _, g := range sortedGroups(target) {
 		s := p.group(g)
 		expected := s.expected(now)
-		more := min(target[g]-expected, room[g.DataCentre])
+		more := min(int(math.Ceil(budget*float64(target[g]-expected))), room[g.DataCentre])
 		if more <= 0 || now.Before(s.nextOrder) || s.refused(now) {
 			continue
 		}
@@ -289,6 +323,21 @@
 	return orders
 }
 
+// bootBudget returns the part of the missing replicas that may be ordered now.
+func (p *Planner) bootBudget(target counts, now time.Time) float64 {
+	if p.idle() {
+		return 1
+	}
+	missing, booting := 0, 0
+	for g, n := range target {
+		expected := p.group(g).expected(now)
+		missing += max(n-expected, 0)
+		booting += max(expected-p.group(g).ready, 0)
+	}
+	left := maxBooting*float64(p.ready().total()) - float64(booting)
+	return min(max(left/float64(max(missing, 1)), 0), 1)
+}
+
 func (p *Planner) platformCountOf(dataCentre string, now time.Time) int {
 	n := 0
 	for g, s := range p.groups {
@@ -300,38 +349,48 @@
 }
 
 // lower returns the orders that lower the numbers of the groups that have more than in the
-// target, as far as the rest bears the requirement.
+// target, as far as the rest bears the requirement. While nobody calls, only what is left after
+// reclaims counts: replicas that were ordered boot meanwhile.
 func (p *Planner) lower(target counts, r requirement, now time.Time) []Order {
 	var orders []Order
-	options, dataCentres := p.last.Service.Autoscale, p.dataCentres()
-	left := p.ready()
-	removed := 0
+	if p.idle() {
+		r = requirement{afterReclaims: r.afterReclaims, urgent: r.urgent}
+	}
+	dataCentres := p.dataCentres()
+	left, removed := p.ready(), 0
 	for _, g := range p.byPrice(left) {
 		s := p.groups[g]
-		fewer := s.ready - target[g]
-		if fewer <= 0 || now.Before(s.nextOrder) || now.Sub(s.raisedAt) < minLife || now.Sub(s.stableSince) < lowerPause {
-			continue
-		}
-		if p.needs.load.running >= 1 {
-			fewer = min(fewer, int(math.Ceil(lowerStep*float64(s.ready))))
-		}
-		for ; fewer > 0; fewer-- {
-			left[g] -= fewer
+		for fewer := p.mostToLower(s, target[g], now); fewer > 0; fewer-- {
 			reread := p.rereadNeed(removed + fewer)
-			with := requirement{r.now + reread, r.lasting + reread, r.urgent}
-			if left.bears(with, p.speed, dataCentres) && p.worthwhile(g, fewer, options) {
+			with := r
+			with.now, with.afterLoss, with.afterReclaims = r.now+reread, r.afterLoss+reread, r.afterReclaims+reread
+			left[g] -= fewer
+			if left.bears(with, p.speed, dataCentres) && p.worthwhile(g) {
+				removed += fewer
+				orders = append(orders, Order{Group: g, Desired: s.ready - fewer, Ready: s.ready, Expected: s.ready, Reason: ReasonSavings})
 				break
 			}
 			left[g] += fewer
 		}
-		if fewer > 0 {
-			removed += fewer
-			orders = append(orders, Order{Group: g, Desired: s.ready - fewer, Ready: s.ready, Expected: s.ready, Reason: ReasonSavings})
-		}
 	}
 	return orders
 }
 
+// mostToLower returns by how many replicas a group may be lowered now, at most to a number.
+func (p *Planner) mostToLower(s *groupState, to int, now time.Time) int {
+	fewer := s.ready - to
+	if fewer <= 0 || s.underWay(now) || now.Before(s.nextOrder) || now.Sub(s.raisedAt) < minLife {
+		return 0
+	}
+	if p.idle() {
+		return fewer
+	}
+	if now.Sub(s.stableSince) < lowerPause {
+		return 0
+	}
+	return min(fewer, int(math.Ceil(lowerStep*float64(s.ready))))
+}
+
 // cachedTokens returns how many prompt tokens a replica presumably holds in its cache.
 func (p *Planner) cachedTokens() float64 {
 	tokens := p.needs.tokensRead / float64(max(p.ready().total(), 1))
@@ -346,9 +405,9 @@
 	return float64(n) * p.cachedTokens() / (prefillTokensPerSecond * rereadTime.Seconds())
 }
 
-// worthwhile reports whether n replicas of a group cost more than to read again what they hold.
-func (p *Planner) worthwhile(g Group, n int, o *catalog.Autoscale) bool {
-	return price(o, g)*savingPeriod.Seconds() > p.cachedTokens()/prefillTokensPerSecond
+// worthwhile reports whether a replica of a group costs more than to read again what it holds.
+func (p *Planner) worthwhile(g Group) bool {
+	return price(p.last.Service.Autoscale, g)*savingPeriod.Seconds() > p.cachedTokens()/prefillTokensPerSecond
 }
 
 // byPrice returns the groups, the most expensive first.
--- a/edge/autoscale/types.go
+++ b/edge/autoscale/types.go
@@ -33,14 +33,15 @@
 
 // Demand is what callers ask of the service.
 type Demand struct {
-	// Running counts the requests that replicas run, and Waiting those of them without a first
-	// event. PrefillTokens sums the prompt tokens that the waiting ones still need to have read,
-	// without those in caches. MemoryTokens sums the tokens that the running ones occupy.
-	Running, Waiting, PrefillTokens, MemoryTokens float64
-	// Kinds describes the requests of some of the instances, and KindsWaiting counts the waiting
+	// Running counts the requests that replicas run. MemoryTokens sums the tokens that they
+	// occupy.
+	Running, MemoryTokens float64
+	// PrefillPerSecond is the rate of prompt tokens that replicas have to read, without those in
+	// caches, for the requests of some of the instances. PrefillRunning counts the running
 	// requests of the same instances.
-	Kinds        []Kind
-	KindsWaiting float64
+	PrefillPerSecond, PrefillRunning float64
+	// Kinds describes the requests of some of the instances.
+	Kinds []Kind
 }
 
 // View is how well this instance knows the fleet.
@@ -67,8 +68,11 @@
 
 // Reasons of orders.
 const (
-	// ReasonCapacity means that the replicas would not bear the need.
+	// ReasonCapacity means that callers would wait with the replicas that are there.
 	ReasonCapacity Reason = "capacity"
+	// ReasonReserve means that callers would wait after the loss of a data centre, or after
+	// reclaims.
+	ReasonReserve Reason = "reserve"
 	// ReasonSavings means that fewer or cheaper replicas bear the need.
 	ReasonSavings Reason = "savings"
 )
--- a/edge/balancer/balancer.go
+++ b/edge/balancer/balancer.go
@@ -31,6 +31,8 @@
 	dataCentres map[string]*dataCentreState
 	summaries   map[string]dataCentreSummary
 	urgencies   map[urgencyKey]*urgencyStats
+	// The key of prefillRates is a serviceHash.
+	prefillRates map[uint64]*prefillRate
 	// limitedServices holds the services all of whose servers name limits, by name.
 	limitedServices map[string]*limitedService
 	// instances is the number of instances that choose servers, including
@@ -49,6 +51,8 @@
 		summaries:   make(map[string]dataCentreSummary),
 		urgencies:   make(map[urgencyKey]*urgencyStats),
 
+		prefillRates: make(map[uint64]*prefillRate),
+
 		limitedServices: make(map[string]*limitedService),
 	}
 }
@@ -253,6 +257,7 @@
 	s.localLoad.Running++
 	s.localLoad.Waiting++
 	s.localLoad.PrefillTokens += a.prefillTokens
+	b.countPrefill(r.Service.Name, a.prefillTokens, now)
 	a.memoryTokens = r.memoryTokens()
 	s.localLoad.MemoryTokens += a.memoryTokens
 	sharedBlocks := r.sharedBlocks()
--- a/edge/balancer/peer_reports.go
+++ b/edge/balancer/peer_reports.go
@@ -41,6 +41,7 @@
 	dataCentre string
 	servers    map[uint64]ServerReport
 	urgencies  []UrgencyReport
+	prefill    []PrefillReport
 }
 
 // minReportedSends is a decayed number of attempts. A server without running
--- a/edge/balancer/urgency.go
+++ b/edge/balancer/urgency.go
@@ -21,8 +21,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"bergamotpin.example/bergamotpin/edge/catalog"
 )
 
@@ -64,7 +62,7 @@
 }
 
 func urgencyKeyOf(r Request) urgencyKey {
-	return urgencyKey{service: xxhash.Sum64String(r.Service.Name) >> 32, urgency: r.Urgency}
+	return urgencyKey{service: serviceHash(r.Service.Name), urgency: r.Urgency}
 }
 
 // urgencyStats describes this instance's recent requests of one urgency. Short prompts
@@ -118,6 +116,7 @@
 type InstanceReports struct {
 	Servers   []ServerReport
 	Urgencies []UrgencyReport
+	Prefill   []PrefillReport
 }
 
 // UrgencyReports returns this instance's reports for its peers, the urgencies with the
--- a/edge/gossip/message.go
+++ b/edge/gossip/message.go
@@ -58,6 +58,8 @@
 	// it takes requests. A summary has neither.
 	CutOff  bool           `cbor:"21,keyasint,omitempty"`
 	Callers netip.AddrPort `cbor:"22,keyasint,omitzero"`
+	// Prefill are reports on the prompts that the sender recently sent. A summary has none.
+	Prefill []balancer.PrefillReport `cbor:"28,keyasint,omitempty"`
 	stated
 }
 
--- a/edge/gossip/node.go
+++ b/edge/gossip/node.go
@@ -235,10 +235,10 @@
 		Known: n.members.knownAddresses(n.sequence, maxKnown), Reports: reports.Servers, DataCentre: n.opts.DataCentre,
 		StoreAgeMs: storeAge.Milliseconds(), Urgencies: reports.Urgencies,
 		Crashes: crashReports, Limits: limitReports, Listed: n.opts.ListedVersions(), LeavingServers: n.opts.LeavingServers(now),
-		CutOff: n.opts.CutOff(), Callers: n.opts.Callers, stated: newStated(digest),
+		CutOff: n.opts.CutOff(), Callers: n.opts.Callers, Prefill: reports.Prefill, stated: newStated(digest),
 	}
 	withoutReports := complete
-	withoutReports.Reports, withoutReports.Urgencies, withoutReports.Known = nil, nil, n.members.knownAddresses(n.sequence, maxKnownRemote)
+	withoutReports.Reports, withoutReports.Urgencies, withoutReports.Prefill, withoutReports.Known = nil, nil, nil, n.members.knownAddresses(n.sequence, maxKnownRemote)
 	n.mu.Unlock()
 	n.sendAll(complete, recipients.complete)
 	n.sendAll(withoutReports, recipients.withoutReports)
@@ -330,7 +330,7 @@
 	if becameLive {
 		n.opts.Log.Info("peer became live", "peer", m.Name, "address", m.Address)
 	}
-	n.opts.ReceiveReports(m.Name, m.DataCentre, balancer.InstanceReports{Servers: m.Reports, Urgencies: m.Urgencies}, now)
+	n.opts.ReceiveReports(m.Name, m.DataCentre, balancer.InstanceReports{Servers: m.Reports, Urgencies: m.Urgencies, Prefill: m.Prefill}, now)
 	n.opts.ReceiveCrashReports(m.Crashes, now)
 	n.opts.ReceiveLimitReports(m.Limits, now)
 	n.opts.ReceiveListedVersions(m.Listed)
--- a/edge/reverseproxy/server_selector.go
+++ b/edge/reverseproxy/server_selector.go
@@ -164,7 +164,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.balancer.ExpireReports(now)
-	return balancer.InstanceReports{Servers: s.balancer.Reports(now), Urgencies: s.balancer.UrgencyReports(now)}
+	return balancer.InstanceReports{Servers: s.balancer.Reports(now), Urgencies: s.balancer.UrgencyReports(now), Prefill: s.balancer.PrefillReports(now)}
 }
 
 // Summary returns reports about servers. Each report is a sum over this data
@@ -188,6 +188,7 @@
 	defer s.mu.Unlock()
 	s.balancer.ReceiveReports(peer, dataCentre, reports.Servers, now)
 	s.balancer.ReceiveUrgencyReports(peer, reports.Urgencies)
+	s.balancer.ReceivePrefillReports(peer, reports.Prefill)
 }
 
 // ServiceDemand returns what callers ask of a service with the given servers.
--- a/edge/server_orders.go
+++ b/edge/server_orders.go
@@ -100,9 +100,8 @@
 		out.Replicas[n].Delivers = delivers
 	}
 	out.Demand = autoscale.Demand{
-		Running: float64(demand.Load.Running), Waiting: float64(demand.Load.Waiting),
-		PrefillTokens: float64(demand.Load.PrefillTokens), MemoryTokens: float64(demand.Load.MemoryTokens),
-		KindsWaiting: float64(demand.ReportedLoad.Waiting),
+		Running: float64(demand.Load.Running), MemoryTokens: float64(demand.Load.MemoryTokens),
+		PrefillPerSecond: demand.PrefillPerSecond, PrefillRunning: float64(demand.PrefillRunning),
 	}
 	for _, k := range demand.Kinds {
 		out.Demand.Kinds = append(out.Demand.Kinds, autoscale.Kind(k))
