Change the mix before callers come, and little at a time after

The fleet is now found once it has been the same for a while. A load that falls orders nothing, since prompts that no cache holds are read once.

--- a/edge/autoscale/need.go
+++ b/edge/autoscale/need.go
@@ -45,7 +45,9 @@
 	// count.
 	newPeak = 1.1
 	// maxTrend bounds how much the need is expected to grow within the boot time.
-	maxTrend = 1.5
+	maxTrend = 1.3
+	// minTrend bounds how much it is expected to fall.
+	minTrend = 0.6
 	// peakPeriod is how long a need counts. It is several times the boot time, and longer than
 	// the waves of traffic that an order could follow.
 	peakPeriod = 20 * time.Second
@@ -143,7 +145,7 @@
 	if service.IsEngine() {
 		need = max(need, n.load.running/(slotFraction*float64(max(service.Slots, 1))), n.load.memoryTokens/(memoryFraction*float64(service.MemoryTokens)))
 	}
-	if n.late {
+	if n.late && !n.falling(need) {
 		need = max(need, lateGrowth*ready)
 	}
 	n.samples = append(n.samples, sample{now, need, need * d.urgentShare()})
@@ -152,6 +154,12 @@
 	}
 }
 
+// falling reports whether a need is below that of the last observation. Prompts that no cache holds
+// yet are read once, so such a load is over before a replica boots.
+func (n *needs) falling(need float64) bool {
+	return len(n.samples) > 0 && need < n.samples[len(n.samples)-1].need
+}
+
 // learnUtilisation lowers the bearable utilisation while callers are late at less, and raises it
 // to what was borne.
 func (n *needs) learnUtilisation(utilisation float64, elapsed time.Duration) {
@@ -202,9 +210,9 @@
 		before = max(before, s.need)
 	}
 	elapsed := last.at.Sub(first.at)
-	if elapsed <= 0 || last.need <= first.need || last.need <= newPeak*before {
+	if elapsed <= 0 || last.need > first.need && last.need <= newPeak*before {
 		return last.need
 	}
 	growth := (last.need - first.need) / elapsed.Seconds() * after.Seconds()
-	return min(last.need+growth, maxTrend*last.need)
+	return min(max(last.need+growth, minTrend*last.need), maxTrend*last.need)
 }
--- a/edge/autoscale/planner.go
+++ b/edge/autoscale/planner.go
@@ -26,11 +26,16 @@
 	// foundSurplus and foundReclaimed are parts of the number of replicas that were found. Until a
 	// whole period has been observed, the fleet has foundSurplus of them, so that as many are left
 	// after a reclaim, and foundReclaimed after reclaimedDataCentres reclaims.
-	foundSurplus   = 1.25
-	foundReclaimed = 0.75
-	// maxBooting is the part of the fleet that may be ordered within a boot time. Instances have
-	// to learn of each replica, and each has an empty cache.
-	maxBooting = 0.25
+	foundSurplus   = 1.15
+	foundReclaimed = 0.72
+	// foundStable is how long the number of replicas must have been the same at first: at the
+	// start of a deployment they register one by one.
+	foundStable = 1500 * time.Millisecond
+	// maxBooting is the part of the fleet that may be ordered within a boot time while callers
+	// wait, and maxChange the part by which an order for any other reason changes the fleet while
+	// requests run. All instances have to learn of each change, and a new cache is empty.
+	maxBooting = 0.15
+	maxChange  = 0.05
 	// minSaving is the part of the cost by which orders that save must lower it.
 	minSaving = 0.05
 	// lowerMargin is how much more than the peak the replicas that stay must bear. So a slightly
@@ -41,10 +46,8 @@
 	savingPeriod = 60 * time.Second
 	// stableBefore is how long the replicas must have been the same before a number is lowered.
 	stableBefore = 2 * time.Second
-	// lowerPause is the time between two orders that lower the number of a group's replicas.
+	// lowerPause is the time between two orders that lower the number of replicas.
 	lowerPause = 4 * time.Second
-	// lowerStep is the part of a group's replicas that one order takes away while requests run.
-	lowerStep = 0.15
 	// cacheMemory is how long the prompts that a replica read are worth something.
 	cacheMemory = 30 * time.Second
 	// rereadTime is the time within which the fleet reads again what leaving replicas held.
@@ -61,7 +64,8 @@
 	// speed is what one replica delivers, on average.
 	speed        float64
 	trustedSince time.Time
-	// found is the number of replicas that there were when the view was first trusted.
+	// found is the number of replicas that there were when the view was first trusted, or 0
+	// before that.
 	found int
 }
 
@@ -86,7 +90,7 @@
 		return
 	}
 	p.needs.observe(o.Service, o.Demand, p.speed*float64(p.ready().total()), now)
-	if p.found == 0 {
+	if p.found == 0 && (p.stableFor(now) >= foundStable || !p.idle()) {
 		p.found = p.ready().total()
 	}
 }
@@ -111,7 +115,7 @@
 		if g.Reclaimable && leaving[g] > p.leaving[g] && ready[g] == 0 {
 			reclaimed = leaving[g]
 		}
-		s.observe(ready[g], reclaimed, p.trusts(now), now)
+		s.observe(ready[g], reclaimed, p.found > 0, now)
 	}
 	p.leaving = leaving
 	p.speed = mean(delivered)
@@ -245,7 +249,7 @@
 // Plan returns the orders to send now. Record must be called with the outcome of each order.
 func (p *Planner) Plan(now time.Time) []Order {
 	options := p.last.Service.Autoscale
-	if options == nil || !p.trusts(now) {
+	if options == nil || !p.trusts(now) || p.found == 0 {
 		return nil
 	}
 	dataCentres, expected := p.dataCentres(), p.expected(now)
@@ -293,11 +297,11 @@
 		if s.ready < s.highest || s.refused(now) {
 			return false
 		}
-		if !p.idle() && (s.underWay(now) || now.Sub(s.stableSince) < stableBefore) {
+		if s.underWay(now) && !p.idle() {
 			return false
 		}
 	}
-	return true
+	return p.idle() || p.stableFor(now) >= stableBefore
 }
 
 // raise returns the orders that raise the numbers of the groups that have fewer than in the
@@ -309,7 +313,7 @@
 	for g := range target {
 		room[g.DataCentre] = options.Max - p.platformCountOf(g.DataCentre, now)
 	}
-	budget := p.bootBudget(target, now)
+	budget := p.bootBudget(target, reason, now)
 	for _, g := range sortedGroups(target) {
 		s := p.group(g)
 		expected := s.expected(now)
@@ -323,18 +327,33 @@
 	return orders
 }
 
+// stableFor returns how long the replicas have been the same.
+func (p *Planner) stableFor(now time.Time) time.Duration {
+	last := p.trustedSince
+	for _, s := range p.groups {
+		if s.stableSince.After(last) {
+			last = s.stableSince
+		}
+	}
+	return now.Sub(last)
+}
+
 // bootBudget returns the part of the missing replicas that may be ordered now.
-func (p *Planner) bootBudget(target counts, now time.Time) float64 {
+func (p *Planner) bootBudget(target counts, reason Reason, now time.Time) float64 {
 	if p.idle() {
 		return 1
 	}
+	most := maxChange
+	if reason == ReasonCapacity {
+		most = maxBooting
+	}
 	missing, booting := 0, 0
 	for g, n := range target {
 		expected := p.group(g).expected(now)
 		missing += max(n-expected, 0)
 		booting += max(expected-p.group(g).ready, 0)
 	}
-	left := maxBooting*float64(p.ready().total()) - float64(booting)
+	left := most*float64(p.ready().total()) - float64(booting)
 	return min(max(left/float64(max(missing, 1)), 0), 1)
 }
 
@@ -358,9 +377,10 @@
 	}
 	dataCentres := p.dataCentres()
 	left, removed := p.ready(), 0
+	most := p.mostToRemove(now)
 	for _, g := range p.byPrice(left) {
 		s := p.groups[g]
-		for fewer := p.mostToLower(s, target[g], now); fewer > 0; fewer-- {
+		for fewer := min(p.mostToLower(s, target[g], now), most-removed); fewer > 0; fewer-- {
 			reread := p.rereadNeed(removed + fewer)
 			with := r
 			with.now, with.afterLoss, with.afterReclaims = r.now+reread, r.afterLoss+reread, r.afterReclaims+reread
@@ -382,13 +402,19 @@
 	if fewer <= 0 || s.underWay(now) || now.Before(s.nextOrder) || now.Sub(s.raisedAt) < minLife {
 		return 0
 	}
-	if p.idle() {
-		return fewer
-	}
-	if now.Sub(s.stableSince) < lowerPause {
+	return fewer
+}
+
+// mostToRemove returns how many replicas may be given up now.
+func (p *Planner) mostToRemove(now time.Time) int {
+	switch total := p.ready().total(); {
+	case p.idle():
+		return total
+	case p.stableFor(now) < lowerPause:
 		return 0
+	default:
+		return int(math.Ceil(maxChange * float64(total)))
 	}
-	return min(fewer, int(math.Ceil(lowerStep*float64(s.ready))))
 }
 
 // cachedTokens returns how many prompt tokens a replica presumably holds in its cache.
