Send servers' records compressed to peers that lack some

Every change of a server has all instances fetch the whole list from the one or two that learnt of it first.

--- a/edge/gossip/node.go
+++ b/edge/gossip/node.go
@@ -86,6 +86,7 @@
 	socket   *net.UDPConn
 	listener net.Listener
 	client   *http.Client
+	encoded  encodedServers
 
 	mu       sync.Mutex
 	members  *members
--- a/edge/gossip/record_fetch.go
+++ b/edge/gossip/record_fetch.go
@@ -54,10 +54,24 @@
 		}
 		n.writeRecords(w, []catalog.Record{record})
 	})
-	mux.HandleFunc("GET "+pathServers, func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET "+pathServers, func(w http.ResponseWriter, r *http.Request) {
+		// The digest is taken first: if a change comes in between, the records are encoded again
+		// for the next peer.
+		digest := n.opts.Catalog.Digest()
 		servers := n.opts.Catalog.Servers()
+		raw, zipped, err := n.encoded.encode(digest, servers)
+		if err != nil {
+			n.opts.Log.Error("failed to encode records", "error", err)
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
 		w.Header().Set(headerComplete, formatVersion(servers.Complete))
-		n.writeRecords(w, servers.Records)
+		if zipped != nil && strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+			w.Header().Set("Content-Encoding", "gzip")
+			raw = zipped
+		}
+		// A failed write means that the peer has closed the connection.
+		_, _ = w.Write(raw)
 	})
 	return mux
 }
