Keep more reclaimable replicas until the need is known

Reclaimable replicas are the cheap part, so the surplus until a period has been observed rises to 1.4 of what was found, and what must be left after two reclaims to 0.8.

--- a/edge/autoscale/planner.go
+++ b/edge/autoscale/planner.go
@@ -26,8 +26,8 @@
 	// foundSurplus and foundReclaimed are parts of the number of replicas that were found. Until a
 	// whole period has been observed, the fleet has foundSurplus of them, so that as many are left
 	// after a reclaim, and foundReclaimed after reclaimedDataCentres reclaims.
-	foundSurplus   = 1.15
-	foundReclaimed = 0.72
+	foundSurplus   = 1.4
+	foundReclaimed = 0.8
 	// foundStable is how long the number of replicas must have been the same at first: at the
 	// start of a deployment they register one by one.
 	foundStable = 1500 * time.Millisecond
