Order dear replicas only for what callers need now, and keep a minute's peak

Late requests now count only from 0.3 of the replicas' time on, the trend and the reserve order reclaimable replicas alone, and an increase starts from what is there instead of from the cheapest mix. A need counts for a minute, the fleet that nobody has called keeps its size, and a new holder waits until its predecessor's orders show before it saves.

--- a/edge/autoscale/fleet_test.go
+++ b/edge/autoscale/fleet_test.go
@@ -17,7 +17,9 @@
 	service catalog.Service
 	view    View
 	now     time.Time
-	counts  counts
+	// heldSince is when the planner's instance became the holder.
+	heldSince time.Time
+	counts    counts
 	// booting and reclaimed hold when ordered replicas come and when noticed ones are gone.
 	booting   []bootingReplicas
 	reclaimed map[Group]time.Time
@@ -64,7 +66,7 @@
 		if !holds {
 			continue
 		}
-		for _, o := range f.planner.Plan(f.now) {
+		for _, o := range f.planner.Plan(f.heldSince, f.now) {
 			f.planner.Record(o, f.order(o), f.now)
 		}
 	}
--- a/edge/autoscale/mix.go
+++ b/edge/autoscale/mix.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"bergamotpin.example/bergamotpin/edge/catalog"
@@ -17,6 +18,9 @@
 	// reclaimedDataCentres is the number of data centres whose reclaimable replicas may be gone
 	// at the same time. After one reclaim none may be had for long enough that another follows.
 	reclaimedDataCentres = 2
+	// maxReserve bounds the replicas of a fleet that makes up with reclaimable replicas alone for
+	// others that are missing, compared with one in which none are.
+	maxReserve = 1.25
 )
 
 // requirement is what a fleet must bear. All but size is in replicas of ordinary speed.
@@ -88,7 +92,18 @@
 	for _, n := range reclaimable[:max(len(reclaimable)-reclaimedDataCentres, 0)] {
 		left += n
 	}
-	return speed*float64(left) >= r.afterReclaims && speed*float64(kept) >= r.urgent
+	return speed*float64(left) >= r.afterReclaims && c.bearsUrgent(r.urgent, speed)
+}
+
+// bearsUrgent reports whether the replicas that can't be reclaimed bear the urgent requests.
+func (c counts) bearsUrgent(urgent, speed float64) bool {
+	kept := 0
+	for g, n := range c {
+		if !g.Reclaimable {
+			kept += n
+		}
+	}
+	return speed*float64(kept) >= urgent
 }
 
 // cost returns the price of the replicas for a second.
@@ -148,6 +163,36 @@
 	return mix
 }
 
+// raised returns the replicas that are present, and the cheapest ones that have to be added.
+func (m *mixer) raised(r requirement) counts {
+	mix := maps.Clone(m.present)
+	for !mix.bearsSize(r, m.speed, m.dataCentres) && m.raiseSmallest(mix) {
+	}
+	for !mix.bearsUrgent(r.urgent, m.speed) && m.addKept(mix) {
+	}
+	for most := int(maxReserve * float64(mix.total())); mix.total() < most && !mix.bearsReclaims(r, m.speed, m.dataCentres); {
+		if !m.raiseSmallest(mix) {
+			break
+		}
+	}
+	return mix
+}
+
+// addKept adds a replica that can't be reclaimed to the data centre that has the fewest.
+func (m *mixer) addKept(mix counts) bool {
+	best, found := Group{}, false
+	for _, dc := range m.dataCentres {
+		g := Group{dc, false}
+		if mix.of(dc) < m.options.Max && m.canRaise(g, mix[g]) && (!found || mix[g] < mix[best]) {
+			best, found = g, true
+		}
+	}
+	if found {
+		mix[best]++
+	}
+	return found
+}
+
 // raiseSmallest adds a replica to the data centre that has the fewest, or to the next one if that
 // isn't possible. Of equal ones it takes the cheapest.
 func (m *mixer) raiseSmallest(mix counts) bool {
--- a/edge/autoscale/need.go
+++ b/edge/autoscale/need.go
@@ -31,6 +31,9 @@
 	memoryFraction = 0.5
 	// lateLimit is the share of late requests from which the replicas don't suffice.
 	lateLimit = 1.0 / 12
+	// lateUtilisation is the part of the replicas' time that prefill must take for late requests to
+	// mean that there are too few. At less, prompts are badly spread, or a few servers are slow.
+	lateUtilisation = 0.3
 	// lateGrowth is how many replicas are needed while callers are late, compared with those
 	// that are ready.
 	lateGrowth = 1.1
@@ -48,9 +51,9 @@
 	maxTrend = 1.3
 	// minTrend bounds how much it is expected to fall.
 	minTrend = 0.6
-	// peakPeriod is how long a need counts. It is several times the boot time, and longer than
-	// the waves of traffic that an order could follow.
-	peakPeriod = 20 * time.Second
+	// peakPeriod is how long a need counts. It is many times the boot time, and longer than the
+	// pauses between bursts.
+	peakPeriod = time.Minute
 )
 
 // load is the smoothed load.
@@ -118,29 +121,36 @@
 
 // needs learns what callers need.
 type needs struct {
-	load        load
-	observedAt  time.Time
-	startedAt   time.Time
+	load       load
+	observedAt time.Time
+	// called is set once a caller has asked for something. since is the beginning of the time in
+	// which callers were observed without a gap.
+	called      bool
+	since       time.Time
 	utilisation float64
 	samples     []sample
-	// tokensRead sums the prompt tokens that replicas read since startedAt, at most for
-	// cacheMemory.
+	// tokensRead sums the prompt tokens that replicas read. It decays with cacheMemory.
 	tokensRead float64
 	late       bool
 }
 
 // observe takes in the demand. ready is what the replicas that are ready deliver together.
 func (n *needs) observe(service catalog.Service, d Demand, ready float64, now time.Time) {
-	if n.startedAt.IsZero() {
-		n.startedAt, n.observedAt, n.utilisation = now, now, startUtilisation
+	if n.observedAt.IsZero() {
+		n.observedAt, n.utilisation = now, startUtilisation
+	}
+	n.called = n.called || d.Running >= 1 || d.rate() > 0
+	if n.called && n.since.IsZero() {
+		n.since = now
 	}
 	elapsed := now.Sub(n.observedAt)
 	n.observedAt = now
 	n.load = n.load.towards(d, 1-math.Exp(-elapsed.Seconds()/smoothing.Seconds()))
 	work := n.load.prefillWork()
 	n.tokensRead = n.tokensRead*math.Exp(-elapsed.Seconds()/cacheMemory.Seconds()) + work*prefillTokensPerSecond*elapsed.Seconds()
-	n.late = d.areLate()
-	n.learnUtilisation(work/max(ready, 1), elapsed)
+	utilisation := work / max(ready, 1)
+	n.late = d.areLate() && utilisation >= lateUtilisation
+	n.learnUtilisation(utilisation, elapsed)
 	need := work / n.utilisation
 	if service.IsEngine() {
 		need = max(need, n.load.running/(slotFraction*float64(max(service.Slots, 1))), n.load.memoryTokens/(memoryFraction*float64(service.MemoryTokens)))
@@ -174,7 +184,7 @@
 
 // wholePeriod reports whether a whole period has been observed.
 func (n *needs) wholePeriod(now time.Time) bool {
-	return !n.startedAt.IsZero() && now.Sub(n.startedAt) >= peakPeriod
+	return !n.since.IsZero() && now.Sub(n.since) >= peakPeriod
 }
 
 // peak returns the highest need of the last period, and the highest of the urgent requests.
@@ -194,6 +204,14 @@
 	return sum / float64(max(len(n.samples), 1))
 }
 
+// current returns the need at the last observation.
+func (n *needs) current() float64 {
+	if len(n.samples) == 0 {
+		return 0
+	}
+	return n.samples[len(n.samples)-1].need
+}
+
 // forecast returns the need after the given time, by the trend of the last seconds. Growth within
 // what the rest of the period has shown counts as a wave, which ends by itself.
 func (n *needs) forecast(after time.Duration) float64 {
--- a/edge/autoscale/planner.go
+++ b/edge/autoscale/planner.go
@@ -23,11 +23,12 @@
 	// reserveUtilisation is the part of the bearable utilisation at which the fleet is planned
 	// after losses. Callers' load may grow faster than a replica boots.
 	reserveUtilisation = 0.7
-	// foundSurplus and foundReclaimed are parts of the number of replicas that were found. Until a
-	// whole period has been observed, the fleet has foundSurplus of them, so that as many are left
-	// after a reclaim, and foundReclaimed after reclaimedDataCentres reclaims.
+	// foundSurplus and foundReclaimed are parts of the number of replicas that were found before
+	// any caller came. Until a whole period has been observed, the fleet has foundSurplus of them,
+	// so that as many are left after a reclaim, and foundReclaimed after reclaimedDataCentres
+	// reclaims.
 	foundSurplus   = 1.4
-	foundReclaimed = 0.8
+	foundReclaimed = 0.76
 	// foundStable is how long the number of replicas must have been the same at first: at the
 	// start of a deployment they register one by one.
 	foundStable = 1500 * time.Millisecond
@@ -44,10 +45,8 @@
 	// savingPeriod is the time over which a saving is weighed against the prompts that have to
 	// be read again.
 	savingPeriod = 60 * time.Second
-	// stableBefore is how long the replicas must have been the same before a number is lowered.
-	stableBefore = 2 * time.Second
-	// lowerPause is the time between two orders that lower the number of replicas.
-	lowerPause = 4 * time.Second
+	// stableBefore is how long the replicas must have been the same before an order that saves.
+	stableBefore = 3 * time.Second
 	// cacheMemory is how long the prompts that a replica read are worth something.
 	cacheMemory = 30 * time.Second
 	// rereadTime is the time within which the fleet reads again what leaving replicas held.
@@ -64,9 +63,10 @@
 	// speed is what one replica delivers, on average.
 	speed        float64
 	trustedSince time.Time
-	// found is the number of replicas that there were when the view was first trusted, or 0
-	// before that.
-	found int
+	// found is the number of replicas that there were when the view became trusted, or 0 before
+	// that. foundIdle is set if no caller had come by then.
+	found     int
+	foundIdle bool
 }
 
 // New returns a planner that has observed nothing.
@@ -80,7 +80,8 @@
 	p.last = o
 	p.observeReplicas(now)
 	if !o.View.trustworthy() {
-		p.trustedSince = time.Time{}
+		// What happens meanwhile is not observed, so the period begins anew.
+		p.trustedSince, p.found, p.needs.since = time.Time{}, 0, time.Time{}
 		return
 	}
 	if p.trustedSince.IsZero() {
@@ -91,7 +92,7 @@
 	}
 	p.needs.observe(o.Service, o.Demand, p.speed*float64(p.ready().total()), now)
 	if p.found == 0 && (p.stableFor(now) >= foundStable || !p.idle()) {
-		p.found = p.ready().total()
+		p.found, p.foundIdle = p.ready().total(), p.idle()
 	}
 }
 
@@ -210,13 +211,17 @@
 	if p.needs.wholePeriod(now) {
 		return r
 	}
+	if !p.foundIdle {
+		r.size = max(r.size, float64(p.found))
+		return r
+	}
 	r.size = max(r.size, foundSurplus*float64(p.found))
 	r.afterReclaims = max(r.afterReclaims, p.speed*foundReclaimed*float64(p.found))
 	return r
 }
 
-// idle reports whether no caller has asked anything lately.
-func (p *Planner) idle() bool { return p.needs.load.running < 1 && p.last.Demand.rate() == 0 }
+// idle reports whether no caller has come yet.
+func (p *Planner) idle() bool { return !p.needs.called }
 
 // Status is what the planner believes, for logs and metrics.
 type Status struct {
@@ -246,8 +251,9 @@
 	}
 }
 
-// Plan returns the orders to send now. Record must be called with the outcome of each order.
-func (p *Planner) Plan(now time.Time) []Order {
+// Plan returns the orders to send now. Record must be called with the outcome of each order. The
+// instance has held the duty since heldSince: what its predecessor ordered may not show yet.
+func (p *Planner) Plan(heldSince, now time.Time) []Order {
 	options := p.last.Service.Autoscale
 	if options == nil || !p.trusts(now) || p.found == 0 {
 		return nil
@@ -258,15 +264,23 @@
 		m.refused[g] = s.refused(now)
 	}
 	r := p.required(now)
-	if !expected.bears(requirement{now: r.now, urgent: r.urgent}, p.speed, dataCentres) {
-		return p.raise(m.cheapest(r), ReasonCapacity, now)
+	if hard := (requirement{now: p.needs.current(), urgent: r.urgent}); !expected.bears(hard, p.speed, dataCentres) {
+		return p.raise(m.raised(hard), ReasonCapacity, now)
+	}
+	m.reclaimableOnly = true
+	if soon := (requirement{now: r.now}); !expected.bears(soon, p.speed, dataCentres) {
+		return p.raise(m.raised(soon), ReasonCapacity, now)
+	}
+	m.reclaimableOnly = false
+	if !p.idle() && now.Sub(heldSince) < options.BootTime+orderMargin {
+		return nil
 	}
 	if orders := p.save(m, expected, now); len(orders) > 0 {
 		return orders
 	}
 	if !expected.bears(r, p.speed, dataCentres) {
 		m.reclaimableOnly = true
-		return p.raise(m.cheapest(r), ReasonReserve, now)
+		return p.raise(m.raised(r), ReasonReserve, now)
 	}
 	return nil
 }
@@ -281,11 +295,11 @@
 	if target.cost(m.options) > (1-minSaving)*expected.cost(m.options) {
 		return nil
 	}
-	orders := p.raise(target, ReasonSavings, now)
+	orders := p.lower(target, r, now)
 	if len(orders) > 0 && !p.idle() {
 		return orders
 	}
-	return append(orders, p.lower(target, r, now)...)
+	return append(p.raise(target, ReasonSavings, now), orders...)
 }
 
 // calm reports whether orders that save may be made.
@@ -377,7 +391,7 @@
 	}
 	dataCentres := p.dataCentres()
 	left, removed := p.ready(), 0
-	most := p.mostToRemove(now)
+	most := p.mostToRemove()
 	for _, g := range p.byPrice(left) {
 		s := p.groups[g]
 		for fewer := min(p.mostToLower(s, target[g], now), most-removed); fewer > 0; fewer-- {
@@ -406,15 +420,12 @@
 }
 
 // mostToRemove returns how many replicas may be given up now.
-func (p *Planner) mostToRemove(now time.Time) int {
-	switch total := p.ready().total(); {
-	case p.idle():
+func (p *Planner) mostToRemove() int {
+	total := p.ready().total()
+	if p.idle() {
 		return total
-	case p.stableFor(now) < lowerPause:
-		return 0
-	default:
-		return int(math.Ceil(maxChange * float64(total)))
 	}
+	return int(math.Ceil(maxChange * float64(total)))
 }
 
 // cachedTokens returns how many prompt tokens a replica presumably holds in its cache.
--- a/edge/autoscale/planner_test.go
+++ b/edge/autoscale/planner_test.go
@@ -137,7 +137,7 @@
 		successor.Observe(f.observation(), f.now)
 	}
 	before := f.counts.total()
-	f.planner = successor
+	f.planner, f.heldSince = successor, f.now
 	f.run(8*time.Second, true)
 	if f.counts.total() < before {
 		t.Errorf("the successor has %d replicas, its predecessor had %d", f.counts.total(), before)
--- a/edge/server_orders.go
+++ b/edge/server_orders.go
@@ -52,8 +52,8 @@
 		case <-ticker.C:
 		}
 		for _, service := range o.observe(time.Now()) {
-			if _, held := o.instance.duties.holder.Term(time.Now()); held {
-				o.order(ctx, service)
+			if term, held := o.instance.duties.holder.Term(time.Now()); held {
+				o.order(ctx, service, term)
 			}
 		}
 	}
@@ -113,8 +113,8 @@
 
 // order sends the orders that a service's planner makes now. If an order's fate is uncertain, the
 // rest waits for the next look.
-func (o *serverOrders) order(ctx context.Context, service string) {
-	for _, order := range o.plan(service, time.Now()) {
+func (o *serverOrders) order(ctx context.Context, service string, term duty.Term) {
+	for _, order := range o.plan(service, term, time.Now()) {
 		outcome := o.send(ctx, service, order)
 		o.mu.Lock()
 		o.outcomes[outcome]++
@@ -128,14 +128,14 @@
 	}
 }
 
-func (o *serverOrders) plan(service string, now time.Time) []autoscale.Order {
+func (o *serverOrders) plan(service string, term duty.Term, now time.Time) []autoscale.Order {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	planner, ok := o.planners[service]
 	if !ok {
 		return nil
 	}
-	return planner.Plan(now)
+	return planner.Plan(term.HeldSince, now)
 }
 
 // send makes the call of an order and logs it.
