--- a/edge/balancer/urgency.go
+++ b/edge/balancer/urgency.go
@@ -21,8 +21,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"bergamotpin.example/bergamotpin/edge/catalog"
 )
 
@@ -64,7 +62,7 @@
 }
 
 func urgencyKeyOf(r Request) urgencyKey {
-	return urgencyKey{service: xxhash.Sum64String(r.Service.Name) >> 32, urgency: r.Urgency}
+	return urgencyKey{service: serviceHash(r.Service.Name), urgency: r.Urgency}
 }
 
 // urgencyStats describes this instance's recent requests of one urgency. Short prompts
@@ -118,6 +116,7 @@
 type InstanceReports struct {
 	Servers   []ServerReport
 	Urgencies []UrgencyReport
+	Prefill   []PrefillReport
 }
 
 // UrgencyReports returns this instance's reports for its peers, the urgencies with the
@@ -198,9 +197,8 @@
 	target, longestDelay time.Duration
 }
 
-// totalsByUrgency returns the totals of the request's service.
-func (b *Balancer) totalsByUrgency(r Request, now time.Time) map[catalog.Urgency]urgencyTotals {
-	service := urgencyKeyOf(r).service
+// totalsByUrgency returns the totals of the service with the given hash.
+func (b *Balancer) totalsByUrgency(service uint64, now time.Time) map[catalog.Urgency]urgencyTotals {
 	totals := make(map[catalog.Urgency]urgencyTotals)
 	add := func(report UrgencyReport) {
 		if report.Service != service || report.Target == 0 {
@@ -248,7 +246,7 @@
 // for the other, and neither is refused at a delay to which the other was admitted.
 func (b *Balancer) urgencyRulesFor(r Request, now time.Time) urgencyRules {
 	var rules urgencyRules
-	for urgency, totals := range b.totalsByUrgency(r, now) {
+	for urgency, totals := range b.totalsByUrgency(urgencyKeyOf(r).service, now) {
 		lessUrgentOrganisation := urgency.OrganisationPriority > r.Urgency.OrganisationPriority
 		lessUrgentRoute := urgency.RoutePriority > r.Urgency.RoutePriority
 		switch {
--- a/edge/gossip/message.go
+++ b/edge/gossip/message.go
@@ -65,6 +65,8 @@
 	Usage usage.Message `cbor:"24,keyasint,omitzero"`
 	// Moved is the deployment's identifier since it changed, or "" if it did not.
 	Moved string `cbor:"28,keyasint,omitempty"`
+	// Prefill are reports on the prompts that the sender recently sent. A summary has none.
+	Prefill []balancer.PrefillReport `cbor:"29,keyasint,omitempty"`
 	stated
 }
 
