Expect the pauses that later prompts make when a server is chosen

The choice counted only the queue of the moment, and on two thirds of the engines a prompt of three chunks makes a pause above the target of 200 ms.

Now the cost of an engine contains the probability of a pause that is too long, from the arrivals at the engine, the mean prefill of its group and its speed. The length of decode steps is learnt by each instance from the gaps between events. For short prompts twice as many servers are examined.

--- a/edge/balancer/balancer.go
+++ b/edge/balancer/balancer.go
@@ -31,6 +31,10 @@
 	dataCentres map[string]*dataCentreState
 	summaries   map[string]dataCentreSummary
 	urgencies   map[urgencyKey]*urgencyStats
+	// prefills holds the recent prompts of this instance's requests.
+	prefills map[engineGroup]*prefillArrivals
+	// steps holds the length of the decode steps at the engines of each service, by its name.
+	steps map[string]*stepRatio
 	// limitedServices holds the services all of whose servers name limits, by name.
 	limitedServices map[string]*limitedService
 	// instances is the number of instances that choose servers, including
@@ -49,6 +53,8 @@
 		summaries:   make(map[string]dataCentreSummary),
 		urgencies:   make(map[urgencyKey]*urgencyStats),
 
+		prefills:        make(map[engineGroup]*prefillArrivals),
+		steps:           make(map[string]*stepRatio),
 		limitedServices: make(map[string]*limitedService),
 	}
 }
@@ -70,6 +76,8 @@
 	sentBlocks []recentBlock
 	// peerBlocks are the prefix blocks reported by peers in this data centre.
 	peerBlocks []recentBlock
+	// steps is the length of the engine's decode steps.
+	steps stepRatio
 	// lastSummarised is when a call of Summary last returned load, statistics
 	// or prefix blocks of the server.
 	lastSummarised time.Time
@@ -210,6 +218,9 @@
 	Slowness float64
 	// OwnLoad is the part of Load that comes from this instance's requests.
 	OwnLoad Load
+	// PauseProbability estimates how likely prompts that arrive at Server during the
+	// response make it pause for too long.
+	PauseProbability float64
 	// HeldBackFor and AdmittedDelay are the rules between requests of different
 	// urgency by which Admit refused the request: the latency target of more urgent
 	// requests that are late, and the longest expected delay to which less urgent
@@ -224,12 +235,20 @@
 	// that are reserved for more urgent requests and those in suspected data centres.
 	// It is nil in these attempts.
 	examined []*Attempt
+	// grouped is set if some engines are reserved. level is then the priority index for
+	// which Server is reserved.
+	grouped bool
+	level   int
 	// prefillTokens is the number that the attempt added to PrefillTokens of
 	// the server's load. memoryTokens is the number that the attempt added to
 	// MemoryTokens of this load.
 	prefillTokens int
 	memoryTokens  int
-	sentAt        time.Time
+	// eventTokens is how many tokens an event holds. lastEventAt is when the last event
+	// arrived.
+	eventTokens int
+	lastEventAt time.Time
+	sentAt      time.Time
 	// waitEnded is set when the first event arrives or when the attempt
 	// ends. From then on, the attempt does not count in Waiting and
 	// PrefillTokens.
@@ -248,7 +267,9 @@
 func (b *Balancer) BeginAttempt(a *Attempt, r Request, now time.Time) {
 	s := b.serverState(a.Key)
 	a.sentAt, a.examined = now, nil
+	a.eventTokens = r.Service.EventTokens
 	a.prefillTokens = max(r.PromptTokens-a.CachedTokens, 0)
+	b.recordPrefill(a, r, now)
 	b.stateOf(a.Server.DataCentre).running++
 	s.localLoad.Running++
 	s.localLoad.Waiting++
@@ -265,7 +286,7 @@
 	if a.waitEnded {
 		return
 	}
-	a.waitEnded = true
+	a.waitEnded, a.lastEventAt = true, now
 	s := b.serverState(a.Key)
 	s.localLoad.Waiting--
 	s.localLoad.PrefillTokens -= a.prefillTokens
--- a/edge/balancer/candidate_sample.go
+++ b/edge/balancer/candidate_sample.go
@@ -31,18 +31,18 @@
 
 // sample draws a random sample from a list of n servers. It also draws a sample
 // from the servers for which reserved returns true. The result contains both
-// samples.
-func (b *Balancer) sample(n int, reserved func(i int) bool) sampledSet {
-	if b.instances <= fullScanInstances || b.sampleSize(n) >= n {
+// samples. They are factor times as large as sampleSize.
+func (b *Balancer) sample(n int, factor int, reserved func(i int) bool) sampledSet {
+	if b.instances <= fullScanInstances || factor*b.sampleSize(n) >= n {
 		return nil
 	}
 	sampled := make(sampledSet, n)
 	shuffled := b.random.Perm(n)
-	for _, i := range shuffled[:b.sampleSize(n)] {
+	for _, i := range shuffled[:factor*b.sampleSize(n)] {
 		sampled[i] = true
 	}
 	reservedIndexes := slices.DeleteFunc(shuffled, func(i int) bool { return !reserved(i) })
-	for _, i := range reservedIndexes[:min(b.sampleSize(len(reservedIndexes)), len(reservedIndexes))] {
+	for _, i := range reservedIndexes[:min(factor*b.sampleSize(len(reservedIndexes)), len(reservedIndexes))] {
 		sampled[i] = true
 	}
 	return sampled
--- a/edge/balancer/choose.go
+++ b/edge/balancer/choose.go
@@ -73,6 +73,9 @@
 	// the probability that it is late rises in proportion.
 	lateFromRatio  = 0.5
 	fullyLateRatio = 1.3
+	// shortPromptFactor is how many times as many servers are examined for a short prompt
+	// as for a long one.
+	shortPromptFactor = 2
 	// overdueSlope is how much the result of lateProbability rises above 1 if
 	// the ratio exceeds fullyLateRatio by fullyLateRatio - lateFromRatio. Other
 	// excesses raise the result in proportion. So if a request is certainly
@@ -100,11 +103,12 @@
 		maxCached = max(maxCached, cached)
 	}
 	reserved := reserveEngines(r, keys)
+	prefills := b.meanPrefills(r, reserved, now)
 	preferred := -1
 	if len(sharedBlocks) > 0 {
 		preferred = preferredServer(sharedBlocks[len(sharedBlocks)-1].ID, keys, reserved, r.PriorityIndex)
 	}
-	sample := b.sample(len(candidates), func(i int) bool { return reserved.reservedFor(i, r.PriorityIndex) })
+	sample := b.sample(len(candidates), sampleFactor(r, maxCached), func(i int) bool { return reserved.reservedFor(i, r.PriorityIndex) })
 	best := -1
 	var fastest time.Duration
 	var examined []*Attempt
@@ -115,6 +119,15 @@
 			continue
 		}
 		b.estimateCost(a, r, now)
+		if len(reserved) > 0 {
+			a.grouped, a.level = true, reserved[i]
+		}
+		if len(prefills) > 0 {
+			state := b.serverState(a.Key)
+			pressure := prefillPressure{perSecond: state.arrivalsPerSecond(now), meanTokens: prefills[a.level]}
+			a.PauseProbability = pressure.pauseProbability(r, a.Load, b.engineSpeed(state, r.Service.Name, now))
+			a.Cost += lateLoss * a.PauseProbability
+		}
 		a.Cost += cacheMissCost * float64(max(maxCached-a.CachedTokens, 0))
 		if i != preferred {
 			a.Cost += nonPreferredCost * float64(sumTokens(sharedBlocks)-maxCached)
@@ -138,6 +151,15 @@
 	return chosen, true
 }
 
+// sampleFactor returns how many times the usual number of servers is examined for a request.
+// Instances that choose the same server at once do little harm with short prompts.
+func sampleFactor(r Request, cachedTokens int) int {
+	if r.MaxEventGap > 0 && r.PromptTokens-cachedTokens <= prefillChunkTokens {
+		return shortPromptFactor
+	}
+	return 1
+}
+
 // estimateCost sets the attempt's expected delay and cost. It leaves out the
 // costs that depend on the other candidates: Choose adds them.
 func (b *Balancer) estimateCost(a *Attempt, r Request, now time.Time) {
@@ -177,7 +199,7 @@
 // of the request's prompt tokens that the engine has to prefill.
 func engineTimes(load Load, uncachedTokens int, service catalog.Service) (firstEvent, eventGap float64) {
 	slots, eventTokens := service.Slots, float64(service.EventTokens)
-	decodeStep := decodeStepMs + decodeStepMsPerRequest*float64(min(load.Running, slots))
+	decodeStep := decodeStepMillis(load, slots)
 	firstEvent = firstEventBaseMs + eventTokens*decodeStep + prefillMillis(load.PrefillTokens+uncachedTokens)
 	firstEvent += slotWaitMs * float64(max(load.Running+1-slots, 0))
 	// Between two decode steps, the engine prefills at most prefillChunkTokens
@@ -186,6 +208,12 @@
 	return firstEvent, eventTokens * (decodeStep + prefill)
 }
 
+// decodeStepMillis returns how long, in milliseconds, a decode step takes at an engine that
+// prefills nothing.
+func decodeStepMillis(load Load, slots int) float64 {
+	return decodeStepMs + decodeStepMsPerRequest*float64(min(load.Running, slots))
+}
+
 // prefillMillis returns the time, in milliseconds, that an engine takes to
 // prefill the given number of tokens.
 func prefillMillis(tokens int) float64 { return float64(tokens) / prefillTokensPerMs }
--- a/edge/balancer/replay_test.go
+++ b/edge/balancer/replay_test.go
@@ -5,6 +5,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"bergamotpin.example/bergamotpin/edge/catalog"
@@ -24,6 +25,7 @@
 	choose(r Request, servers []catalog.BackendServer, now time.Time) (Attempt, outcome.Reason)
 	begin(a *Attempt, r Request, now time.Time)
 	firstEvent(a *Attempt, now time.Time)
+	event(a *Attempt, now time.Time)
 	end(a *Attempt, result AttemptResult, now time.Time)
 }
 
@@ -37,6 +39,7 @@
 }
 func (p balancerPolicy) begin(a *Attempt, r Request, now time.Time) { p.b.BeginAttempt(a, r, now) }
 func (p balancerPolicy) firstEvent(a *Attempt, now time.Time)       { p.b.RecordFirstEvent(a, now) }
+func (p balancerPolicy) event(a *Attempt, now time.Time)            { p.b.RecordEvent(a, now) }
 func (p balancerPolicy) end(a *Attempt, result AttemptResult, now time.Time) {
 	p.b.EndAttempt(a, result, now)
 }
@@ -75,6 +78,7 @@
 }
 func (p hashPolicy) begin(a *Attempt, _ Request, _ time.Time)     { p.running[a.Key]++ }
 func (p hashPolicy) firstEvent(*Attempt, time.Time)               {}
+func (p hashPolicy) event(*Attempt, time.Time)                    {}
 func (p hashPolicy) end(a *Attempt, _ AttemptResult, _ time.Time) { p.running[a.Key]-- }
 
 // simulatedEngine prefills prompts in arrival order. It never drops a block
@@ -84,15 +88,67 @@
 	freeAt time.Time
 	// cached holds the IDs of the blocks in the engine's cache.
 	cached map[uint64]bool
-	// slowdown multiplies the prefill time.
+	// slowdown multiplies the prefill time and the length of a decode step.
 	slowdown float64
 	// failureShare is the fraction of requests that the engine fails at once.
 	failureShare float64
+	// busySince is when the engine began to prefill the prompts that end at freeAt.
+	busySince time.Time
+	// streams are the responses whose pauses are watched. Some may have ended.
+	streams []*simulatedStream
+}
+
+// simulatedStream is a response whose events come from firstEvent to end.
+type simulatedStream struct {
+	firstEvent, end time.Time
+	// prefilled is the longest time without a break for which the engine prefilled other
+	// prompts during the response.
+	prefilled time.Duration
+}
+
+const (
+	// simulatedEventTokens is how many tokens an event holds. A decode step takes
+	// simulatedStep, and the prefill of at most simulatedChunk tokens precedes it.
+	simulatedEventTokens = 4
+	simulatedStep        = 5 * time.Millisecond
+	simulatedChunk       = 2048
+	// watchedGaps is how many event gaps of a response an instance sees.
+	watchedGaps = 8
+)
+
+// longestPause returns the longest time between two events of the response.
+func (e *simulatedEngine) longestPause(s *simulatedStream) time.Duration {
+	return e.usualGap() + min(s.prefilled, e.prefillTime(simulatedEventTokens*simulatedChunk))
+}
+
+// usualGap returns the time between two events while the engine prefills nothing.
+func (e *simulatedEngine) usualGap() time.Duration {
+	return time.Duration(simulatedEventTokens * float64(simulatedStep) * e.slowdown)
+}
+
+// prefillTime returns how long the engine takes to prefill tokens, at 47 tokens per
+// millisecond and ordinary speed.
+func (e *simulatedEngine) prefillTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / 47 * e.slowdown * float64(time.Millisecond))
+}
+
+// delayStreams takes in that the prefill of the queued prompts now ends at freeAt.
+func (e *simulatedEngine) delayStreams(now time.Time) {
+	e.streams = slices.DeleteFunc(e.streams, func(s *simulatedStream) bool { return s.end.Before(now) })
+	for _, s := range e.streams {
+		from, to := e.busySince, e.freeAt
+		if s.firstEvent.After(from) {
+			from = s.firstEvent
+		}
+		if s.end.Before(to) {
+			to = s.end
+		}
+		s.prefilled = max(s.prefilled, to.Sub(from))
+	}
 }
 
 // startPrefill queues the prompt and returns when the request's first event
-// arrives. An engine prefills 47 tokens per millisecond, and the first event
-// comes 60 ms after the prefill.
+// arrives, which is 60 ms after the prefill.
 func (e *simulatedEngine) startPrefill(r Request, now time.Time) time.Time {
 	uncachedTokens := r.PromptTokens
 	prefixCached := true
@@ -107,8 +163,11 @@
 	start := now
 	if e.freeAt.After(start) {
 		start = e.freeAt
+	} else {
+		e.busySince = now
 	}
-	e.freeAt = start.Add(time.Duration(float64(uncachedTokens) / 47 * e.slowdown * float64(time.Millisecond)))
+	e.freeAt = start.Add(e.prefillTime(uncachedTokens))
+	e.delayStreams(now)
 	return e.freeAt.Add(60 * time.Millisecond)
 }
 
@@ -150,6 +209,10 @@
 	decodeTime time.Duration
 	// priorityIndex is the PriorityIndex of the requests.
 	priorityIndex int
+	// maxEventGap, if set, is the target for the longest pause of a response.
+	maxEventGap time.Duration
+	// answerTokens is the number of tokens of a response.
+	answerTokens int
 }
 
 // workload describes the simulated engines and instances and the requests to
@@ -168,7 +231,7 @@
 }
 
 // replayResult counts requests. A request counts in onTime if it got its first
-// event within the latency target. repeatedPrefill counts the tokens of shared
+// event within the latency target and no pause above maxEventGap. repeatedPrefill counts the tokens of shared
 // blocks that one engine prefilled although another engine had prefilled
 // them before.
 type replayResult struct {
@@ -251,9 +314,10 @@
 		second.requests++
 		instance := random.IntN(w.instances)
 		r := Request{
-			Service: catalog.Service{Name: "m", Slots: 64, MemoryTokens: 600_000, EventTokens: 4}, LatencyTarget: k.latencyTarget,
+			Service: catalog.Service{Name: "m", Slots: 64, MemoryTokens: 600_000, EventTokens: simulatedEventTokens}, LatencyTarget: k.latencyTarget,
 			PriorityIndex: k.priorityIndex, PriorityLevels: 3, Urgency: catalog.Urgency{RoutePriority: k.priorityIndex}, PromptTokens: k.sharedTokens + k.ownTokens,
 			PrefixBlocks: []PrefixBlock{{ID: prefixID, Tokens: k.sharedTokens}, {ID: ownID, Tokens: k.ownTokens}},
+			MaxEventGap:  k.maxEventGap, AnswerTokens: k.answerTokens,
 		}
 		a, reason := policies[instance].choose(r, servers, now)
 		if reason != outcome.ReasonNone {
@@ -279,17 +343,28 @@
 		}
 		prefilled[prefixID] = true
 		firstEventAt := e.startPrefill(r, now)
-		if firstEventAt.Sub(now) <= k.latencyTarget {
-			result.onTime++
-			result.kinds[kind].onTime++
+		stream := &simulatedStream{firstEvent: firstEventAt, end: firstEventAt.Add(k.decodeTime)}
+		if k.maxEventGap > 0 {
+			e.streams = append(e.streams, stream)
 		}
+		beganInTime := firstEventAt.Sub(now) <= k.latencyTarget
 		unreachable := func(now time.Time) bool { return w.isUnreachable != nil && w.isUnreachable(instance, i, now) }
 		push(firstEventAt, func(now time.Time) {
 			if !unreachable(now) {
 				policies[instance].firstEvent(&a, now)
 			}
 		})
+		for n := range watchedGaps {
+			at := firstEventAt.Add(time.Duration(n+1) * e.usualGap())
+			if k.maxEventGap > 0 && at.Before(stream.end) {
+				push(at, func(now time.Time) { policies[instance].event(&a, now) })
+			}
+		}
 		push(firstEventAt.Add(k.decodeTime), func(now time.Time) {
+			if beganInTime && (k.maxEventGap == 0 || e.longestPause(stream) <= k.maxEventGap) {
+				result.onTime++
+				result.kinds[kind].onTime++
+			}
 			if unreachable(now) {
 				policies[instance].end(&a, NoResponse, now)
 				return
--- a/edge/reverseproxy/retry.go
+++ b/edge/reverseproxy/retry.go
@@ -226,7 +226,7 @@
 	f.handler.Successes.Info("sent",
 		"request", req.id, "route", req.route.Name, "server", a.Server.ID, "data_centre", a.Server.DataCentre, "version", a.Server.Version, "send", req.sends,
 		"after_event", f.stream.lastEventID(req), "resumes", req.resumes, "rank", req.enginePriority(), "route_rank", req.route.Priority, "left_ms", time.Until(req.deadline).Milliseconds(), "prompt", req.prompt.Tokens, "kept", a.CachedTokens,
-		"expected_ms", a.ExpectedDelay.Milliseconds(), "cost", a.Cost, "slowness", a.Slowness,
+		"expected_ms", a.ExpectedDelay.Milliseconds(), "cost", a.Cost, "slowness", a.Slowness, "pause_probability", a.PauseProbability,
 		"running", a.Load.Running, "unread", a.Load.PrefillTokens, "candidates", a.Candidates)
 }
 
--- a/edge/reverseproxy/server_selector.go
+++ b/edge/reverseproxy/server_selector.go
@@ -119,11 +119,13 @@
 }
 
 // RecordEvent records that more of the attempt's response arrived. This shows
-// that the server's data centre is reachable.
+// that the server's data centre is reachable, and how fast the server is.
 func (s *ServerSelector) RecordEvent(a *balancer.Attempt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.balancer.RecordContact(a.Server.DataCentre, time.Now())
+	now := time.Now()
+	s.balancer.RecordContact(a.Server.DataCentre, now)
+	s.balancer.RecordEvent(a, now)
 }
 
 // EndAttempt records how the attempt ended.
