Leave half of the retry budget to requests that failed

Second attempts drew on the retry budget down to its last retry. Their own limit counts 60 s and the budget less, so when servers turn slow the share of a whole minute may be taken at once, and requests whose server then fails get no second server. A smaller share does not prevent that. Now a second attempt needs half of the budget to be left. Before: TestSecondAttemptsLeaveRetries ran the slow request at two servers with a third of the budget left, in 3 of 3 runs (another run passed, as the loaded machine had learnt longer delays). After: one server, and the requests that a server refused were retried.

--- a/edge/balancer/retry_budget.go
+++ b/edge/balancer/retry_budget.go
@@ -66,12 +66,24 @@
 // Remaining returns how many more retries this instance may make now. The
 // parameters have the same meaning as for AllowRetry.
 func (b *RetryBudget) Remaining(ratio, allowance float64, instances int, now time.Time) int {
+	allowed, retries := b.sums(ratio, allowance, instances, now)
+	return max(allowed-retries, 0)
+}
+
+// HalfRemains reports whether this instance has spent at most half of its retries. The
+// parameters have the same meaning as for AllowRetry.
+func (b *RetryBudget) HalfRemains(ratio, allowance float64, instances int, now time.Time) bool {
+	allowed, retries := b.sums(ratio, allowance, instances, now)
+	return 2*retries <= allowed
+}
+
+// sums returns how many retries are allowed in the current window and how many were made.
+func (b *RetryBudget) sums(ratio, allowance float64, instances int, now time.Time) (allowed, retries int) {
 	b.advance(now)
-	var requests, retries int
+	var requests int
 	for i := range budgetBuckets {
 		requests += b.requests[i]
 		retries += b.retries[i]
 	}
-	allowed := usableBudgetFraction * (ratio*float64(requests) + allowance/float64(max(instances, 1)))
-	return max(int(allowed)-retries, 0)
+	return int(usableBudgetFraction * (ratio*float64(requests) + allowance/float64(max(instances, 1)))), retries
 }
--- a/edge/hedging/decision.go
+++ b/edge/hedging/decision.go
@@ -26,7 +26,7 @@
 	PromptTooLong
 	// NoGain means that the second server would presumably answer no sooner.
 	NoGain
-	// NoBudget means that the retries that all instances share are spent.
+	// NoBudget means that over half of the retries that all instances share are spent.
 	NoBudget
 	// NoServer means that no other server takes the request.
 	NoServer
--- a/edge/reverseproxy/second_attempt.go
+++ b/edge/reverseproxy/second_attempt.go
@@ -80,7 +80,7 @@
 		return nil
 	}
 	begin := func(b balancer.Request, candidates []catalog.BackendServer) (balancer.Attempt, *refusal) {
-		return f.handler.Selector.beginFurther(b, candidates, accept)
+		return f.handler.Selector.beginSecond(b, candidates, accept)
 	}
 	s, refused := f.newSending(r.ctx, r.ifStillAllowed(begin))
 	switch {
--- a/edge/reverseproxy/second_attempt_guard_test.go
+++ b/edge/reverseproxy/second_attempt_guard_test.go
@@ -44,3 +44,23 @@
 		t.Errorf("the request ran at %v, want one server", ran)
 	}
 }
+
+// TestSecondAttemptsLeaveRetries guards against second attempts that spend the retries which
+// failed requests need.
+func TestSecondAttemptsLeaveRetries(t *testing.T) {
+	f := newHedgingFixture(t, 2, pathResumable, platformtest.Behaviour{Events: 1})
+	all := f.handler.Selector.RetryBudgetsLeft(time.Now())[0].Retries
+	for f.handler.Selector.RetryBudgetsLeft(time.Now())[0].Retries > all/3 {
+		f.handler.Selector.AllowRetry("s")
+	}
+	f.setBehaviour(platformtest.Behaviour{Delay: stalledStreamFor, Events: 1})
+	f.expectStatus(f.do(f.request(pathResumable)), 200)
+	if ran := f.serversThatRan(); len(ran) != 1 {
+		t.Errorf("the request ran at %v, want one server", ran)
+	}
+	f.setOthers(0, platformtest.Behaviour{Refuse: true})
+	f.servers[0].SetBehaviour(platformtest.Behaviour{Events: 1})
+	for range 4 {
+		f.expectStatus(f.do(f.request(pathResumable)), 200)
+	}
+}
--- a/edge/reverseproxy/server_selector.go
+++ b/edge/reverseproxy/server_selector.go
@@ -90,6 +90,23 @@
 	return a, refused
 }
 
+// beginSecond is beginFurther for a request whose first attempt has not failed. It also refuses
+// the attempt while over half of the service's retries are spent: the rest is for requests that
+// have failed.
+func (s *ServerSelector) beginSecond(r balancer.Request, candidates []catalog.BackendServer, accept acceptFunc) (balancer.Attempt, *refusal) {
+	if !s.halfOfRetriesRemains(r.Service.Name) {
+		return balancer.Attempt{}, refuseNotRun(outcome.RetryBudgetSpent, retrySoon)
+	}
+	return s.beginFurther(r, candidates, accept)
+}
+
+func (s *ServerSelector) halfOfRetriesRemains(service string) bool {
+	instances := s.Instances()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget(service).HalfRemains(s.retries.Ratio, s.retries.Allowance, instances, time.Now())
+}
+
 // acceptFunc decides whether the chosen attempt is made, from the load of all candidates. It
 // returns a refusal if not. The balancer may only be read.
 type acceptFunc func(a *balancer.Attempt, load func() balancer.ServiceLoad) *refusal
