--- a/edge/duty/guard_test.go
+++ b/edge/duty/guard_test.go
@@ -11,40 +11,102 @@
 	"bergamotpin.example/bergamotpin/platform"
 )
 
-// fixedTerm is a term that ends at a fixed time.
+const testLease = 3 * time.Second
+
+// fixedTerm is a term that ends at a time.
 type fixedTerm struct{ until time.Time }
 
-func (f fixedTerm) Term(now time.Time) (Term, bool) {
+func (f *fixedTerm) Term(now time.Time) (Term, bool) {
 	return Term{FencingToken: 7, ValidUntil: f.until}, now.Before(f.until)
 }
 
-// runGuard runs the function test in virtual time, with a guard whose term lasts for the given time.
-func runGuard(t *testing.T, term time.Duration, test func(t *testing.T, g *Guard)) {
+// runGuard runs the function test in virtual time with a term of the lease's length.
+func runGuard(t *testing.T, test func(t *testing.T, g *Guard, term *fixedTerm)) {
 	synctest.Test(t, func(t *testing.T) {
-		terms := fixedTerm{time.Now().Add(term)}
-		test(t, NewGuard(GuardOptions{Terms: func() Terms { return terms }, Name: "i", CallsPerSecond: 50, LeaseTime: 3 * time.Second}))
+		term := &fixedTerm{until: time.Now().Add(testLease)}
+		test(t, NewGuard(GuardOptions{Terms: func() Terms { return term }, Name: "a", CallsPerSecond: 10, LeaseTime: testLease}), term)
 	})
 }
 
-// slowCall returns a call that is answered after the given time, unless it is given up before.
-func slowCall(answer time.Duration) func(context.Context, platform.DutyCall) error {
-	return func(ctx context.Context, _ platform.DutyCall) error {
-		select {
-		case <-ctx.Done():
+// TestNoCallOutsideTheTerm guards against calls of an instance that holds the duties no more, and
+// against calls that go on after the term.
+func TestNoCallOutsideTheTerm(t *testing.T) {
+	runGuard(t, func(t *testing.T, g *Guard, term *fixedTerm) {
+		time.Sleep(testLease - time.Second)
+		err := g.Do(t.Context(), "x", func(ctx context.Context, c platform.DutyCall) error {
+			if c != (platform.DutyCall{Holder: "a", FencingToken: 7}) {
+				t.Errorf("got the call %+v", c)
+			}
+			<-ctx.Done()
 			return platform.ErrDutyUncertain
-		case <-time.After(answer):
-			return nil
+		})
+		if !errors.Is(err, platform.ErrDutyUncertain) || time.Now().After(term.until) {
+			t.Errorf("a call without an answer: error %v, and %v after the term's end", err, time.Since(term.until))
+		}
+		never := func(context.Context, platform.DutyCall) error { t.Error("a call was made"); return nil }
+		if err := g.Do(t.Context(), "x", never); !errors.Is(err, ErrNotHolder) {
+			t.Errorf("after the term: error %v, want ErrNotHolder", err)
+		}
+		term.until = time.Now().Add(minCallTime / 2)
+		if err := g.Do(t.Context(), "x", never); !errors.Is(err, ErrTermEnds) {
+			t.Errorf("at the end of the term: error %v, want ErrTermEnds", err)
+		}
+		if g.Quiet() {
+			t.Error("the lease may be released while a call may still be executed")
+		}
+		time.Sleep(testLease)
+		if !g.Quiet() {
+			t.Error("the lease may not be released although no call is left")
 		}
-	}
+	})
+}
+
+// TestCallsComeOneByOneWithinTheRate guards against a holder that overruns the platform.
+func TestCallsComeOneByOneWithinTheRate(t *testing.T) {
+	runGuard(t, func(t *testing.T, g *Guard, term *fixedTerm) {
+		term.until = term.until.Add(time.Hour)
+		begin, open := time.Now(), 0
+		done := make(chan error)
+		for range 40 {
+			go func() {
+				done <- g.Do(t.Context(), "x", func(context.Context, platform.DutyCall) error {
+					open++
+					if open > 1 {
+						t.Error("two calls at once")
+					}
+					time.Sleep(time.Millisecond)
+					open--
+					return nil
+				})
+			}()
+		}
+		for range 40 {
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		}
+		if took := time.Since(begin); took < 3*time.Second {
+			t.Errorf("40 calls in %v, want at most 10 a second", took)
+		}
+	})
 }
 
 // TestStopLetsTheCallEnd guards against a planned stop that breaks off the call under way: the
 // lease could not be released, and nobody would hold the duties for its duration.
 func TestStopLetsTheCallEnd(t *testing.T) {
-	runGuard(t, time.Minute, func(t *testing.T, g *Guard) {
+	runGuard(t, func(t *testing.T, g *Guard, _ *fixedTerm) {
 		ctx, stop := context.WithCancel(t.Context())
 		result := make(chan error, 1)
-		go func() { result <- g.Do(ctx, "s", slowCall(200*time.Millisecond)) }()
+		go func() {
+			result <- g.Do(ctx, "x", func(ctx context.Context, _ platform.DutyCall) error {
+				select {
+				case <-ctx.Done():
+					return platform.ErrDutyUncertain
+				case <-time.After(200 * time.Millisecond):
+					return nil
+				}
+			})
+		}()
 		time.Sleep(50 * time.Millisecond)
 		stop()
 		if !g.Quiet() {
@@ -53,35 +115,9 @@
 		if err := <-result; err != nil {
 			t.Errorf("the call failed: %v", err)
 		}
-		if err := g.Do(ctx, "s", slowCall(0)); !errors.Is(err, context.Canceled) {
+		never := func(context.Context, platform.DutyCall) error { t.Error("a call was made"); return nil }
+		if err := g.Do(ctx, "x", never); !errors.Is(err, context.Canceled) {
 			t.Errorf("after the stop: got the error %v, want no call", err)
 		}
 	})
 }
-
-// TestCallEndsWithTheTerm guards against calls that arrive after the term, and against a release
-// of the lease while one of them may still do so.
-func TestCallEndsWithTheTerm(t *testing.T) {
-	const term = time.Second
-	runGuard(t, term, func(t *testing.T, g *Guard) {
-		begin := time.Now()
-		if err := g.Do(t.Context(), "s", slowCall(time.Hour)); !errors.Is(err, platform.ErrDutyUncertain) || time.Since(begin) > term {
-			t.Errorf("got the error %v after %v, want no answer and at most the term", err, time.Since(begin))
-		}
-		if g.Quiet() {
-			t.Error("quiet right after a call without an answer")
-		}
-		if err := g.Do(t.Context(), "s", slowCall(0)); !errors.Is(err, ErrNotHolder) {
-			t.Errorf("after the term: got the error %v, want ErrNotHolder", err)
-		}
-		time.Sleep(3 * time.Second)
-		if !g.Quiet() {
-			t.Error("not quiet after the lease's duration")
-		}
-	})
-	runGuard(t, minCallTime/2, func(t *testing.T, g *Guard) {
-		if err := g.Do(t.Context(), "s", slowCall(0)); !errors.Is(err, ErrTermEnds) {
-			t.Errorf("right before the end: got the error %v, want ErrTermEnds", err)
-		}
-	})
-}
