--- a/edge/balancer/balancer.go
+++ b/edge/balancer/balancer.go
@@ -257,7 +257,7 @@
 	s.localLoad.Running++
 	s.localLoad.Waiting++
 	s.localLoad.PrefillTokens += a.prefillTokens
-	b.countPrefill(r.Service.Name, a.prefillTokens, now)
+	b.countPrefill(r.Service, a.prefillTokens, now)
 	a.memoryTokens = r.memoryTokens()
 	s.localLoad.MemoryTokens += a.memoryTokens
 	sharedBlocks := r.sharedBlocks()
@@ -265,16 +265,18 @@
 	s.recordSentBlocks(sharedBlocks, now)
 }
 
-// RecordFirstEvent records that the first event of the response arrived.
-func (b *Balancer) RecordFirstEvent(a *Attempt, now time.Time) {
+// RecordFirstEvent records that the first event of the response arrived. It reports whether that
+// was not recorded before.
+func (b *Balancer) RecordFirstEvent(a *Attempt, now time.Time) bool {
 	if a.waitEnded {
-		return
+		return false
 	}
 	a.waitEnded = true
 	s := b.serverState(a.Key)
 	s.localLoad.Waiting--
 	s.localLoad.PrefillTokens -= a.prefillTokens
 	s.localStats.recordDelay(a.ExpectedDelay, now.Sub(a.sentAt), now)
+	return true
 }
 
 // EndAttempt records how the attempt ended.
--- a/edge/balancer/prefill_rate.go
+++ b/edge/balancer/prefill_rate.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"bergamotpin.example/bergamotpin/edge/catalog"
 )
 
 const (
@@ -47,12 +49,13 @@
 // serviceHash stands for a service in reports between instances.
 func serviceHash(name string) uint64 { return xxhash.Sum64String(name) >> 32 }
 
-// countPrefill counts prompt tokens that a server of the service has to read.
-func (b *Balancer) countPrefill(service string, tokens int, now time.Time) {
-	if tokens <= 0 {
+// countPrefill counts prompt tokens that a server of the service has to read. They matter only if
+// servers can be ordered.
+func (b *Balancer) countPrefill(service catalog.Service, tokens int, now time.Time) {
+	if tokens <= 0 || service.Autoscale == nil {
 		return
 	}
-	key := serviceHash(service)
+	key := serviceHash(service.Name)
 	rate, ok := b.prefillRates[key]
 	if !ok {
 		rate = &prefillRate{decayedAt: now}
--- a/edge/gossip/node.go
+++ b/edge/gossip/node.go
@@ -17,6 +17,7 @@
 	"bergamotpin.example/bergamotpin/edge/catalog"
 	"bergamotpin.example/bergamotpin/edge/crashguard"
 	"bergamotpin.example/bergamotpin/edge/serverlimit"
+	"bergamotpin.example/bergamotpin/edge/usage"
 	"bergamotpin.example/bergamotpin/objects"
 )
 
@@ -30,12 +31,12 @@
 	cycleRounds = 2.5
 )
 
-// Options configures a Node. All fields but Seeds are required.
+// Options configures a Node. All fields but Seeds and Usage are required.
 type Options struct {
 	Name       string
 	DataCentre string
 	// Cluster identifies the deployment that the instance belongs to. All instances of
-	// a deployment have the same value, and no other deployment has it.
+	// a deployment have the same value, and no other deployment has it. SetCluster changes it.
 	Cluster string
 	// Address is where other instances reach this one over UDP and TCP.
 	Address netip.AddrPort
@@ -71,6 +72,8 @@
 	Callers netip.AddrPort
 	// StoreAge returns how long ago the metadata store last responded to this instance.
 	StoreAge func(now time.Time) time.Duration
+	// Usage counts requests for reports, or is nil if the deployment asks for none.
+	Usage *usage.Accounts
 	// OnChange is called with the changes that fetched records made to the catalog.
 	OnChange func(source string, changes []catalog.Change)
 	Log      *slog.Logger
@@ -87,6 +90,7 @@
 	listener net.Listener
 	client   *http.Client
 	encoded  encodedServers
+	cluster  cluster
 
 	mu       sync.Mutex
 	members  *members
@@ -96,6 +100,8 @@
 	// behindSince is the time at which this instance was first found to lack another
 	// instance's records. It is zero if this instance lacks none.
 	behindSince time.Time
+	// usageSentAt is when the sums of usage were last sent.
+	usageSentAt time.Time
 	sendNow     chan struct{}
 	tasks       sync.WaitGroup
 }
@@ -114,6 +120,7 @@
 	n := &Node{
 		opts: o, nameHash: xxhash.Sum64String(o.Name), started: time.Now().UnixNano(), socket: socket, listener: listener,
 		client:  newFetchClient(),
+		cluster: cluster{first: o.Cluster},
 		members: newMembers(o.Address, o.DataCentre),
 		sendNow: make(chan struct{}, 1),
 	}
@@ -209,9 +216,11 @@
 	defer ticker.Stop()
 	for {
 		n.sendRound(time.Now())
+		n.sendUsageIfDue(time.Now(), false)
 		select {
 		case <-ctx.Done():
 			n.sendRound(time.Now())
+			n.sendUsageIfDue(time.Now(), true)
 			return
 		case <-ticker.C:
 		case <-n.sendNow:
@@ -230,13 +239,14 @@
 	}
 	n.sequence++
 	recipients := n.planRound(storeAge)
+	first, moved := n.cluster.stated()
 	complete := message{
-		Cluster: n.opts.Cluster, Name: n.opts.Name, Started: n.started, Sequence: n.sequence,
+		Cluster: first, Moved: moved, Name: n.opts.Name, Started: n.started, Sequence: n.sequence,
 		Address: n.opts.Address, Leaving: n.leaving, Revision: digest.Configuration.Store.Revision, ServersDigest: digest.Servers,
 		Known: n.members.knownAddresses(n.sequence, maxKnown), Reports: reports.Servers, DataCentre: n.opts.DataCentre,
 		StoreAgeMs: storeAge.Milliseconds(), Urgencies: reports.Urgencies,
 		Crashes: crashReports, Limits: limitReports, Listed: n.opts.ListedVersions(), LeavingServers: n.opts.LeavingServers(now),
-		CutOff: n.opts.CutOff(), Callers: n.opts.Callers, Prefill: reports.Prefill, stated: newStated(digest),
+		CutOff: n.opts.CutOff(), Callers: n.opts.Callers, Usage: n.usageNotice(now), Prefill: reports.Prefill, stated: newStated(digest),
 	}
 	withoutReports := complete
 	withoutReports.Reports, withoutReports.Urgencies, withoutReports.Prefill, withoutReports.Known = nil, nil, nil, n.members.knownAddresses(n.sequence, maxKnownRemote)
@@ -266,8 +276,9 @@
 // sendSummary sends this data centre's summary to the given instances of other data
 // centres. The summary holds sums of the reports of all instances in this data centre.
 func (n *Node) sendSummary(now time.Time, targets []netip.AddrPort) {
+	first, moved := n.cluster.stated()
 	datagrams, err := encodeAll(message{
-		Cluster: n.opts.Cluster, Name: n.opts.Name, Started: n.started, Address: n.opts.Address,
+		Cluster: first, Moved: moved, Name: n.opts.Name, Started: n.started, Address: n.opts.Address,
 		DataCentre: n.opts.DataCentre, Summary: true, Reports: n.opts.Summary(now),
 	})
 	if err != nil {
@@ -299,14 +310,16 @@
 			continue
 		}
 		m, err := decode(buffer[:size])
-		if err != nil || m.Cluster != n.opts.Cluster {
+		if err != nil || !n.cluster.accepts(m) {
 			continue
 		}
 		if m.Summary {
 			n.handleSummary(m, buffer[:size], from, time.Now())
 			continue
 		}
-		n.handleMessage(m, time.Now())
+		if !n.receiveUsage(m, time.Now()) {
+			n.handleMessage(m, time.Now())
+		}
 	}
 }
 
