--- a/edge/autoscale/need.go
+++ b/edge/autoscale/need.go
@@ -204,12 +204,13 @@
 	return sum / float64(max(len(n.samples), 1))
 }
 
-// current returns the need at the last observation.
-func (n *needs) current() float64 {
+// current returns the need at the last observation, or what will be left of it after the given time
+// if it falls.
+func (n *needs) current(after time.Duration) float64 {
 	if len(n.samples) == 0 {
 		return 0
 	}
-	return n.samples[len(n.samples)-1].need
+	return min(n.samples[len(n.samples)-1].need, n.forecast(after))
 }
 
 // forecast returns the need after the given time, by the trend of the last seconds. Growth within
