--- a/edge/balancer/balancer.go
+++ b/edge/balancer/balancer.go
@@ -277,7 +277,7 @@
 	s.localLoad.Running++
 	s.localLoad.Waiting++
 	s.localLoad.PrefillTokens += a.prefillTokens
-	b.countPrefill(r.Service.Name, a.prefillTokens, now)
+	b.countPrefill(r.Service, a.prefillTokens, now)
 	a.memoryTokens = r.memoryTokens()
 	s.localLoad.MemoryTokens += a.memoryTokens
 	sharedBlocks := r.sharedBlocks()
--- a/edge/balancer/service_demand_test.go
+++ b/edge/balancer/service_demand_test.go
@@ -13,7 +13,7 @@
 func TestServiceDemand(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
 	b := New(Options{DataCentre: "a"})
-	service := catalog.Service{Name: "m", Slots: 24, MemoryTokens: 600_000}
+	service := catalog.Service{Name: "m", Slots: 24, MemoryTokens: 600_000, Autoscale: &catalog.Autoscale{}}
 	server := catalog.BackendServer{ID: "i-1", Service: "m", DataCentre: "a", Slots: 24}
 	key := ServerKey(server)
 	for range 100 {
