Prefer servers to which the instance has an idle connection

Now an instance of a deployment with more than eight instances also examines up to twelve servers to which it has an idle connection, and adds the worth of a new connection to the cost of the others. The balancer infers idle connections from the ends of attempts.

--- a/edge/backendclient/send.go
+++ b/edge/backendclient/send.go
@@ -89,6 +89,10 @@
 	written chan struct{}
 	// complete is set once the body has been read to the end.
 	complete bool
+	// idleTimeout is for how long the connection may be idle after the response.
+	idleTimeout time.Duration
+	// kept is set once Close pooled the connection.
+	kept bool
 }
 
 // Send sends a request and returns the response once its header was read. Errors are
@@ -120,6 +124,7 @@
 		return nil, &engineclient.SendError{Reason: failureReason(ctx, err), Err: err}
 	}
 	conn.idleTimeout = idleTimeoutFrom(resp.Header)
+	resp.idleTimeout = conn.idleTimeout
 	if err := resp.SetReadDeadline(req.Deadline); err != nil {
 		resp.Close()
 		return nil, &engineclient.SendError{Reason: failureReason(ctx, err), Err: err}
@@ -240,12 +245,22 @@
 	detached := r.detach()
 	reusable := detached && r.complete && !r.Response.Close && r.isWritten() && r.conn.reader.Buffered() == 0
 	if reusable && r.conn.net.SetDeadline(time.Time{}) == nil {
+		r.kept = true
 		r.client.putIdle(r.key, r.conn)
 		return
 	}
 	r.client.closeConnection(r.key, r.conn)
 }
 
+// ConnectionKept returns for how long the connection is kept for other requests after Close
+// was called, or zero if it is not kept.
+func (r *Response) ConnectionKept() time.Duration {
+	if !r.kept {
+		return 0
+	}
+	return r.idleTimeout
+}
+
 // isWritten reports whether the whole request was written. A server may respond before
 // the request was written. If the connection were reused at that point, the server would
 // read the rest of this request as the start of the next one.
--- a/edge/backendclient/send_test.go
+++ b/edge/backendclient/send_test.go
@@ -532,3 +532,27 @@
 		t.Errorf("%d connections hold %d MB, want at most %d MB", connections, grown>>20, int64(maxBytes)>>20)
 	}
 }
+
+// TestOnlyConnectionsThatStayOpenAreStatedAsKept guards against counting on the connection of a
+// response that was not read to its end.
+func TestOnlyConnectionsThatStayOpenAreStatedAsKept(t *testing.T) {
+	s := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		_, _ = io.WriteString(c, responseText(readRequest(r), "x"))
+		_, _ = r.ReadByte()
+	})
+	c := NewClient(nil)
+	for read, want := range map[bool]time.Duration{true: 10*time.Second - idleMargin, false: 0} {
+		resp, err := c.Send(context.Background(), s.server(), newRequest("1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if read {
+			_, _ = io.Copy(io.Discard, resp)
+		}
+		resp.Close()
+		if got := resp.ConnectionKept(); got != want {
+			t.Errorf("response read to its end: %v, connection kept for %v, want %v", read, got, want)
+		}
+		c.CloseIdle(func(string) bool { return false })
+	}
+}
--- a/edge/balancer/balancer.go
+++ b/edge/balancer/balancer.go
@@ -78,6 +78,9 @@
 	peerBlocks []recentBlock
 	// steps is the length of the engine's decode steps.
 	steps stepRatio
+	// idleUntil holds until when each idle connection of this instance to the server is
+	// kept.
+	idleUntil []time.Time
 	// lastSummarised is when a call of Summary last returned load, statistics
 	// or prefix blocks of the server.
 	lastSummarised time.Time
@@ -235,6 +238,9 @@
 	// that are reserved for more urgent requests and those in suspected data centres.
 	// It is nil in these attempts.
 	examined []*Attempt
+	// ConnectionKept is for how long the attempt's connection is kept after the end of
+	// the attempt, or zero if it is not. It must be set before EndAttempt is called.
+	ConnectionKept time.Duration
 	// grouped is set if some engines are reserved. level is then the priority index for
 	// which Server is reserved.
 	grouped bool
@@ -270,6 +276,7 @@
 	a.eventTokens = r.Service.EventTokens
 	a.prefillTokens = max(r.PromptTokens-a.CachedTokens, 0)
 	b.recordPrefill(a, r, now)
+	s.takeIdleConnection(now)
 	b.stateOf(a.Server.DataCentre).running++
 	s.localLoad.Running++
 	s.localLoad.Waiting++
@@ -304,6 +311,9 @@
 	s.localLoad.Running--
 	s.localLoad.MemoryTokens -= a.memoryTokens
 	s.localStats.recordResult(result, now)
+	if a.ConnectionKept > 0 {
+		s.addIdleConnection(now.Add(a.ConnectionKept))
+	}
 	dc := b.stateOf(a.Server.DataCentre)
 	dc.running--
 	switch result {
--- a/edge/balancer/choose.go
+++ b/edge/balancer/choose.go
@@ -109,13 +109,15 @@
 		preferred = preferredServer(sharedBlocks[len(sharedBlocks)-1].ID, keys, reserved, r.PriorityIndex)
 	}
 	sample := b.sample(len(candidates), sampleFactor(r, maxCached), func(i int) bool { return reserved.reservedFor(i, r.PriorityIndex) })
+	warm := b.warmServers(keys, now)
 	best := -1
 	var fastest time.Duration
 	var examined []*Attempt
 	for i := range attempts {
 		a := &attempts[i]
 		hasLongestPrefix := maxCached > 0 && a.CachedTokens == maxCached
-		if !hasLongestPrefix && i != preferred && !sample.contains(i) {
+		isWarm := len(warm) > 0 && warm[i]
+		if !hasLongestPrefix && i != preferred && !sample.contains(i) && !isWarm {
 			continue
 		}
 		b.estimateCost(a, r, now)
@@ -191,6 +193,7 @@
 	if b.suspected(a.Server.DataCentre, now) {
 		a.Cost += suspectedCost
 	}
+	a.Cost += b.connectionCost(a, now)
 	a.Cost += jitterCost * b.random.Float64()
 }
 
--- a/edge/reverseproxy/sending.go
+++ b/edge/reverseproxy/sending.go
@@ -84,6 +84,7 @@
 func (f *forwarder) end(s *sending, result balancer.AttemptResult) {
 	if s.response != nil {
 		s.response.Close()
+		s.attempt.ConnectionKept = s.response.ConnectionKept()
 	}
 	s.cancel()
 	f.handler.Selector.EndAttempt(&s.attempt, result)
