Bound the wait for memory by the request's deadline, and give back late grants

An ask whose time was over refused the newest of the heaviest, which for as long as newer ones came was another one: an old body waited without an end, also past its request's deadline and timeout, since nothing reads from the connection meanwhile. Grow takes a time now at which the ask itself is refused. An ask that ended with its context at the moment at which it was granted left the memory with its reservation, which response buffers never released then, as they count only what growPatiently returned without an error; it gives the memory back now. And a timer that fired together with the grant refused another ask for nothing; this is no longer done.

--- a/edge/reverseproxy/request_body.go
+++ b/edge/reverseproxy/request_body.go
@@ -61,7 +61,7 @@
 	// The error is ignored: only response writers in tests don't support deadlines.
 	_ = control.SetReadDeadline(req.deadline)
 	callerconn.OpenBody(r.Context())
-	err := req.body.read(r, limit, func() *memoryaccount.Reservation { return h.Memory.Reserve(memoryaccount.Bodies, req.party()) })
+	err := req.body.read(r, limit, req.deadline, func() *memoryaccount.Reservation { return h.Memory.Reserve(memoryaccount.Bodies, req.party()) })
 	if !callerconn.CloseBody(r.Context()) && err == nil {
 		err = errBodyEnded
 	}
@@ -87,9 +87,9 @@
 	return memoryaccount.Party{Address: req.callerAddress, Organisation: req.org.Name}
 }
 
-// read reads a body to its end. It takes memory for each part before the part is read; reserve is
-// called before the first part that needs any.
-func (b *body) read(r *http.Request, limit int64, reserve func() *memoryaccount.Reservation) error {
+// read reads a body to its end. It takes memory for each part before the part is read, and waits for
+// it to the deadline at most; reserve is called before the first part that needs any.
+func (b *body) read(r *http.Request, limit int64, deadline time.Time, reserve func() *memoryaccount.Reservation) error {
 	for {
 		size := b.nextPart(r.ContentLength, limit)
 		if size == 0 {
@@ -99,7 +99,7 @@
 			if b.memory == nil {
 				b.memory = reserve()
 			}
-			if err := b.memory.Grow(int64(size)); err != nil {
+			if err := b.memory.Grow(int64(size), deadline); err != nil {
 				return err
 			}
 		}
--- a/memoryaccount/account.go
+++ b/memoryaccount/account.go
@@ -133,12 +133,33 @@
 	return w
 }
 
-// giveUp ends an ask that waits. If it was granted meanwhile, its reservation gives the memory
-// back later.
-func (a *Account) giveUp(w *waiter) {
+// giveUp ends an ask that waits. It returns true if the ask was granted meanwhile.
+func (a *Account) giveUp(w *waiter) (granted bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.waiting = slices.DeleteFunc(a.waiting, func(other *waiter) bool { return other == w })
+	return !a.remove(w) && <-w.done
+}
+
+// refuse is giveUp, and counts a refusal unless the ask had its result.
+func (a *Account) refuse(w *waiter) (granted bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.remove(w) {
+		a.refused[w.reservation.kind]++
+		return false
+	}
+	return <-w.done
+}
+
+// remove takes an ask from those that wait. It returns false if the ask has its result already. The
+// lock must be held.
+func (a *Account) remove(w *waiter) bool {
+	at := slices.Index(a.waiting, w)
+	if at < 0 {
+		return false
+	}
+	a.waiting = slices.Delete(a.waiting, at, at+1)
+	return true
 }
 
 // grantWaiting grants the asks that fit, the oldest first. The lock must be held.
@@ -156,11 +177,18 @@
 	})
 }
 
-// refuseOne refuses one of the asks that wait. An ask whose time is over calls it; it may be
-// another one that is refused.
-func (a *Account) refuseOne() {
+// refuseOneBeside refuses one of the asks that wait, if the given one is still among them. An ask
+// whose time is over calls it; it may be another one that is refused.
+func (a *Account) refuseOneBeside(w *waiter) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if slices.Contains(a.waiting, w) {
+		a.refuseOne()
+	}
+}
+
+// refuseOne refuses one of the asks that wait. The lock must be held.
+func (a *Account) refuseOne() {
 	var candidates []candidate
 	var waiters []*waiter
 	for _, w := range a.waiting {
@@ -175,7 +203,7 @@
 		return
 	}
 	refused := waiters[refusedFirst(candidates)]
-	a.waiting = slices.DeleteFunc(a.waiting, func(other *waiter) bool { return other == refused })
+	a.remove(refused)
 	a.refused[refused.reservation.kind]++
 	refused.done <- false
 }
--- a/memoryaccount/account_test.go
+++ b/memoryaccount/account_test.go
@@ -14,6 +14,15 @@
 	return Party{Address: netip.MustParseAddr(address), Organisation: organisation}
 }
 
+func inAnHour() time.Time { return time.Now().Add(time.Hour) }
+
+// refuseOne refuses one of the asks that wait.
+func refuseOne(a *Account) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refuseOne()
+}
+
 // awaitWaiting waits until the given number of asks wait.
 func awaitWaiting(t *testing.T, a *Account, want int) {
 	t.Helper()
@@ -51,10 +60,10 @@
 	var results [3]chan error
 	for n, r := range []*Reservation{calm, young, old} {
 		results[n] = make(chan error, 1)
-		go func() { results[n] <- r.Grow(900) }()
+		go func() { results[n] <- r.Grow(900, inAnHour()) }()
 		awaitWaiting(t, a, n+1)
 	}
-	a.refuseOne()
+	refuseOne(a)
 	if err := receive(t, results[1]); !errors.Is(err, ErrShort) {
 		t.Errorf("the newest body of the heaviest got %v, want it to be refused", err)
 	}
@@ -86,7 +95,7 @@
 	a.Reserve(Connections, Party{}).Force(1000)
 	results := make(chan error)
 	for range 20 {
-		go func() { results <- a.Reserve(Bodies, party("10.0.0.1", "o")).Grow(100) }()
+		go func() { results <- a.Reserve(Bodies, party("10.0.0.1", "o")).Grow(100, inAnHour()) }()
 	}
 	for range 20 {
 		if err := receive(t, results); !errors.Is(err, ErrShort) {
@@ -107,7 +116,7 @@
 	granted := make(chan error, 1)
 	go func() { granted <- response.GrowPatiently(context.Background(), 100) }()
 	awaitWaiting(t, a, 1)
-	a.refuseOne()
+	refuseOne(a)
 	taken.Release()
 	if err := receive(t, granted); err != nil {
 		t.Errorf("got %v, want the memory", err)
--- a/memoryaccount/reservation.go
+++ b/memoryaccount/reservation.go
@@ -51,8 +51,8 @@
 }
 
 // Grow takes more bytes. If they are not there it waits, and returns ErrShort if the reservation
-// is the one that is refused.
-func (r *Reservation) Grow(bytes int64) error {
+// is the one that is refused, or if the time until is over.
+func (r *Reservation) Grow(bytes int64, until time.Time) error {
 	a := r.account
 	a.mu.Lock()
 	if a.fits(r, bytes) {
@@ -62,7 +62,7 @@
 	}
 	w := a.await(r, bytes, false)
 	a.mu.Unlock()
-	return w.wait(a)
+	return w.wait(a, until)
 }
 
 // GrowPatiently takes more bytes. If they are not there it waits until they are, or until ctx ends,
@@ -81,28 +81,38 @@
 	case <-w.done:
 		return nil
 	case <-ctx.Done():
-		a.giveUp(w)
+		if a.giveUp(w) {
+			r.Shrink(bytes)
+		}
 		return ctx.Err()
 	}
 }
 
-// wait waits until the ask is granted or refused. Each time that maxWait is over, one of those that
-// wait is refused, so there are at most as many rounds as asks.
-func (w *waiter) wait(a *Account) error {
-	timer := time.NewTimer(a.maxWait)
+// wait waits until the ask is granted or refused, at most to the time until. Each time that maxWait
+// is over, one of those that wait is refused. It may be another one for as long as newer ones come.
+func (w *waiter) wait(a *Account, until time.Time) error {
+	timer := time.NewTimer(min(a.maxWait, time.Until(until)))
 	defer timer.Stop()
 	for {
 		select {
 		case granted := <-w.done:
-			if !granted {
-				return ErrShort
-			}
-			return nil
+			return refusedUnless(granted)
 		case <-timer.C:
-			a.refuseOne()
-			timer.Reset(a.maxWait)
 		}
+		left := time.Until(until)
+		if left <= 0 {
+			return refusedUnless(a.refuse(w))
+		}
+		a.refuseOneBeside(w)
+		timer.Reset(min(a.maxWait, left))
+	}
+}
+
+func refusedUnless(granted bool) error {
+	if granted {
+		return nil
 	}
+	return ErrShort
 }
 
 // Shrink gives some of the bytes back.
