Check again that a connection may make room, and read what is on its way

Connections that make room are chosen from what they did when all were looked at. Each was then ended for any use but serving: one that was idle at that moment, and whose next request had begun or whose response was being taken since, was ended in the middle of it, for a response after the request had run. makeRoom decides again under the connection's lock. And an idle connection's read deadline was the present moment, so a request that had arrived and was not read yet was lost with it, other than with expire; it is read for idleGrace now, like there.

Before: TestRequestThatBeginsMakesNoRoom saw a head, a body and a response ended at once, TestBytesOnTheWayAreRead a time-out instead of the byte. After: both pass with all tests of callerconn (14 s).

--- a/callerconn/room.go
+++ b/callerconn/room.go
@@ -81,6 +81,11 @@
 func (c *connection) occupant(now time.Time) occupant {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.occupantNow(now)
+}
+
+// occupantNow is occupant while the lock is held.
+func (c *connection) occupantNow(now time.Time) occupant {
 	o := occupant{address: c.address, use: c.use()}
 	switch o.use {
 	case unused:
@@ -115,21 +120,26 @@
 }
 
 // makeRoom ends the connection so that others find room. It returns false if the connection is
-// ending already, or if it is serving a request that was read.
+// ending already, or if it may no longer make room: something may have happened since it was chosen.
 func (c *connection) makeRoom(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch {
-	case c.expiring, c.use() == serving:
+	o := c.occupantNow(now)
+	if c.expiring || !o.mayMakeRoom() {
 		return false
-	case c.use() == writing:
-		// The error is ignored: a broken connection ends by itself.
+	}
+	// The errors are ignored: a broken connection ends by itself.
+	switch o.use {
+	case writing:
 		_ = c.Conn.SetWriteDeadline(now)
 		return true
+	case idle, unused:
+		// A request that has arrived by then is read.
+		_ = c.Conn.SetReadDeadline(now.Add(idleGrace))
+	default:
+		_ = c.Conn.SetReadDeadline(now)
 	}
 	c.expiring = true
-	// The error is ignored: a broken connection ends by itself.
-	_ = c.Conn.SetReadDeadline(now)
 	return true
 }
 
