Bound what is read on of a body that was refused for want of memory

A body that is refused in the middle has its read deadline at the request's, which its caller states. After the response net/http reads up to 256 KB on to find the body's end, so a caller that sends nothing more kept its connection, goroutine and buffers until then; the connection counts as serving a request and so makes no room for others. The rest is now awaited for unreadBodyTimeout at most, as for requests that are refused before their bodies are read.

Before: TestRefusedBodyEndsItsConnection waited 5 s in vain for the end of the connection after the 503. After: it passes. TestAllMemoryIsGivenBack sends 120 bodies that end in six ways, some to a server whose response has no end, and finds the account at zero; it passed before too, and guards the paths of errors.

--- a/edge/reverseproxy/request_body.go
+++ b/edge/reverseproxy/request_body.go
@@ -69,8 +69,11 @@
 		_ = control.SetReadDeadline(time.Time{})
 		return nil
 	}
-	// The rest of the body stays unread, so the connection can't carry another
-	// request.
+	// The rest of the body is of no use, so the connection can't carry another request. net/http
+	// reads on for a while, so that the caller can read the response.
+	if end := time.Now().Add(unreadBodyTimeout); end.Before(req.deadline) {
+		_ = control.SetReadDeadline(end)
+	}
 	w.Header().Set("Connection", "close")
 	var sizeError *http.MaxBytesError
 	switch {
