Let the oldest response that waits for memory go on

Responses without a length, errors of servers and what another instance passes on can't be passed on as they are read: they wait for memory, all of them together up to half of the account. Once that half was held by responses that were half read, each waited for the memory of the others until its deadline, and all of their requests, which had run, were lost at once, though the rest of the account was free. Each memory_wait the oldest may now take all that is free, as the oldest body may; a bound below what is free is kept for all others.

Before: in TestOldestResponseGoesOn none of five got a result in 5 s. After: it passed three times with the package's other tests (0.5 s).

--- a/memoryaccount/account.go
+++ b/memoryaccount/account.go
@@ -140,6 +140,20 @@
 	return !a.remove(w) && <-w.done
 }
 
+// favourOldest grants a patient ask if it is the oldest of them and fits into what is free, above
+// the bound of responses too. Otherwise responses that are all half read would wait for each other.
+func (a *Account) favourOldest(w *waiter) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	oldest := slices.IndexFunc(a.waiting, func(other *waiter) bool { return other.patient })
+	if oldest < 0 || a.waiting[oldest] != w || w.bytes > a.capacity-a.used {
+		return
+	}
+	a.remove(w)
+	a.add(w.reservation, w.bytes)
+	w.done <- true
+}
+
 // refuse is giveUp, and counts a refusal unless the ask had its result.
 func (a *Account) refuse(w *waiter) (granted bool) {
 	a.mu.Lock()
--- a/memoryaccount/deadline_test.go
+++ b/memoryaccount/deadline_test.go
@@ -57,3 +57,29 @@
 		t.Errorf("%d bytes are held after the ask has ended, want none", used)
 	}
 }
+
+// TestOldestResponseGoesOn guards against responses that all are half read and wait for the memory
+// of each other until their deadlines.
+func TestOldestResponseGoesOn(t *testing.T) {
+	a := New(1000, shortWait)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	results := make(chan error)
+	for range 5 {
+		r := a.Reserve(Responses, party("10.0.0.1", "o"))
+		r.Force(100)
+		go func() {
+			err := r.GrowPatiently(ctx, 300)
+			r.Release()
+			results <- err
+		}()
+	}
+	for range 5 {
+		if err := receive(t, results); err != nil {
+			t.Errorf("a response got %v, want the memory", err)
+		}
+	}
+	if used := a.Usage().Used; used != 0 {
+		t.Errorf("%d bytes are held at the end", used)
+	}
+}
--- a/memoryaccount/reservation.go
+++ b/memoryaccount/reservation.go
@@ -66,7 +66,8 @@
 }
 
 // GrowPatiently takes more bytes. If they are not there it waits until they are, or until ctx ends,
-// and then returns the context's error. It is for work that was passed on already.
+// and then returns the context's error. It is for work that was passed on already. Each time that
+// maxWait is over, the oldest that waits may take all that is free.
 func (r *Reservation) GrowPatiently(ctx context.Context, bytes int64) error {
 	a := r.account
 	a.mu.Lock()
@@ -77,14 +78,20 @@
 	}
 	w := a.await(r, bytes, true)
 	a.mu.Unlock()
-	select {
-	case <-w.done:
-		return nil
-	case <-ctx.Done():
-		if a.giveUp(w) {
-			r.Shrink(bytes)
+	ticker := time.NewTicker(a.maxWait)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-w.done:
+			return nil
+		case <-ticker.C:
+			a.favourOldest(w)
+		case <-ctx.Done():
+			if a.giveUp(w) {
+				r.Shrink(bytes)
+			}
+			return ctx.Err()
 		}
-		return ctx.Err()
 	}
 }
 
