Bound the kernel's buffers of callers' connections

What callers have sent and nobody has read counts as a process's memory on the users' machines, and the kernel lets a connection's buffer grow to megabytes once it was read fast. The callers' listener now sets both buffers to 128 KiB, which its connections take over; what doesn't fit waits at the sender. Ruled out: setting them on each connection, which costs two calls a connection.

--- a/edge/instance.go
+++ b/edge/instance.go
@@ -152,7 +152,7 @@
 		Successes: i.log.Successes, Failures: i.log.Failures,
 		Memory: i.memory,
 	})
-	if i.callerListener, err = net.Listen("tcp4", s.CallersAddress.String()); err != nil {
+	if i.callerListener, err = listenForCallers(s.CallersAddress); err != nil {
 		return errors.Wrap(err, "callers")
 	}
 	if i.readyListener, err = net.Listen("tcp4", s.ReadyAddress.String()); err != nil {
