Test that bodies of exactly the limit are served in calm

Reviewing the bounds of bodies, one question was whether a body of exactly max_body_bytes, announced or in chunks, or several of them at once, meets a refusal while there is memory: the part that finds the end of a chunked body is one byte longer than the limit, and the first part of a body has a smaller share. The test stays to guard the shares against a change that would refuse callers inside the limits.

--- a/edge/reverseproxy/refused_body_test.go
+++ b/edge/reverseproxy/refused_body_test.go
@@ -87,3 +87,24 @@
 	}
 	t.Errorf("10 s after the last request: %+v is held, want nothing", got)
 }
+
+// TestLargestBodiesAreServed guards against the refusal of bodies of exactly the operator's limit, and of
+// several of them at once while there is memory.
+func TestLargestBodiesAreServed(t *testing.T) {
+	f := newFixture(t, 1)
+	f.allowLongBodies(8 << 20)
+	body := strings.Repeat("a", 256<<10)
+	var wait sync.WaitGroup
+	for n := range 16 {
+		fields, text := fmt.Sprintf("Connection: close\r\nContent-Length: %d\r\n", len(body)), body
+		if n%2 == 0 {
+			fields, text = "Connection: close\r\nTransfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+		}
+		wait.Go(func() {
+			if answer, err := f.exchangeRaw(fmt.Sprint("large-", n), fields, text, 20*time.Second); err != nil || !strings.HasPrefix(answer, "HTTP/1.1 200") {
+				t.Errorf("request %d: got %.60q, error %v; want status 200", n, answer, err)
+			}
+		})
+	}
+	wait.Wait()
+}
