--- a/limitstest/instance_test.go
+++ b/limitstest/instance_test.go
@@ -70,7 +70,7 @@
 }
 
 // startInstance starts an instance whose backend server answers as the handler does.
-func startInstance(t *testing.T, backend http.HandlerFunc) *instance {
+func startInstance(t testing.TB, backend http.HandlerFunc) *instance {
 	t.Helper()
 	store := platformtest.NewStore()
 	t.Cleanup(store.Close)
@@ -90,7 +90,7 @@
 }
 
 // start starts the process and waits until it is ready.
-func (i *instance) start(t *testing.T, settings string) {
+func (i *instance) start(t testing.TB, settings string) {
 	t.Helper()
 	i.cmd = exec.Command(binary, "edge", "--settings", settings)
 	i.cmd.Stdout, i.cmd.Stderr = io.Discard, &i.log
@@ -124,7 +124,7 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-func unusedAddress(t *testing.T) string {
+func unusedAddress(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp4", instanceIP+":0")
 	if err != nil {
@@ -138,7 +138,7 @@
 const backendID = "i-1"
 
 // startBackend starts a backend server and returns its address.
-func startBackend(t *testing.T, respond http.HandlerFunc) string {
+func startBackend(t testing.TB, respond http.HandlerFunc) string {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -162,7 +162,7 @@
 
 // checkHolds checks that the process lives and stays within its limits, and that an ordinary
 // request is answered.
-func (i *instance) checkHolds(t *testing.T) {
+func (i *instance) checkHolds(t testing.TB) {
 	t.Helper()
 	descriptors := i.descriptors(t)
 	answered := i.ordinaryRequestAnswered()
@@ -185,7 +185,7 @@
 }
 
 // peakMemoryMB returns the largest resident memory that the process has had, rounded up.
-func (i *instance) peakMemoryMB(t *testing.T) int {
+func (i *instance) peakMemoryMB(t testing.TB) int {
 	t.Helper()
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", i.cmd.Process.Pid))
 	if err != nil {
@@ -204,7 +204,7 @@
 	return 0
 }
 
-func (i *instance) descriptors(t *testing.T) int {
+func (i *instance) descriptors(t testing.TB) int {
 	t.Helper()
 	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", i.cmd.Process.Pid))
 	if err != nil {
