Keep the last holder in the record when a lease is acquired after it expired

A holder acts until its term ends, 0.2 of the duration before another one may acquire the lease. If that one releases it at once, because it stops, the first one could acquire it again and act within the duration of its last act. The record now lists the last holder also after an expiry. The new test fails without that and passes with it.

--- a/lease/handover.go
+++ b/lease/handover.go
@@ -19,13 +19,17 @@
 	return len(l.record.Previous) < maxPrevious && !slices.Contains(l.record.Previous, l.opts.Machine)
 }
 
-// previousAtAcquisition returns the machines that held the lease within its duration before this
-// instance acquires it.
+// previousAtAcquisition returns the machines that may have acted within the lease's duration before
+// this instance acquires it. If the lease expired, that is the last holder, which may have acted
+// until its term ended; if it was released that long ago, it is nobody.
 func (l *Lease) previousAtAcquisition() []string {
-	if l.opts.Machine == "" || l.hasExpired() {
+	if l.opts.Machine == "" || l.record.Holder == "" && l.hasExpired() {
 		return nil
 	}
-	previous := slices.Clone(l.record.Previous)
+	var previous []string
+	if !l.hasExpired() {
+		previous = slices.Clone(l.record.Previous)
+	}
 	if m := l.record.Machine; m != "" && m != l.opts.Machine && !slices.Contains(previous, m) {
 		previous = append(previous, m)
 	}
--- a/lease/handover_test.go
+++ b/lease/handover_test.go
@@ -121,3 +121,29 @@
 		}
 	}, "a", "b")
 }
+
+// TestExpiredHolderDoesNotFollowItsSuccessorAtOnce guards against a machine that acts until its
+// term ends, and again right after a successor that released the lease quickly.
+func TestExpiredHolderDoesNotFollowItsSuccessorAtOnce(t *testing.T) {
+	runMachines(t, func(t *testing.T, leases map[string]*Lease, _ *time.Duration) {
+		a, b := leases["a"], leases["b"]
+		a.acquireOrRenew(t.Context())
+		time.Sleep(DefaultDuration)
+		if !acquires(t, a) {
+			t.Fatal("the lease is not acquired")
+		}
+		b.acquireOrRenew(t.Context())
+		time.Sleep(DefaultDuration)
+		if !acquires(t, b) {
+			t.Fatal("the expired lease is not acquired")
+		}
+		b.release(t.Context())
+		if acquires(t, a) {
+			t.Error("the machine holds the lease again at once, want it to wait")
+		}
+		time.Sleep(DefaultDuration)
+		if !acquires(t, a) {
+			t.Error("the lease is not acquired after its duration, want it to be")
+		}
+	}, "a", "b")
+}
