--- a/edge/duties_test.go
+++ b/edge/duties_test.go
@@ -30,7 +30,7 @@
 func newDutyPlatform(t *testing.T) *dutyPlatform {
 	p := &dutyPlatform{}
 	p.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		report := usageReport{holder: r.Header.Get("X-Bergamotpin-Duty-Holder")}
+		report := usageReport{holder: r.Header.Get(platform.HeaderDutyHolder)}
 		if err := json.NewDecoder(r.Body).Decode(&report); err != nil {
 			t.Error(err)
 		}
--- a/edge/gossip/compressed_records_test.go
+++ b/edge/gossip/compressed_records_test.go
@@ -21,7 +21,7 @@
 	for i := range 140 {
 		records = append(records, catalog.Record{
 			Kind: catalog.KindServer, Name: fmt.Sprintf("i-%08x", i*7919), Revision: int64(i + 1),
-			Spec: fmt.Appendf(nil, `{"service":"m","address":"10.0.0.%d:8080","zone":"z","version":"v1","slots":64,"state":"ready","warmup_left_ms":0,"seq":4,"born":1700}`, i),
+			Spec: fmt.Appendf(nil, `{"service":"m","address":"10.0.0.%d:8080","zone":"z","version":"v1","slots":64,"state":"ready","seq":4,"born":1700}`, i),
 		})
 	}
 	known := catalog.New(platform.Decoder{})
--- a/edge/reverseproxy/refused_body_test.go
+++ b/edge/reverseproxy/refused_body_test.go
@@ -12,6 +12,7 @@
 
 	"bergamotpin.example/bergamotpin/edge/catalog"
 	"bergamotpin.example/bergamotpin/memoryaccount"
+	"bergamotpin.example/bergamotpin/platform"
 	"bergamotpin.example/bergamotpin/platform/platformtest"
 )
 
@@ -33,7 +34,7 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(wait))
-	head := "POST " + pathSafe + " HTTP/1.1\r\nHost: h.example\r\nX-Bergamotpin-Request-Id: " + id + "\r\nX-Api-Key: key\r\n" + fields + "\r\n"
+	head := "POST " + pathSafe + " HTTP/1.1\r\nHost: h.example\r\n" + platform.HeaderRequestID + ": " + id + "\r\n" + platform.HeaderAPIKey + ": key\r\n" + fields + "\r\n"
 	if _, err := io.WriteString(conn, head+body); err != nil {
 		return "", err
 	}
--- a/edge/reverseproxy/second_attempt_guard_test.go
+++ b/edge/reverseproxy/second_attempt_guard_test.go
@@ -1,7 +1,6 @@
 package reverseproxy
 
 import (
-	"strings"
 	"testing"
 	"time"
 
@@ -13,16 +12,16 @@
 // although the configuration that came since the first send allows no further run, and against a
 // caller that then waits for it.
 func TestNewConfigurationHoldsForSecondAttempt(t *testing.T) {
-	for name, change := range map[string]*strings.Replacer{
-		"may run once":    strings.NewReplacer(`"resumable":true,`, ""),
-		"one server only": strings.NewReplacer(`"max_attempts":2,"resumable"`, `"max_attempts":1,"resumable"`),
+	for name, change := range map[string]func(string) string{
+		"may run once":    platformtest.WithoutResuming,
+		"one server only": platformtest.WithOneServer,
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newHedgingFixture(t, 2, pathResumable, platformtest.Behaviour{Events: 1})
 			f.setBehaviour(platformtest.Behaviour{Delay: stalledStreamFor, Events: 1})
 			got, _ := f.doMeanwhile(f.request(pathResumable), func(first int) {
 				f.setOthers(first, platformtest.Behaviour{Hang: true})
-				f.putRecord(catalog.KindConfiguration, "main", change.Replace(platformtest.Configuration(2, streamTimeoutMs, "key")))
+				f.putRecord(catalog.KindConfiguration, "main", change(platformtest.Configuration(2, streamTimeoutMs, "key")))
 			})
 			f.expectStatus(got, 200)
 			if ran := f.serversThatRan(); len(ran) != 1 {
--- a/edge/server_orders_test.go
+++ b/edge/server_orders_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"testing"
 
+	"bergamotpin.example/bergamotpin/platform"
 	"bergamotpin.example/bergamotpin/platform/platformtest"
 )
 
@@ -36,7 +37,7 @@
 func newScalablePlatform(t *testing.T, store *platformtest.Store) *scalablePlatform {
 	p := &scalablePlatform{store: store, groups: make(map[string][]string)}
 	p.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		order := serverOrder{holder: r.Header.Get("X-Bergamotpin-Duty-Holder"), token: r.Header.Get("X-Bergamotpin-Fencing-Token")}
+		order := serverOrder{holder: r.Header.Get(platform.HeaderDutyHolder), token: r.Header.Get(platform.HeaderFencingToken)}
 		if err := json.NewDecoder(r.Body).Decode(&order); err != nil || r.URL.Path != "/scale" {
 			t.Errorf("got %s, error %v", r.URL.Path, err)
 		}
--- a/limitstest/crowd_test.go
+++ b/limitstest/crowd_test.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"bergamotpin.example/bergamotpin/platform"
 )
 
 const (
@@ -71,7 +73,8 @@
 // head returns the head of a request with the given further fields, without the empty line.
 func head(path string, n int, fields ...string) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "POST %s1 HTTP/1.1\r\nHost: h.example\r\nX-Bergamotpin-Request-Id: crowd-%d\r\nX-Bergamotpin-Deadline-Ms: 60000\r\nX-Api-Key: key-of-crowd\r\n", path, n)
+	fmt.Fprintf(&b, "POST %s1 HTTP/1.1\r\nHost: h.example\r\n%s: crowd-%d\r\n%s: 60000\r\n%s: key-of-crowd\r\n",
+		path, platform.HeaderRequestID, n, platform.HeaderDeadline, platform.HeaderAPIKey)
 	for _, field := range fields {
 		b.WriteString(field + "\r\n")
 	}
--- a/limitstest/edge_test.go
+++ b/limitstest/edge_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strings"
 	"testing"
+
+	"bergamotpin.example/bergamotpin/platform"
 )
 
 // TestChunkedBodiesInLargePiecesThatStopShort guards against bodies that are held without a bound
@@ -149,7 +151,7 @@
 func TestCallersThatDontReadTheirResponses(t *testing.T) {
 	response := strings.Repeat("x", 3*maxBodyBytes)
 	i := startInstance(t, func(w http.ResponseWriter, r *http.Request) {
-		if strings.HasPrefix(r.Header.Get("X-Bergamotpin-Request-Id"), "ordinary") {
+		if strings.HasPrefix(r.Header.Get(platform.HeaderRequestID), "ordinary") {
 			respondShort(w, r)
 			return
 		}
--- a/limitstest/instance_test.go
+++ b/limitstest/instance_test.go
@@ -35,13 +35,6 @@
 	callerIP   = "127.0.0.63"
 )
 
-const configuration = `{"version":1,"routes":[
-{"name":"order","host":"h.example","path_prefix":"/order/","type":"unsafe","timeout_ms":60000,"slo_ms":1000,"service":"s","max_attempts":1},
-{"name":"prompt","host":"h.example","path_prefix":"/prompt/","type":"stream","timeout_ms":60000,"slo_ms":1000,"service":"s","max_attempts":1,"gap_target_ms":800}],
-"services":[{"name":"s","max_conns":400}],
-"limits":{"max_header_bytes":%d,"max_body_bytes":%d,"header_timeout_ms":3000,"idle_timeout_ms":15000},
-"tenants":[{"name":"crowd","api_keys":["key-of-crowd"],"priority":1},{"name":"calm","api_keys":["key-of-calm"],"priority":1}]}`
-
 // binary is the path of the program. TestMain builds it.
 var binary string
 
@@ -75,8 +68,8 @@
 	store := platformtest.NewStore()
 	t.Cleanup(store.Close)
 	server := startBackend(t, backend)
-	store.Put("config", "main", fmt.Sprintf(configuration, maxHeaderBytes, maxBodyBytes))
-	store.Put("servers", backendID, fmt.Sprintf(`{"service":"s","address":%q,"zone":"dc1","version":"v1","slots":400,"state":"ready","warmup_left_ms":0,"seq":1,"born":1}`, server))
+	store.Put("config", "main", platformtest.LimitsConfiguration(maxHeaderBytes, maxBodyBytes))
+	store.Put("servers", backendID, fmt.Sprintf(`{"service":"s","address":%q,"zone":"dc1","version":"v1","slots":400,"state":"ready","seq":1,"born":1}`, server))
 	i := &instance{callers: unusedAddress(t), ready: unusedAddress(t), ended: make(chan struct{})}
 	_, peers, _ := net.SplitHostPort(unusedAddress(t))
 	settings := filepath.Join(t.TempDir(), "settings.conf")
