--- a/edge/autoscale/orders.go
+++ b/edge/autoscale/orders.go
@@ -117,7 +117,12 @@
 	for _, g := range sortedGroups(target) {
 		s := p.group(g)
 		expected := s.expected(now)
-		more := min(int(math.Ceil(budget*float64(target[g]-expected))), room[g.DataCentre])
+		more := int(math.Ceil(budget * float64(target[g]-expected)))
+		if more > 0 {
+			// A data centre that lost its replicas gets the least number at once.
+			more = max(more, options.Min-options.Max+room[g.DataCentre])
+		}
+		more = min(more, room[g.DataCentre])
 		if more <= 0 || now.Before(s.nextOrder) || s.refused(now) {
 			continue
 		}
@@ -180,7 +185,9 @@
 	most := p.mostToRemove()
 	for _, g := range p.byPrice(left) {
 		s := p.groups[g]
-		for fewer := min(p.mostToLower(s, target[g], now), most-removed); fewer > 0; fewer-- {
+		// Replicas that replace these have perhaps not come, or can't be had.
+		spare := left.of(g.DataCentre) - p.last.Service.Autoscale.Min
+		for fewer := min(p.mostToLower(s, target[g], now), most-removed, spare); fewer > 0; fewer-- {
 			reread := p.rereadNeed(removed + fewer)
 			with := r
 			with.now, with.afterLoss, with.afterReclaims = r.now+reread, r.afterLoss+reread, r.afterReclaims+reread
