Keep a burst of duty calls within the platform's rate

The limiter let through a burst of half of a second's calls and then 0.8 of the rate, so within one second 11 calls of 10, 59 of 50 and 239 of 200 were made, and the platform refuses those beyond. The term and the turn of the guard were ruled out: they bound calls that are under way.

--- a/edge/duty/guard.go
+++ b/edge/duty/guard.go
@@ -54,7 +54,9 @@
 // NewGuard returns a guard.
 func NewGuard(o GuardOptions) *Guard {
 	limit := rateShare * o.CallsPerSecond
-	return &Guard{options: o, limiter: rate.NewLimiter(rate.Limit(limit), max(1, int(limit/2))), turn: make(chan struct{}, 1)}
+	// A burst and the calls of the second that it begins stay within CallsPerSecond.
+	burst := max(1, int(o.CallsPerSecond-limit))
+	return &Guard{options: o, limiter: rate.NewLimiter(rate.Limit(limit), burst), turn: make(chan struct{}, 1)}
 }
 
 // Do makes a call for a subject, which is a name for logs and errors, once the calls before it
