Forget what was learnt of services that are gone

The lengths of decode steps by service and the prompts by group of engines were kept for each service that a configuration ever named, so an instance's memory grew with every renamed service. State by server and the rates of prompt tokens were ruled out: they are dropped already.

--- a/edge/balancer/balancer.go
+++ b/edge/balancer/balancer.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -149,6 +150,12 @@
 	return s
 }
 
+// RetainServices drops what was learnt of the services for which keep returns false.
+func (b *Balancer) RetainServices(keep func(name string) bool) {
+	maps.DeleteFunc(b.steps, func(name string, _ *stepRatio) bool { return !keep(name) })
+	maps.DeleteFunc(b.prefills, func(g engineGroup, _ *prefillArrivals) bool { return !keep(g.service) })
+}
+
 // RetainServers drops the servers for which keep returns false. A server at
 // which this instance still has running requests is not dropped.
 func (b *Balancer) RetainServers(keep func(key uint64) bool) {
--- a/edge/reverseproxy/server_selector.go
+++ b/edge/reverseproxy/server_selector.go
@@ -269,6 +269,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.balancer.RetainServers(keep)
+	s.balancer.RetainServices(func(name string) bool { _, ok := snapshot.Service(name); return ok })
 	for name := range s.budgets {
 		if _, ok := snapshot.Service(name); !ok {
 			delete(s.budgets, name)
