Repeat an order without an answer with no smaller number

After an order that raised a number and got no answer, the planner named the next number from what was ready a second later. If the need had fallen meanwhile, the repetition named fewer and took back replicas that the platform had begun to boot, and the other kind's room in the data centre did not count them. The minimum life was ruled out: it bounds orders that lower only.

--- a/edge/autoscale/group.go
+++ b/edge/autoscale/group.go
@@ -40,6 +40,10 @@
 	// raises the number before refusedUntil.
 	refusals                int
 	refusedUntil, nextOrder time.Time
+	// uncertain is the number in the last order that raised it and that the platform has perhaps
+	// taken. It counts until uncertainUntil.
+	uncertain      int
+	uncertainUntil time.Time
 }
 
 // observe takes in the number of the group's replicas that are ready, and of those that were
@@ -58,7 +62,7 @@
 	}
 	switch {
 	case reclaimed > 0:
-		s.settledAt, s.highest, s.highestAt = time.Time{}, ready, now
+		s.settledAt, s.highest, s.highestAt, s.uncertainUntil = time.Time{}, ready, now, time.Time{}
 		s.refuse(now)
 	case s.settledAt.IsZero():
 	case s.raises && ready >= s.desired || !s.raises && ready <= s.desired:
@@ -104,8 +108,10 @@
 		s.nextOrder = now.Add(retryDelay)
 		if o.Desired > o.Expected {
 			s.raisedAt = now
+			s.uncertain, s.uncertainUntil = o.Desired, now.Add(bootTime+orderMargin)
 		}
 	case Accepted:
+		s.uncertainUntil = time.Time{}
 		s.desired, s.raises = o.Desired, o.Desired > o.Expected
 		if s.raises {
 			s.refusals = 0
@@ -123,3 +129,12 @@
 func (s *groupState) platformCount(now time.Time) int {
 	return max(s.ready, s.highest, s.expected(now))
 }
+
+// mostCounted is platformCount with what an order without an answer asked for. An order to have more
+// names at least this number, or it would take back replicas that boot.
+func (s *groupState) mostCounted(now time.Time) int {
+	if now.Before(s.uncertainUntil) {
+		return max(s.platformCount(now), s.uncertain)
+	}
+	return s.platformCount(now)
+}
--- a/edge/autoscale/orders.go
+++ b/edge/autoscale/orders.go
@@ -122,12 +122,13 @@
 			// A data centre that lost its replicas gets the least number at once.
 			more = max(more, options.Min-options.Max+room[g.DataCentre])
 		}
-		more = min(more, room[g.DataCentre])
-		if more <= 0 || now.Before(s.nextOrder) || s.refused(now) {
+		counted := s.mostCounted(now)
+		desired := min(max(s.platformCount(now)+more, counted), counted+room[g.DataCentre])
+		if more <= 0 || desired <= s.platformCount(now) || now.Before(s.nextOrder) || s.refused(now) {
 			continue
 		}
-		room[g.DataCentre] -= more
-		orders = append(orders, Order{Group: g, Desired: s.platformCount(now) + more, Ready: s.ready, Expected: expected, Reason: reason})
+		room[g.DataCentre] -= desired - counted
+		orders = append(orders, Order{Group: g, Desired: desired, Ready: s.ready, Expected: expected, Reason: reason})
 	}
 	return orders
 }
@@ -162,11 +163,13 @@
 	return min(max(left/float64(max(missing, 1)), 0), 1)
 }
 
+// platformCountOf returns the highest number of replicas of both kinds in a data centre that the
+// platform may count.
 func (p *Planner) platformCountOf(dataCentre string, now time.Time) int {
 	n := 0
 	for g, s := range p.groups {
 		if g.DataCentre == dataCentre {
-			n += s.platformCount(now)
+			n += s.mostCounted(now)
 		}
 	}
 	return n
