Leave events that were read at once out of the speed of engines

Gaps of microseconds, between events that arrived in one read and between the two records of the first event of a resumed stream, counted as decode steps, so an instance took such an engine to be up to five times as fast as it is. The quantile was ruled out as a guard: it leaves out long gaps. Before, the new test with every other gap of a microsecond gave 0.23 times the usual step; now gaps below the least possible ratio are left out and it gives 1 within 0.1. The test of forgotten services uses a gap that counts.

--- a/edge/balancer/engine_speed.go
+++ b/edge/balancer/engine_speed.go
@@ -57,6 +57,10 @@
 	}
 	s := b.serverState(a.Key)
 	ratio := millis(gap) / (float64(a.eventTokens) * decodeStepMillis(s.totalLoad(), a.Server.Slots))
+	if ratio < minStepRatio {
+		// The events were read at once, or it is the first event of a resumed stream once more.
+		return
+	}
 	service := b.serviceSteps(a.Server.Service)
 	if s.steps.gaps == 0 {
 		s.steps.log = service.log
--- a/edge/balancer/retain_services_test.go
+++ b/edge/balancer/retain_services_test.go
@@ -17,7 +17,7 @@
 		a := &Attempt{Server: server, Key: ServerKey(server), grouped: true}
 		b.BeginAttempt(a, Request{Service: service, PromptTokens: 1000}, now)
 		b.RecordFirstEvent(a, now)
-		b.RecordEvent(a, now.Add(time.Millisecond))
+		b.RecordEvent(a, now.Add(20*time.Millisecond))
 		b.EndAttempt(a, Succeeded, now)
 	}
 	b.RetainServices(func(name string) bool { return name == "7" })
