Show connections to replicas that are never given back

While the memory for answers is used up, an answer is passed on as it is read. If its client leaves then, a panic skips the end of the attempt, and its connection stays counted for good.

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -21,6 +21,7 @@
 
 func main() {
 	cases := map[string]func(*record, bool) (bool, error){
+		"leak":  leakCase,
 		"rerun": rerunCase,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
