Send more requests in review case 6

With 20 requests a second, one play of five had two requests that ran twice. With 40 a second there were 9 to 42 of 360 in each of five plays, and none without the crash.

--- a/review/stand2/rerun.go
+++ b/review/stand2/rerun.go
@@ -54,7 +54,7 @@
 	pay := request{kind: "pay", method: http.MethodPost, path: "/desk/pay/2f", body: "amount=1", deadline: 9 * time.Second}
 	for n := range f.entries {
 		clients.Go(func() {
-			for ticker := time.NewTicker(100 * time.Millisecond); time.Since(begin) < 9*time.Second; <-ticker.C {
+			for ticker := time.NewTicker(50 * time.Millisecond); time.Since(begin) < 9*time.Second; <-ticker.C {
 				clients.Go(func() { pay.do(rec, f.entries[n]) })
 			}
 		})
