Ask the routes of all sends before a request is sent again

Cause: after a failed attempt the route of the last look-up was asked whether the request may go on; the next send looked the route up anew and went by that one, unasked. The same held for all that one send leaves to the next: at how many servers a request may run, whose retry budget pays, how an answer is read while other servers are asked beside a silent one, and whether a stream that a caller takes up needs its origin.

Ruled out: repeats inside edge/backendclient, which writes a request once; the store and the decoder; repeats by the caller (one send an ID).

Why this works: each send keeps what the configuration made of the request, and every send goes through Handler.beginAttempt, which asks the routes of all sends that may have run, of the open ones and of the next one. The retry is taken there from the budget of the service that gets it. While an answer is passed on, the request's binding is that of the answer's send.

--- a/edge/reverseproxy/doc.go
+++ b/edge/reverseproxy/doc.go
@@ -13,13 +13,16 @@
 //
 //   - A refusal (429, 503, 408) is given only if no server ran the request: it
 //     was not sent, or each server stated that it did not run it.
-//   - A request whose route does not allow retries is sent to a further server
-//     only if no earlier server can have run it. This is checked directly before
-//     each further send.
+//   - A request that a server may have run is sent to a further one only if the route of
+//     each of these sends allows that, and the route by which it is sent next. This is checked
+//     directly before each further send, since a new configuration may change the route meanwhile.
+//     The retry is taken from the budget of the service that gets it.
+//   - A response is passed on as the route says by which its server got the request.
 //   - A request that package crashguard withholds, or whose prompt holds a part that it
 //     withholds, is not sent.
-//   - A stream goes on only at servers of the software version that made its first event. A
-//     request that takes up a stream whose version is not known is refused.
+//   - A stream goes on only at servers of the software version that made its first event, and only
+//     by routes whose streams may be resumed. A request that takes up a stream whose version is
+//     not known is refused.
 //   - A server that said that it leaves, or that asked for time, is not sent to.
 //   - While this instance reaches no server, a request is handed on to another instance, which
 //     gives all of these guarantees for it. It is handed on once, and goes to no third instance
--- a/edge/reverseproxy/further_attempts.go
+++ b/edge/reverseproxy/further_attempts.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
-	"bergamotpin.example/bergamotpin/edge/balancer"
-	"bergamotpin.example/bergamotpin/edge/catalog"
 	"bergamotpin.example/bergamotpin/edge/hedging"
 	"bergamotpin.example/bergamotpin/outcome"
 )
@@ -47,7 +47,7 @@
 // that, it may begin a second one from hedgeAfter on, unless this is 0. It does nothing if the
 // request may not run at another server.
 func (o *furtherAttempts) watch(current *sending, patience, hedgeAfter time.Duration) {
-	if !o.f.request.mayRunAtAnother(1) {
+	if !o.f.request.mayRunBeside(current) {
 		return
 	}
 	o.current, o.lastHeard, o.patience, o.hedgeAfter = current, time.Now(), patience, hedgeAfter
@@ -86,6 +86,12 @@
 		// The goroutine of the timer ended before it got the news.
 	default:
 	}
+	// The race may have looked the request up in a newer configuration.
+	if winner != nil {
+		o.f.request.binding = winner.binding
+	} else {
+		o.f.request.binding = o.current.binding
+	}
 	return winner
 }
 
@@ -152,11 +158,10 @@
 // begin makes a further attempt if the route, the retry budget and the servers allow it.
 func (r *race) begin() {
 	req, h := r.f.request, r.f.handler
-	// The current attempt counts even after it has failed: it may have run.
-	if !req.mayRunAtAnother(1 + len(r.open)) {
+	if !r.mayBegin() {
 		return
 	}
-	s, refused := r.f.newSending(r.ctx, r.ifStillAllowed(h.Selector.BeginFurtherAttempt))
+	s, refused := r.f.newSending(r.ctx, h.Selector.BeginFurtherAttempt, r.openAttempts())
 	if refused != nil {
 		return
 	}
@@ -167,15 +172,16 @@
 	r.send(s)
 }
 
-// ifStillAllowed returns a beginFunc that refuses the attempt if the route, as the current
-// configuration has it, does not allow one more. It may be another route than at the first send.
-func (r *race) ifStillAllowed(begin beginFunc) beginFunc {
-	return func(b balancer.Request, candidates []catalog.BackendServer) (balancer.Attempt, *refusal) {
-		if !r.f.request.mayRunAtAnother(1 + len(r.open)) {
-			return balancer.Attempt{}, refuseNotRun(outcome.NoBackendServer, retrySoon)
-		}
-		return begin(b, candidates)
-	}
+// mayBegin reports whether the route of the current attempt allows one more beside those that are
+// open. The route of the next one is asked directly before its send.
+func (r *race) mayBegin() bool {
+	return r.f.request.mayRunBy(r.current.binding.route, r.openAttempts()...)
+}
+
+// openAttempts returns the open attempts. The current one counts even after it has failed: its
+// server may have run the request.
+func (r *race) openAttempts() []*sending {
+	return append(slices.Collect(maps.Keys(r.open)), r.current)
 }
 
 // send sends a further attempt, whose answer comes over answered.
--- a/edge/reverseproxy/handler.go
+++ b/edge/reverseproxy/handler.go
@@ -116,7 +116,7 @@
 	attributes := []any{
 		"request", req.id, "path", req.path, "status", refused.status, "reason", refused.reason.String(),
 		"detail", refused.message, "retry_after_ms", refused.retryAfter.Milliseconds(),
-		"sends", req.sends, "ran", req.possibleRuns, "elapsed_ms", time.Since(req.arrived).Milliseconds(),
+		"sends", req.sends, "ran", len(req.possibleRuns), "elapsed_ms", time.Since(req.arrived).Milliseconds(),
 		"configuration", h.Catalog.Snapshot().Version,
 	}
 	if refused.suspect != nil {
@@ -148,14 +148,17 @@
 	}
 }
 
-// beginAttempt chooses a server that this request has not been sent to yet. It
-// refuses the request if the current configuration no longer accepts it, if a part
-// of its prompt is withheld, or if begin does.
-func (h *Handler) beginAttempt(req *request, begin beginFunc) (balancer.Attempt, *refusal) {
+// beginAttempt chooses a server that this request has not been sent to yet, while the open
+// attempts go on. It refuses the request if the current configuration no longer accepts it or allows no
+// further run, if a part of its prompt is withheld, or if begin does. Each send goes through here.
+func (h *Handler) beginAttempt(req *request, begin beginFunc, open []*sending) (balancer.Attempt, *refusal) {
 	snapshot := h.Catalog.Snapshot()
 	if refused := req.resolveRoute(snapshot); refused != nil {
 		return balancer.Attempt{}, refused
 	}
+	if !req.mayRunBy(req.route, open...) {
+		return balancer.Attempt{}, h.refuseFurtherRun(req, open)
+	}
 	if refused := h.refuseWithheld(req); refused != nil {
 		return balancer.Attempt{}, refused
 	}
--- a/edge/reverseproxy/peer_relay.go
+++ b/edge/reverseproxy/peer_relay.go
@@ -48,7 +48,7 @@
 // instance turns out to reach none.
 func (f *forwarder) relayAfter(ctx context.Context, failed failure) bool {
 	req := f.request
-	if req.relayed || failed.mayHaveRun || req.possibleRuns > 0 || f.stream.started || failed.reason != outcome.ServerUnreachable {
+	if req.relayed || failed.mayHaveRun || len(req.possibleRuns) > 0 || f.stream.started || failed.reason != outcome.ServerUnreachable {
 		return false
 	}
 	return f.handler.PeerRelay.Reach.Verdict(ctx) && f.relay()
@@ -154,7 +154,7 @@
 		failed.reason = f.endReason()
 	}
 	f.lastFailure = failed
-	f.request.possibleRuns++
+	f.request.recordPossibleRun(f.request.route)
 	if failed.reason == outcome.CallerLeft {
 		f.callerLeft()
 		return
--- a/edge/reverseproxy/request.go
+++ b/edge/reverseproxy/request.go
@@ -67,20 +67,18 @@
 	// callerWaits is until when the caller waits for the response, or for that of a repeat.
 	callerWaits time.Time
 
-	route    *catalog.Route
-	org      catalog.Organisation
-	service  catalog.Service
+	// The binding is that of the last send, or of the one that is about to be made. While a
+	// response is passed on, it is that of the response's own send.
+	binding
+	// deadline follows from the route that the request had when it came.
 	deadline time.Time
-	// urgencyIndex is the number of urgencies of the service's requests that are more
-	// urgent than this request, urgencyLevels the number of all urgencies.
-	urgencyIndex, urgencyLevels int
 
 	// tried holds the IDs of the servers that the request was sent to. sends is
-	// the number of attempts. possibleRuns is the number of attempts whose server
-	// may have run the request.
+	// the number of attempts. possibleRuns holds the routes of the attempts that have ended
+	// and whose server may have run the request.
 	tried        map[string]bool
 	sends        int
-	possibleRuns int
+	possibleRuns []*catalog.Route
 	// passedGuardAt is when the parts of the prompt were last found not to be withheld.
 	passedGuardAt time.Time
 }
@@ -262,12 +260,6 @@
 	return max(time.Duration(headerWaitTargetFactor*float64(req.route.LatencyTarget)), headerWaitDelayFactor*a.ExpectedDelay, minHeaderWait)
 }
 
-// mayRunAtAnother reports whether the route allows the request to run at another server,
-// if open attempts may run it besides those that have ended.
-func (req *request) mayRunAtAnother(open int) bool {
-	return req.route.MayRetry() && req.possibleRuns+open < req.route.MaxServers
-}
-
 // backendRequest builds the request as it is sent to the attempt's server. If
 // lastEventID is not empty, the server resumes the stream after this event.
 func (req *request) backendRequest(a *balancer.Attempt, lastEventID string) backendclient.Request {
--- a/edge/reverseproxy/retry.go
+++ b/edge/reverseproxy/retry.go
@@ -102,11 +102,10 @@
 		if f.relayAfter(ctx, failed) {
 			return
 		}
-		if !f.mayRetry(ctx) {
+		if ctx.Err() != nil {
 			f.giveUp(nil)
 			return
 		}
-		f.handler.Metrics.CountRetry(failed.reason)
 	}
 }
 
@@ -118,13 +117,21 @@
 	return outcome.CallerLeft
 }
 
-// next returns the attempt that goes on in place of the last one, or else a new one.
+// next returns the attempt that goes on in place of the last one, or else a new one. After the first
+// one, it takes one retry from the budget of the service that gets the request.
 func (f *forwarder) next(ctx context.Context) (*sending, *refusal) {
 	if s := f.goesOn; s != nil {
 		f.goesOn = nil
 		return s, nil
 	}
-	return f.newSending(ctx, f.handler.Selector.BeginAttempt)
+	if f.request.sends == 0 {
+		return f.newSending(ctx, f.handler.Selector.BeginAttempt, nil)
+	}
+	s, refused := f.newSending(ctx, f.handler.Selector.BeginFurtherAttempt, nil)
+	if refused == nil {
+		f.handler.Metrics.CountRetry(f.lastFailure.reason)
+	}
+	return s, refused
 }
 
 // dropUnused ends the attempt that would have gone on, if the caller left before that.
@@ -138,31 +145,15 @@
 func (f *forwarder) recordFailure(s *sending, failed failure) {
 	f.lastFailure = failed
 	if failed.mayHaveRun {
-		f.request.possibleRuns++
+		f.request.recordPossibleRun(s.binding.route)
 	} else {
 		f.handler.returnTry(f.request)
 	}
 	f.logFailed(&s.attempt, failed)
 }
 
-// mayRetry reports whether the request may be sent to another server. If so, it
-// takes one retry from the service's budget.
-func (f *forwarder) mayRetry(ctx context.Context) bool {
-	req := f.request
-	switch {
-	case ctx.Err() != nil:
-		return false
-	case req.possibleRuns > 0 && !req.route.MayRetry():
-		return false
-	case req.possibleRuns >= req.route.MaxServers:
-		return false
-	}
-	return f.handler.Selector.AllowRetry(req.service.Name)
-}
-
 // giveUp ends a request for which no further attempt is made. refused is the
-// refusal of beginAttempt; it is nil if the last attempt failed and the request
-// may not be retried.
+// refusal of beginAttempt; it is nil if the request's time is over.
 func (f *forwarder) giveUp(refused *refusal) {
 	req := f.request
 	if f.stream.started {
@@ -173,7 +164,7 @@
 		return
 	}
 	switch {
-	case req.possibleRuns > 0:
+	case len(req.possibleRuns) > 0:
 		refused = refuseMayHaveRun(f.lastFailure.reason)
 	case refused == nil && time.Until(req.deadline) <= 0:
 		refused = refuseNotRun(outcome.DeadlinePassed, retrySoon)
@@ -187,7 +178,7 @@
 // finalOutcome returns the final outcome of a request whose caller gets no
 // server's response.
 func finalOutcome(req *request) outcome.Final {
-	if req.possibleRuns > 0 {
+	if len(req.possibleRuns) > 0 {
 		return outcome.Unknown
 	}
 	return outcome.Refused
@@ -295,7 +286,7 @@
 		return f.relayStream(s)
 	}
 	if f.stream.started {
-		// The configuration has made another kind of the route.
+		// A second head would stand in the middle of the stream.
 		return false, failure{reason: outcome.ResponseMismatch, mayHaveRun: true}
 	}
 	return f.relayWhole(s.response, &s.attempt)
--- a/edge/reverseproxy/second_attempt.go
+++ b/edge/reverseproxy/second_attempt.go
@@ -19,7 +19,7 @@
 	s.timing = hedging.Send{
 		Class: hedging.Class{Service: req.service.Name, Kind: req.route.Kind.String(), Size: hedging.SizeOf(req.prompt.Tokens)},
 		Route: req.route.Name, Server: s.attempt.Key, Expected: s.attempt.ExpectedDelay, Slowness: s.attempt.Slowness,
-		Target: req.route.LatencyTarget, MayHedge: req.sends == 1 && req.mayRunAtAnother(1),
+		Target: req.route.LatencyTarget, MayHedge: req.sends == 1 && req.mayRunBeside(s),
 	}
 	s.plan = h.Hedging.Begin(&s.timing, s.begunAt)
 }
@@ -36,7 +36,7 @@
 // hedge makes a second attempt if the current server has been slow for long enough, the
 // operators' limit allows it and another server has room. It returns when to ask again.
 func (r *race) hedge(elapsed time.Duration) time.Duration {
-	if !r.f.request.mayRunAtAnother(1 + len(r.open)) {
+	if !r.mayBegin() {
 		r.hedged = true
 		return r.patience
 	}
@@ -82,7 +82,7 @@
 	begin := func(b balancer.Request, candidates []catalog.BackendServer) (balancer.Attempt, *refusal) {
 		return f.handler.Selector.beginSecond(b, candidates, accept)
 	}
-	s, refused := f.newSending(r.ctx, r.ifStillAllowed(begin))
+	s, refused := f.newSending(r.ctx, begin, r.openAttempts())
 	switch {
 	case refused == nil:
 		s.isSecond = true
--- a/edge/reverseproxy/sending.go
+++ b/edge/reverseproxy/sending.go
@@ -26,6 +26,8 @@
 // sending is one attempt with its connection.
 type sending struct {
 	attempt balancer.Attempt
+	// binding is what the configuration made of the request at this send.
+	binding binding
 	target  backendclient.Server
 	request backendclient.Request
 	// ctx ends with the request's context. cancel closes the connection to the server
@@ -50,9 +52,9 @@
 
 // newSending chooses a server for the next attempt and counts the attempt. It refuses the
 // request like beginAttempt.
-func (f *forwarder) newSending(ctx context.Context, begin beginFunc) (*sending, *refusal) {
+func (f *forwarder) newSending(ctx context.Context, begin beginFunc, open []*sending) (*sending, *refusal) {
 	req := f.request
-	a, refused := f.handler.beginAttempt(req, begin)
+	a, refused := f.handler.beginAttempt(req, begin, open)
 	if refused != nil {
 		return nil, refused
 	}
@@ -60,10 +62,10 @@
 	req.sends++
 	f.logSent(&a)
 	s := &sending{
-		attempt: a, target: f.handler.connectionTarget(req, &a),
+		attempt: a, binding: req.binding, target: f.handler.connectionTarget(req, &a),
 		request: req.backendRequest(&a, f.stream.lastEventID(req)), ctx: ctx, cancel: func() {},
 	}
-	if req.mayRunAtAnother(1) {
+	if req.mayRunBeside(s) {
 		s.ctx, s.cancel = context.WithCancel(ctx)
 	}
 	f.beginTiming(s)
@@ -113,7 +115,7 @@
 func (f *forwarder) endUnneeded(s *sending) {
 	f.end(s, balancer.Cancelled)
 	if s.mayHaveRun() {
-		f.request.possibleRuns++
+		f.request.recordPossibleRun(s.binding.route)
 	}
 	f.handler.Failures.Info("not needed", "request", f.request.id, "server", s.attempt.Server.ID, "may_have_run", s.mayHaveRun())
 }
--- a/edge/reverseproxy/stream_origin.go
+++ b/edge/reverseproxy/stream_origin.go
@@ -78,10 +78,17 @@
 }
 
 // fittingVersions returns the servers whose software version may begin the request's stream,
-// or go on with it. It refuses the request if there are only others.
+// or go on with it. It refuses the request if there are only others, or if a new configuration has made
+// its route resumable, or no longer so, since its stream's origin was looked up.
 func (h *Handler) fittingVersions(req *request, servers []catalog.BackendServer) ([]catalog.BackendServer, *refusal) {
-	if !req.route.IsResumable() && req.origin == nil {
+	resumable := req.route.IsResumable()
+	switch {
+	case !resumable && req.origin == nil:
 		return servers, nil
+	case !resumable, req.origin == nil && req.takesUp():
+		refused := refuseNotRun(outcome.StreamOriginUnknown, retrySoon)
+		refused.origin = &originDetails{servers: servers}
+		return nil, refused
 	}
 	var fitting []catalog.BackendServer
 	reason := outcome.VersionNotListed
