Read a handed-on answer by what it is, not by the route here

A request was handed on to an instance that knew a newer configuration, by which its route was no longer one of streams. The whole answer was read as a stream here, and its caller got 502 `stream_cut: may have run` though the answer was ready.

Evidence: TestRequestHandedOnKeepsRouteOfItsSend, before: "stream here, whole there" got 502; its four other cases (unsafe there, safe there, a stream there) held. After: all five pass.

Ruled out: a second run by the hand-over (each case ran once), and a cut answer that looks whole (TestCutRelayedStreamDoesNotLookComplete).

Why this works: an instance states the length of every answer that it read whole or passes on with a length, and of no stream, so the response itself tells which one it is.

--- a/edge/reverseproxy/peer_relay.go
+++ b/edge/reverseproxy/peer_relay.go
@@ -9,7 +9,6 @@
 	"github.com/go-faster/errors"
 
 	"bergamotpin.example/bergamotpin/edge/backendclient"
-	"bergamotpin.example/bergamotpin/edge/catalog"
 	"bergamotpin.example/bergamotpin/edge/gossip"
 	"bergamotpin.example/bergamotpin/edge/reachability"
 	"bergamotpin.example/bergamotpin/outcome"
@@ -99,12 +98,13 @@
 }
 
 // passOn passes another instance's response on. It returns false if the response was not
-// complete or not a backend server's.
+// complete or not a backend server's. Only the response tells whether it is a stream: the other instance may
+// know another configuration. It states the length of all that is none.
 func (f *forwarder) passOn(response *backendclient.Response) (failure, bool) {
 	if response.StatusCode/100 == 2 && !isFromBackendServer(response.Header) {
 		return failure{reason: outcome.ResponseMismatch, mayHaveRun: true}, false
 	}
-	if response.StatusCode/100 == 2 && f.request.route.Kind == catalog.Stream {
+	if response.StatusCode/100 == 2 && response.ContentLength < 0 && !hasNoBody(f.request.method, response.StatusCode) {
 		return f.passStreamOn(response)
 	}
 	body, err := f.wholeBody.readWhole(response, response.ContentLength, maxResponseBytes, false)
--- a/edge/reverseproxy/route_change_test.go
+++ b/edge/reverseproxy/route_change_test.go
@@ -235,6 +235,38 @@
 	}
 }
 
+// TestRequestHandedOnKeepsRouteOfItsSend guards against a request that is handed on and runs twice, or
+// whose answer is lost, because the other instance has another configuration.
+func TestRequestHandedOnKeepsRouteOfItsSend(t *testing.T) {
+	toSafe := routeChange{replace: []string{resumableRoute, strings.Replace(resumableRoute, "stream", "safe", 1)}}
+	for name, c := range map[string]struct {
+		path   string
+		change routeChange
+		b      platformtest.Behaviour
+		status int
+		body   string
+	}{
+		"safe here, unsafe there":   {pathSafe, endingChanges["safe, made unsafe"], platformtest.Behaviour{Status: 500}, 500, "body of request-1 by i-0"},
+		"unsafe here, safe there":   {pathUnsafe, endingChanges["unsafe, made safe"], platformtest.Behaviour{}, 200, "body of request-1 by i-0"},
+		"stream here, whole there":  {pathResumable, toSafe, platformtest.Behaviour{}, 200, "body of request-1 by i-0"},
+		"whole here, stream there":  {pathSafe, routeChange{replace: []string{`"type":"safe"`, `"type":"stream"`}}, platformtest.Behaviour{Events: 3}, 200, streamBody("i-0", "i-0", "i-0")},
+		"stream here, events there": {pathResumable, toSafe, platformtest.Behaviour{Events: 3}, 200, streamBody("i-0", "i-0", "i-0")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cut, peer := newRelayPair(t, c.b)
+			peer.replaceConfiguration(c.change)
+			got := cut.do(cut.request(c.path))
+			cut.expectStatus(got, c.status)
+			if got.body != c.body {
+				t.Errorf("got the body %q, want %q", got.body, c.body)
+			}
+			if ran := peer.serversThatRan(); len(ran) != 1 {
+				t.Errorf("the request ran at %v, want one server", ran)
+			}
+		})
+	}
+}
+
 // TestStreamGoesOnAtItsOwnServiceOnly guards against a stream that is joined from two services, because
 // a new configuration leads its path elsewhere.
 func TestStreamGoesOnAtItsOwnServiceOnly(t *testing.T) {
