Send an answer that can't go on elsewhere to one server only (serve)

An answer of several texts (or with tools) on an idempotent route broke off after its caller had a part. If a second scheduler granted the request again, it was sent, and the answer began anew in the middle of the caller's stream.

Cause: proxy tells the scheduler that such a request may not run again, but its own check directly before each send, which must hold "whatever the scheduler decides", asked only whether the route is idempotent.

Evidence: TestSecondGrantOfAnAnswerThatCannotGoOnIsNotSent, before: the second engine started the request, and its 20 frames followed those of the first. After: it starts nothing.

Ruled out: one scheduler alone, which refuses such a request after a failure (schedcore.Core.applyFailure).

Why this works: the check asks what the ticket says, which covers both.

--- a/proxy/dispatch.go
+++ b/proxy/dispatch.go
@@ -41,7 +41,10 @@
 type dispatch struct {
 	proxy   *Proxy
 	request *request
-	session scheduler.Session
+	// idempotent is set if the request came by an idempotent route and its answer can go on at
+	// another server.
+	idempotent bool
+	session    scheduler.Session
 	// lastAttempt is the number of the last attempt that began.
 	lastAttempt uint32
 	// mayHaveStarted is set once a backend server may have run an attempt.
@@ -59,7 +62,7 @@
 		ctx, cancel = context.WithDeadlineCause(ctx, req.arrived.Add(req.timeout), errDeadline)
 		defer cancel()
 	}
-	d := &dispatch{proxy: p, request: req, session: p.Scheduler.Submit(ctx, t)}
+	d := &dispatch{proxy: p, request: req, idempotent: t.Idempotent, session: p.Scheduler.Submit(ctx, t)}
 	for {
 		decision, ok := d.nextDecision(ctx)
 		if !ok {
@@ -97,7 +100,7 @@
 // runGranted runs the granted attempt. It reports whether the request has ended.
 // If the request ended without being completed, it also returns the refusal.
 func (d *dispatch) runGranted(ctx context.Context, runner attemptRunner, decision scheduler.Decision) (bool, *Refusal) {
-	if d.mayHaveStarted && !d.request.route.Spec.Idempotent {
+	if d.mayHaveStarted && !d.idempotent {
 		d.session.Withdraw()
 		return true, d.refusal(outcome.AttemptsSpent)
 	}
--- a/proxy/dispatch_test.go
+++ b/proxy/dispatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -105,6 +106,21 @@
 	}
 }
 
+// TestSecondGrantOfAnAnswerThatCannotGoOnIsNotSent guards against an answer of several texts that begins
+// anew at another server after a part of it went to the caller, although its route is idempotent.
+func TestSecondGrantOfAnAnswerThatCannotGoOnIsNotSent(t *testing.T) {
+	f := newFixture(t, 2)
+	f.engines[0].SetFaults(engineapi.EngineFaults{CrashAfterTokens: 3})
+	s := newScriptedScheduler(grant("engine-a", 1))
+	s.onFailure = func(s *scriptedScheduler) { s.decisions <- grant("engine-b", 2) }
+	f.proxy.Scheduler = s
+	body := strings.Replace(chatBody("loom", true, 20), "{", `{"n":2,`, 1)
+	_, got := f.post(t, "/v1/chat/completions", body, nil)
+	if started := f.engines[1].Counters().Started; started != 0 {
+		t.Errorf("the second engine started %d requests, want 0; the caller got %s", started, got)
+	}
+}
+
 // TestDuplicateGrantOfAnAttemptIsNotSent sends a second grant with the number of
 // an attempt that was already granted. The second grant must be ignored.
 func TestDuplicateGrantOfAnAttemptIsNotSent(t *testing.T) {
