Ask the route in force before a request is granted again (serve)

A request that had run by an idempotent route was sent again, after a crash or a preemption, though a new configuration had made the route one that allows one run, or removed it.

Cause: the check directly before each send asked the route that the request had when it came.

Evidence: TestSecondGrantAfterChangeOfRouteIsNotSent, before: all four cases (not idempotent, removed; crash, preemption) failed, the second engine started the request. After: they pass. TestCutStreamIsResumedAfterChangeOfRoute passed before and after: a resume asks the same server for frames and starts nothing.

Ruled out: a repeat by engineclient, which has one connection for each send and a body that net/http can't rewind (TestServiceRequestIsSentOnce).

Why this works: both routes must be idempotent, that of the arrival and that in force, and the check is made directly before the send.

--- a/proxy/dispatch.go
+++ b/proxy/dispatch.go
@@ -100,7 +100,7 @@
 // runGranted runs the granted attempt. It reports whether the request has ended.
 // If the request ended without being completed, it also returns the refusal.
 func (d *dispatch) runGranted(ctx context.Context, runner attemptRunner, decision scheduler.Decision) (bool, *Refusal) {
-	if d.mayHaveStarted && !d.idempotent {
+	if d.mayHaveStarted && !d.mayRunAgain() {
 		d.session.Withdraw()
 		return true, d.refusal(outcome.AttemptsSpent)
 	}
@@ -119,6 +119,14 @@
 	return d.handleResult(ctx, res)
 }
 
+// mayRunAgain reports whether a request that may have run may be sent again. It must have come by
+// an idempotent route, and its route must be so in the configuration that is in force now.
+func (d *dispatch) mayRunAgain() bool {
+	route := d.request.route
+	now, reason := d.proxy.Index().Route(d.request.org, route.Name, route.Spec.Service)
+	return d.idempotent && reason == outcome.ReasonNone && now.Spec.Idempotent
+}
+
 // runCancellable runs an attempt. It cancels the attempt if the scheduler refuses
 // the request or preempts the attempt.
 func (d *dispatch) runCancellable(ctx context.Context, decision scheduler.Decision, run func(context.Context) result) result {
--- a/proxy/dispatch_test.go
+++ b/proxy/dispatch_test.go
@@ -2,13 +2,19 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"bergamotpin.example/bergamotpin/api"
+	"bergamotpin.example/bergamotpin/config"
 	"bergamotpin.example/bergamotpin/engineapi"
 	"bergamotpin.example/bergamotpin/outcome"
+	"bergamotpin.example/bergamotpin/routing"
 	"bergamotpin.example/bergamotpin/schedcore"
 	"bergamotpin.example/bergamotpin/scheduler"
 )
@@ -106,6 +112,83 @@
 	}
 }
 
+// routeChanges are changes after which a request of the route "loom" may not run again.
+var routeChanges = map[string]func(routes map[string]config.Entry[api.RouteSpec]){
+	"not idempotent": func(routes map[string]config.Entry[api.RouteSpec]) {
+		route := routes["loom"]
+		route.Spec.Idempotent = false
+		routes["loom"] = route
+	},
+	"removed": func(routes map[string]config.Entry[api.RouteSpec]) { delete(routes, "loom") },
+}
+
+// changeable returns a function that puts the changed routes in force.
+func (f *fixture) changeable(change func(routes map[string]config.Entry[api.RouteSpec])) func() {
+	var index atomic.Pointer[routing.Index]
+	index.Store(f.proxy.Index())
+	f.proxy.Index = index.Load
+	return func() {
+		changed := *f.snapshot
+		changed.Routes = maps.Clone(f.snapshot.Routes)
+		change(changed.Routes)
+		index.Store(routing.NewIndex(&changed))
+	}
+}
+
+// TestSecondGrantAfterChangeOfRouteIsNotSent guards against a second run of a request that ran by an
+// idempotent route, after a new configuration has made the route another one or removed it.
+func TestSecondGrantAfterChangeOfRouteIsNotSent(t *testing.T) {
+	for name, change := range routeChanges {
+		for _, preempted := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, preempted %v", name, preempted), func(t *testing.T) {
+				f := newFixture(t, 2)
+				changeRoute := f.changeable(change)
+				s := newScriptedScheduler(grant("engine-a", 1))
+				if preempted {
+					s.onFirstToken = func(s *scriptedScheduler) {
+						changeRoute()
+						s.decisions <- scheduler.Decision{Kind: scheduler.Preempted, Server: "engine-a", Attempt: 1}
+						s.decisions <- grant("engine-b", 2)
+					}
+				} else {
+					f.engines[0].SetFaults(engineapi.EngineFaults{CrashAfterTokens: 3})
+					s.onFailure = func(s *scriptedScheduler) {
+						changeRoute()
+						s.decisions <- grant("engine-b", 2)
+					}
+				}
+				f.proxy.Scheduler = s
+				resp, _ := f.post(t, "/v1/chat/completions", chatBody("loom", false, 40), nil)
+				if resp.Header.Get(HeaderRun) != "unknown" {
+					t.Errorf("got status %d, header %v; want the header Bergamotpin-Run to be unknown", resp.StatusCode, resp.Header)
+				}
+				if started := f.engines[1].Counters().Started; started != 0 {
+					t.Errorf("the second engine started %d requests, want 0", started)
+				}
+			})
+		}
+	}
+}
+
+// TestCutStreamIsResumedAfterChangeOfRoute guards against a stream that is cut and starts again at its
+// server, because a new configuration has changed its route.
+func TestCutStreamIsResumedAfterChangeOfRoute(t *testing.T) {
+	for name, change := range routeChanges {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.engines[0].SetFaults(engineapi.EngineFaults{CutAfterTokens: 5})
+			changeRoute := f.changeable(change)
+			s := newScriptedScheduler(grant("engine-a", 1))
+			s.onFirstToken = func(*scriptedScheduler) { changeRoute() }
+			f.proxy.Scheduler = s
+			resp, body := f.post(t, "/v1/chat/completions", chatBody("loom", true, 20), nil)
+			if counters := f.engines[0].Counters(); resp.StatusCode != 200 || counters.Started != 1 || counters.Cancelled != 0 {
+				t.Errorf("got status %d, and the engine counted %+v; want 200 and one start; body %s", resp.StatusCode, counters, body)
+			}
+		})
+	}
+}
+
 // TestSecondGrantOfAnAnswerThatCannotGoOnIsNotSent guards against an answer of several texts that begins
 // anew at another server after a part of it went to the caller, although its route is idempotent.
 func TestSecondGrantOfAnAnswerThatCannotGoOnIsNotSent(t *testing.T) {
--- a/proxy/doc.go
+++ b/proxy/doc.go
@@ -16,8 +16,9 @@
 //     unknown (may have run). Refused is stated only if nothing was sent, or
 //     if the backend server stated that it did not start the request.
 //   - A request that an earlier attempt may have started is sent again only if it
-//     came by an idempotent route and its answer can go on at another server. This
-//     package checks the rule directly before each send, whatever the scheduler decides.
+//     came by an idempotent route, its route is idempotent in the configuration in
+//     force, and its answer can go on at another server. This package checks the
+//     rule directly before each send, whatever the scheduler decides.
 //   - A caller gets the frames of its own request, each once and in order.
 //   - When a caller leaves, its attempt is cancelled at the backend server.
 //   - A refusal is sent as soon as it is decided, with a Retry-After time
