Take no reset during an upload for the end of an answer

Cause: the operating system reports a reset to one call only. If the write of the rest of the request gets it, the read sees a regular end, and that ends a response without a length. The error of the write was dropped.

Evidence: TestResetDuringUploadIsAnError, before: "part of the answer" was read as a whole one, both while the write was blocked and after it had failed. TestEndOfAnswerWithoutUploadIsNotAwaited failed before as well; TestEarlyAnswerWithoutLengthIsWhole held.

Ruled out: responses with a length or in chunks, whose early end is an error by itself; requests that fit into the socket buffers, which are written before the read begins; a reset without an upload (TestResetResponseWithoutLengthIsAnError).

Why this works: the end of such a response counts only once the whole request was written without an error, and is awaited until the read deadline. A server that ends its answer and never reads the rest of the upload now gives an error then: its end can't be told from a crash.

--- a/edge/backendclient/send.go
+++ b/edge/backendclient/send.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -79,7 +80,8 @@
 }
 
 // Response is a server's response. Close must be called. The body is complete only
-// if reading it ends with io.EOF.
+// if reading it ends with io.EOF. A response that ends with its connection does so only after the
+// whole request was written.
 type Response struct {
 	*http.Response
 	client *Client
@@ -88,8 +90,11 @@
 	// detach makes the connection stay open when the request's context ends later. It
 	// returns false if the context has ended already.
 	detach func() bool
-	// written is closed when the request has been written.
-	written chan struct{}
+	// written is closed when the request has been written, or writing it has failed with writeErr.
+	written  chan struct{}
+	writeErr error
+	// readDeadline is the one that SetReadDeadline has set.
+	readDeadline time.Time
 	// complete is set once the body has been read to the end.
 	complete bool
 	// idleTimeout is for how long the connection may be idle after the response.
@@ -136,7 +141,10 @@
 }
 
 // SetReadDeadline sets the deadline for reading the response.
-func (r *Response) SetReadDeadline(t time.Time) error { return r.conn.net.SetReadDeadline(t) }
+func (r *Response) SetReadDeadline(t time.Time) error {
+	r.readDeadline = t
+	return r.conn.net.SetReadDeadline(t)
+}
 
 // failureReason returns the reason for a failure to read the response.
 func failureReason(ctx context.Context, err error) outcome.Reason {
@@ -165,9 +173,7 @@
 	message := append(net.Buffers{head}, req.Body...)
 	go func() {
 		defer close(r.written)
-		// After a failed write, reading the response fails too, unless the response
-		// arrived first.
-		_, _ = message.WriteTo(r.conn.net)
+		_, r.writeErr = message.WriteTo(r.conn.net)
 	}()
 	return nil
 }
@@ -250,10 +256,34 @@
 // Read reads from the body of the response.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.Body.Read(p)
-	if err == io.EOF {
-		r.complete = true
+	if err != io.EOF {
+		return n, err
+	}
+	if err := r.checkEnd(); err != nil {
+		return n, err
+	}
+	r.complete = true
+	return n, io.EOF
+}
+
+// checkEnd returns an error if the end of the connection, which ends the response, may be a reset.
+// The operating system reports a reset once: if a write of the rest of the request got it, the read
+// sees a regular end.
+func (r *Response) checkEnd() error {
+	if r.Body == http.NoBody || r.ContentLength >= 0 || len(r.TransferEncoding) > 0 {
+		return nil
+	}
+	timeout := time.NewTimer(time.Until(r.readDeadline))
+	defer timeout.Stop()
+	select {
+	case <-r.written:
+		if r.writeErr == nil {
+			return nil
+		}
+		return errors.Wrap(r.writeErr, "the connection ended while the request was being written")
+	case <-timeout.C:
+		return errors.Wrap(os.ErrDeadlineExceeded, "the response ended while the request was being written")
 	}
-	return n, err
 }
 
 // Close ends the use of the connection. The connection is pooled if the response was
