Take no reset during an upload for the end of an answer (serve)

Cause: net/http ends a body without a length at the end of its connection, and a reset that the write of the request's body got reads as such an end.

Ruled out: answers with a length or in chunks, as before.

Why this works: the end of such a body counts only if net/http reported that the whole request was written. A server that ends such an answer before it has read the request now gives an error: net/http stops the upload there, so its end can't be told from a reset.

--- a/engineclient/client.go
+++ b/engineclient/client.go
@@ -109,7 +109,8 @@
 
 // Do sends the request once, over a connection of its own, and returns the
 // response as soon as the response's header has arrived. If there is no response,
-// Do returns a *SendError. The caller closes the response's body.
+// Do returns a *SendError. The caller closes the response's body. A body that ends
+// with its connection is complete only if the whole request was written before.
 func (c *Client) Do(ctx context.Context, r Request) (*http.Response, error) {
 	return roundTrip(ctx, c.sends, r)
 }
@@ -122,8 +123,10 @@
 
 func roundTrip(ctx context.Context, transport *http.Transport, r Request) (*http.Response, error) {
 	connected := false
+	upload := &upload{ended: make(chan struct{})}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected = true },
+		GotConn:      func(httptrace.GotConnInfo) { connected = true },
+		WroteRequest: upload.end,
 	})
 	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+r.Address+r.Path, nonRewindableBody(r.Body))
 	if err != nil {
@@ -139,6 +142,9 @@
 	if err != nil {
 		return nil, &SendError{Reason: outcome.ServerUnreachable, NotStarted: !connected, Err: err}
 	}
+	if resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		resp.Body = &undelimitedBody{ReadCloser: resp.Body, ctx: ctx, upload: upload}
+	}
 	return resp, nil
 }
 
