Take a status below 200 for no answer (serve)

Cause: net/http's client accepts such a status and its server does not.

Ruled out: `edge`, where edge/backendclient refuses such a status.

Why this works: engineclient returns no response with a status below 200; it may have run, so what is not idempotent isn't sent again.

--- a/edge/reverseproxy/invalid_status_test.go
+++ b/edge/reverseproxy/invalid_status_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"bergamotpin.example/bergamotpin/platform"
+	"bergamotpin.example/bergamotpin/platform/platformtest"
 )
 
 // replyWith accepts connections at a server's address in place of that server, and writes the
@@ -40,12 +41,32 @@
 	}()
 }
 
-// TestStatusThatIsNoHTTPStatusGetsAnAnswer guards against a request that ends without an answer because its server sends a
-// status below 100, with which net/http's WriteHeader panics.
+// TestStatusThatIsNoHTTPStatusGetsAnAnswer guards against a status such as 000 that a caller gets as an answer,
+// and against a request that ends without an answer, because net/http's WriteHeader panics with it.
 func TestStatusThatIsNoHTTPStatusGetsAnAnswer(t *testing.T) {
-	f := newFixture(t, 1)
-	f.servers[0].Close()
-	replyWith(t, f.servers[0].Address, fmt.Sprintf("HTTP/1.1 099 No\r\n%s: ID\r\nContent-Length: 0\r\n\r\n", platform.HeaderRequestID))
-	got := f.do(f.request(pathUnsafe))
-	f.expectStatus(got, http.StatusBadGateway)
+	for _, status := range []string{"000", "001", "099", "0", "00", "-1", "1000", "abc", ""} {
+		for _, path := range []string{pathUnsafe, pathSafe, pathStream, pathResumable} {
+			t.Run(status+path, func(t *testing.T) {
+				f := newFixture(t, 1)
+				f.servers[0].Close()
+				replyWith(t, f.servers[0].Address, fmt.Sprintf("HTTP/1.1 %s No\r\n%s: ID\r\n%s: stamp\r\nContent-Length: 6\r\n\r\nanswer",
+					status, platform.HeaderRequestID, platform.HeaderServerStamp))
+				got := f.do(f.request(path))
+				f.expectStatus(got, http.StatusBadGateway)
+				if strings.Contains(got.body, "answer") || got.header.Get(platform.HeaderServerStamp) != "" {
+					t.Errorf("the caller got %+v, want nothing of the server's response", got)
+				}
+			})
+		}
+	}
+}
+
+// TestStatusOfHandedOnRequestIsNoAnswer guards against the same on the way over another instance.
+func TestStatusOfHandedOnRequestIsNoAnswer(t *testing.T) {
+	cut, peer := newRelayPair(t, platformtest.Behaviour{})
+	peer.callers.Close()
+	replyWith(t, strings.TrimPrefix(peer.url, "http://"), fmt.Sprintf("HTTP/1.1 000 No\r\n%s: ID\r\n%s: stamp\r\nContent-Length: 6\r\n\r\nanswer",
+		platform.HeaderRequestID, platform.HeaderServerStamp))
+	got := cut.do(cut.request(pathSafe))
+	cut.expectStatus(got, http.StatusBadGateway)
 }
--- a/engineclient/client.go
+++ b/engineclient/client.go
@@ -109,7 +109,8 @@
 
 // Do sends the request once, over a connection of its own, and returns the
 // response as soon as the response's header has arrived. If there is no response,
-// Do returns a *SendError. The caller closes the response's body. A body that ends
+// Do returns a *SendError, also for a status below 200, which is no final one.
+// The caller closes the response's body. A body that ends
 // with its connection is complete only if the whole request was written before.
 func (c *Client) Do(ctx context.Context, r Request) (*http.Response, error) {
 	return roundTrip(ctx, c.sends, r)
@@ -142,6 +143,12 @@
 	if err != nil {
 		return nil, &SendError{Reason: outcome.ServerUnreachable, NotStarted: !connected, Err: err}
 	}
+	if resp.StatusCode < http.StatusOK {
+		// No http.ResponseWriter can pass such a status on as a final one. The error of closing is
+		// of no interest: the connection is not used again.
+		_ = resp.Body.Close()
+		return nil, &SendError{Reason: outcome.ServerError, Status: resp.StatusCode}
+	}
 	if resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		resp.Body = &undelimitedBody{ReadCloser: resp.Body, ctx: ctx, upload: upload}
 	}
