Take only numbered events of its kind into a stream that goes on

Cause: a success with a stamp was taken for the rest of the stream. Event numbers were compared only where an event had one, and a regular end ended the stream, even after no event.

Why this works: the protocol's events have increasing numbers, so a part of the stream is known by them and by the media type. An answer without an event ends the stream only if it states its end and nothing shows that there is one more event.

--- a/edge/reverseproxy/doc.go
+++ b/edge/reverseproxy/doc.go
@@ -31,7 +31,9 @@
 //   - API key and route are looked up again before each send, in the configuration
 //     that is in force at that time.
 //   - A successful response is passed on only if it has the server's stamp, and
-//     only with its whole body. A stream's events arrive once and in order. If
+//     only with its whole body. A stream's events arrive once and in order. What another
+//     server answers when it is asked to go on is part of the stream only if it has the
+//     stream's media type and numbered events, and ends it only if it states an end. If
 //     a stream is aborted, the caller's connection is closed without the
 //     regular end of the response.
 //   - When the caller leaves, the work at the server is stopped.
--- a/edge/reverseproxy/retry.go
+++ b/edge/reverseproxy/retry.go
@@ -282,13 +282,12 @@
 	if f.goesOn = f.others.spoke(); f.goesOn != nil {
 		return false, failure{mayHaveRun: true}
 	}
+	if f.stream.started && !f.continuesStream(s.response) {
+		return false, failure{reason: outcome.ResponseMismatch, mayHaveRun: true, err: errNotContinued}
+	}
 	if s.response.StatusCode/100 == 2 && f.request.route.Kind == catalog.Stream {
 		return f.relayStream(s)
 	}
-	if f.stream.started {
-		// A second head would stand in the middle of the stream.
-		return false, failure{reason: outcome.ResponseMismatch, mayHaveRun: true}
-	}
 	return f.relayWhole(s.response, &s.attempt)
 }
 
--- a/edge/reverseproxy/sending.go
+++ b/edge/reverseproxy/sending.go
@@ -54,6 +54,10 @@
 // request like beginAttempt.
 func (f *forwarder) newSending(ctx context.Context, begin beginFunc, open []*sending) (*sending, *refusal) {
 	req := f.request
+	if f.stream.started && !f.stream.numbered {
+		// No server can be told where to go on.
+		return nil, refuseNotRun(outcome.NoBackendServer, retrySoon)
+	}
 	a, refused := f.handler.beginAttempt(req, begin, open)
 	if refused != nil {
 		return nil, refused
--- a/edge/reverseproxy/stream_relay.go
+++ b/edge/reverseproxy/stream_relay.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -26,14 +27,25 @@
 // errEventsSkipped reports that a server left out event numbers.
 var errEventsSkipped = errors.New("event numbers were skipped")
 
+// errNotContinued reports that a server that was asked to go on with a stream answered with
+// something else.
+var errNotContinued = errors.New("the response does not go on with the stream")
+
 // streamState is the state of a stream over all the servers that contributed to
 // it.
 type streamState struct {
 	// started is set once the response header was written to the caller.
 	started    bool
 	eventCount int
-	// lastNumber is the number of the last event that was written to the caller.
+	// lastNumber is the number of the last event that was written to the caller and had one.
+	// numbered is set if there was one.
 	lastNumber int64
+	numbered   bool
+	// mediaType is that of the response that began the stream.
+	mediaType string
+	// brokeInside is set if the stream broke off inside the event after the last one, which
+	// shows that there is one more.
+	brokeInside bool
 	// firstAfter is the time from the request's arrival to the first event,
 	// lastAt is when the last event arrived, and longestGap is the longest time
 	// between two events.
@@ -56,6 +68,10 @@
 	// began.
 	steps     int
 	stepBegan time.Time
+	// continues is set if another attempt began the stream. before is the number of its last
+	// event when this attempt's response came.
+	continues bool
+	before    int64
 }
 
 // isSound takes in the arrival of an event. It returns true once, when the stream has
@@ -90,7 +106,7 @@
 	reader := bufio.NewReaderSize(s.response, eventBufferBytes)
 	buffered := f.newReservation()
 	defer buffered.release()
-	var progress streamProgress
+	progress := streamProgress{continues: f.stream.started, before: f.stream.lastNumber}
 	for {
 		buffered.release()
 		f.others.watch(s, eventPatience, 0)
@@ -100,16 +116,23 @@
 		case ended && !f.stream.started:
 			return false, failure{reason: outcome.StreamCut, mayHaveRun: true, err: errors.New("the stream ended without an event")}
 		case err != nil && !ended:
+			f.stream.brokeInside = len(event) > 0
 			return false, failure{reason: readErrorReason(err), mayHaveRun: true, err: err}
 		}
 		if f.goesOn = f.others.spoke(); f.goesOn != nil {
 			return false, failure{mayHaveRun: true}
 		}
+		if ended && !f.endsStream(s.response, &progress) {
+			return false, failure{reason: outcome.ResponseMismatch, mayHaveRun: true, err: errNotContinued}
+		}
 		if ended {
 			f.recordAnswered(&s.attempt, isDelimited(s.response.Response))
 			f.recordCompleted(s.attempt.Server.ID, http.StatusOK)
 			return true, failure{}
 		}
+		if progress.continues && isForeign(event) {
+			return false, failure{reason: outcome.ResponseMismatch, mayHaveRun: true, err: errNotContinued}
+		}
 		if failed, ok := f.writeEvent(s.response, &s.attempt, event); !ok {
 			return false, failed
 		}
@@ -119,6 +142,42 @@
 	}
 }
 
+// continuesStream reports whether a successful response may go on with the stream that another
+// response began, as far as its head shows.
+func (f *forwarder) continuesStream(response *backendclient.Response) bool {
+	return response.StatusCode == http.StatusOK && mediaType(response.Header) == f.stream.mediaType
+}
+
+// endsStream reports whether the regular end of an attempt's response is the end of the stream. A
+// response that brings no event ends a stream that another one began only if it states its own end,
+// and nothing shows that there is one more event.
+func (f *forwarder) endsStream(response *backendclient.Response, p *streamProgress) bool {
+	if !p.continues || f.stream.lastNumber > p.before {
+		return true
+	}
+	return isDelimited(response.Response) && !f.stream.brokeInside
+}
+
+// mediaType returns the media type that a header states, without its parameters.
+func mediaType(h http.Header) string {
+	text, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(text))
+}
+
+// isForeign reports whether an event can't be one of a stream that goes on: it has no number, and
+// more than comments. A stream without numbers does not go on.
+func isForeign(event []byte) bool {
+	if _, numbered := eventNumber(event); numbered {
+		return false
+	}
+	for line := range bytes.Lines(event) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // writeEvent passes one event on to the caller. It returns false if the attempt
 // is over.
 func (f *forwarder) writeEvent(response *backendclient.Response, a *balancer.Attempt, event []byte) (failure, bool) {
@@ -143,7 +202,7 @@
 		f.handler.recordOrigin(f.request, a)
 	}
 	if numbered {
-		s.lastNumber = number
+		s.lastNumber, s.numbered = number, true
 	}
 	return f.passEvent(response, event)
 }
@@ -154,6 +213,7 @@
 	s := &f.stream
 	if !s.started {
 		s.started = true
+		s.mediaType = mediaType(response.Header)
 		s.firstAfter = time.Since(f.request.arrived)
 		f.class.ObserveFirstToken(s.firstAfter)
 		copyHeader(f.w, platform.ForwardedResponseHeader(response.Header))
@@ -165,6 +225,7 @@
 	}
 	s.lastAt = time.Now()
 	s.eventCount++
+	s.brokeInside = false
 	if _, err := f.w.Write(event); err != nil {
 		f.writeErr = err
 		return failure{reason: outcome.CallerLeft, mayHaveRun: true, err: err}, false
