Give servers that write fixed replies an address of their own in tests

TestAnswerCutInItsHeadIsNoAnswer failed in its first run with the race detector: "bind: address already in use". Cause: replyWith listened at the address of a server that was closed before, which another test's server had got meanwhile. Ruled out: the product, which was not asked yet. Now the server gets a port of its own, and the catalogue its address; the tests ask the same as before.

--- a/edge/reverseproxy/cut_head_test.go
+++ b/edge/reverseproxy/cut_head_test.go
@@ -28,8 +28,7 @@
 			t.Parallel()
 			for end := range len(c.head) + 1 {
 				f := newFixture(t, 1)
-				f.servers[0].Close()
-				replyWith(t, f.servers[0].Address, c.head[:end])
+				f.replyWith(0, c.head[:end])
 				if got := f.do(f.request(c.path)); got.err != nil || got.status != http.StatusBadGateway || got.header.Get(platform.HeaderServerStamp) != "" {
 					t.Errorf("cut after %q the caller got %+v, want 502", c.head[:end], got)
 				}
@@ -46,8 +45,7 @@
 		t.Run(kind, func(t *testing.T) {
 			for end := strings.Index(whole, "\r\n\r\n") + 4; end < len(whole); end++ {
 				f := newFixture(t, 1)
-				f.servers[0].Close()
-				replyWith(t, f.servers[0].Address, whole[:end])
+				f.replyWith(0, whole[:end])
 				if got := f.do(f.request(pathUnsafe)); got.err != nil || got.status != http.StatusBadGateway {
 					t.Errorf("cut after %q the caller got %+v, want 502", whole[:end], got)
 				}
@@ -60,9 +58,8 @@
 func TestHandedOnAnswerCutInItsHeadIsNoAnswer(t *testing.T) {
 	for _, path := range []string{pathUnsafe, pathStream} {
 		for end := 0; end <= len(answerHead); end += 7 {
-			cut, peer := newRelayPair(t, platformtest.Behaviour{})
-			peer.callers.Close()
-			replyWith(t, strings.TrimPrefix(peer.url, "http://"), answerHead[:end])
+			cut := newFixture(t, 1)
+			cut.handOnTo(answerHead[:end])
 			if got := cut.do(cut.request(path)); got.err != nil || got.status != http.StatusBadGateway {
 				t.Errorf("cut after %q the caller got %+v, want 502", answerHead[:end], got)
 			}
@@ -107,8 +104,7 @@
 			f := newFixture(t, 2)
 			f.setBehaviour(platformtest.Behaviour{Events: 5, CutAfterEvents: 2, EventPause: 50 * time.Millisecond})
 			got, first := f.doMeanwhile(f.request(pathResumable), func(first int) {
-				f.servers[1-first].Close()
-				replyWith(t, f.servers[1-first].Address, wire.Replace(answer))
+				f.replyWith(1-first, wire.Replace(answer))
 			})
 			id := f.servers[first].ID
 			if got.status != http.StatusOK || got.err == nil || got.body != streamBody(id, id) {
@@ -138,8 +134,7 @@
 			f := newFixture(t, 2)
 			f.setBehaviour(platformtest.Behaviour{Events: 50, EventPause: 150 * time.Millisecond})
 			got, first := f.doMeanwhile(f.request(pathResumable), func(first int) {
-				f.servers[1-first].Close()
-				replyWith(t, f.servers[1-first].Address, wire.Replace(c.answer))
+				f.replyWith(1-first, wire.Replace(c.answer))
 				time.Sleep(75 * time.Millisecond)
 				f.servers[first].Crash()
 			})
@@ -154,9 +149,8 @@
 // numbers and the next server begins anew.
 func TestStreamWithoutNumbersIsNotTakenUp(t *testing.T) {
 	f := newFixture(t, 2)
-	for _, s := range f.servers {
-		s.Close()
-		replyWith(t, s.Address, wire.Replace("HTTP/1.1 200 OK\r\nRID: ID\r\nSTAMP: stamp\r\n"+
+	for n := range f.servers {
+		f.replyWith(n, wire.Replace("HTTP/1.1 200 OK\r\nRID: ID\r\nSTAMP: stamp\r\n"+
 			"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: a\n\n\r\n9\r\ndata: b\n\n\r\n"))
 	}
 	if got := f.do(f.request(pathResumable)); got.err == nil || got.body != "data: a\n\ndata: b\n\n" {
--- a/edge/reverseproxy/invalid_status_test.go
+++ b/edge/reverseproxy/invalid_status_test.go
@@ -6,18 +6,40 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 
+	"bergamotpin.example/bergamotpin/edge/catalog"
+	"bergamotpin.example/bergamotpin/edge/gossip"
 	"bergamotpin.example/bergamotpin/platform"
 	"bergamotpin.example/bergamotpin/platform/platformtest"
 )
 
-// replyWith accepts connections at a server's address in place of that server, and writes the
-// given bytes in response to each request.
-func replyWith(t *testing.T, address, reply string) {
+// replyWith has a server that writes the given bytes in response to each request take the place of
+// the server with the given index.
+func (f *fixture) replyWith(server int, reply string) {
+	f.t.Helper()
+	s := f.servers[server]
+	s.Close()
+	entry := platformtest.BackendServer{ID: s.ID, Service: s.Service, Address: startReplies(f.t, reply)}
+	f.putRecord(catalog.KindServer, s.ID, entry.Entry("ready"))
+}
+
+// handOnTo has an instance that writes the given bytes in response to each request get what the
+// fixture's instance hands on.
+func (f *fixture) handOnTo(reply string) {
+	f.t.Helper()
+	f.cutOff()
+	address := netip.MustParseAddrPort(startReplies(f.t, reply))
+	f.handler.PeerRelay.Relays = func() []gossip.Relay { return []gossip.Relay{{Name: "peer", Callers: address}} }
+}
+
+// startReplies starts a server that writes the given bytes in response to each request, and returns
+// its address.
+func startReplies(t testing.TB, reply string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", address)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -39,6 +61,7 @@
 			}()
 		}
 	}()
+	return l.Addr().String()
 }
 
 // TestStatusThatIsNoHTTPStatusGetsAnAnswer guards against a status such as 000 that a caller gets as an answer,
@@ -48,8 +71,7 @@
 		for _, path := range []string{pathUnsafe, pathSafe, pathStream, pathResumable} {
 			t.Run(status+path, func(t *testing.T) {
 				f := newFixture(t, 1)
-				f.servers[0].Close()
-				replyWith(t, f.servers[0].Address, fmt.Sprintf("HTTP/1.1 %s No\r\n%s: ID\r\n%s: stamp\r\nContent-Length: 6\r\n\r\nanswer",
+				f.replyWith(0, fmt.Sprintf("HTTP/1.1 %s No\r\n%s: ID\r\n%s: stamp\r\nContent-Length: 6\r\n\r\nanswer",
 					status, platform.HeaderRequestID, platform.HeaderServerStamp))
 				got := f.do(f.request(path))
 				f.expectStatus(got, http.StatusBadGateway)
@@ -63,9 +85,8 @@
 
 // TestStatusOfHandedOnRequestIsNoAnswer guards against the same on the way over another instance.
 func TestStatusOfHandedOnRequestIsNoAnswer(t *testing.T) {
-	cut, peer := newRelayPair(t, platformtest.Behaviour{})
-	peer.callers.Close()
-	replyWith(t, strings.TrimPrefix(peer.url, "http://"), fmt.Sprintf("HTTP/1.1 000 No\r\n%s: ID\r\n%s: stamp\r\nContent-Length: 6\r\n\r\nanswer",
+	cut := newFixture(t, 1)
+	cut.handOnTo(fmt.Sprintf("HTTP/1.1 000 No\r\n%s: ID\r\n%s: stamp\r\nContent-Length: 6\r\n\r\nanswer",
 		platform.HeaderRequestID, platform.HeaderServerStamp))
 	got := cut.do(cut.request(pathSafe))
 	cut.expectStatus(got, http.StatusBadGateway)
