--- a/edge/backendclient/early_response_test.go
+++ b/edge/backendclient/early_response_test.go
@@ -5,19 +5,11 @@
 	"context"
 	"io"
 	"net"
-	"strings"
 	"testing"
 	"time"
-)
 
-// readHead reads the lines of a request's head.
-func readHead(r *bufio.Reader) {
-	for {
-		if line, err := r.ReadString('\n'); err != nil || strings.TrimSpace(line) == "" {
-			return
-		}
-	}
-}
+	"bergamotpin.example/bergamotpin/standin/rawserver"
+)
 
 // longUpload is a request whose body does not fit into the socket buffers.
 func longUpload() Request {
@@ -32,12 +24,12 @@
 func TestResetDuringUploadIsAnError(t *testing.T) {
 	for name, ended := range map[string]bool{"read meanwhile": false, "read after the write has failed": true} {
 		t.Run(name, func(t *testing.T) {
-			s := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
-				readHead(r)
+			s := startServer(t, func(_ int, c *net.TCPConn, r *bufio.Reader) {
+				rawserver.ReadHead(r)
 				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\npart of the answer")
 				// Let the bytes arrive, since the reset would discard them otherwise.
 				time.Sleep(20 * time.Millisecond)
-				_ = c.(*net.TCPConn).SetLinger(0)
+				_ = c.SetLinger(0)
 			})
 			for range 20 {
 				resp, err := NewClient(nil).Send(context.Background(), s.server(), longUpload())
@@ -61,10 +53,10 @@
 // TestEarlyAnswerWithoutLengthIsWhole guards against an answer that is lost because its server gave it
 // before it had read the request, which it reads to the end afterwards.
 func TestEarlyAnswerWithoutLengthIsWhole(t *testing.T) {
-	s := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
-		readHead(r)
+	s := startServer(t, func(_ int, c *net.TCPConn, r *bufio.Reader) {
+		rawserver.ReadHead(r)
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nthe whole answer")
-		_ = c.(*net.TCPConn).CloseWrite()
+		_ = c.CloseWrite()
 		time.Sleep(50 * time.Millisecond)
 		_, _ = io.Copy(io.Discard, r)
 	})
@@ -88,10 +80,10 @@
 func TestEndOfAnswerWithoutUploadIsNotAwaited(t *testing.T) {
 	release := make(chan struct{})
 	defer close(release)
-	s := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
-		readHead(r)
+	s := startServer(t, func(_ int, c *net.TCPConn, r *bufio.Reader) {
+		rawserver.ReadHead(r)
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nan answer")
-		_ = c.(*net.TCPConn).CloseWrite()
+		_ = c.CloseWrite()
 		<-release
 	})
 	resp, err := NewClient(nil).Send(context.Background(), s.server(), longUpload())
--- a/edge/backendclient/endless_header_test.go
+++ b/edge/backendclient/endless_header_test.go
@@ -27,7 +27,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var sent atomic.Int64
-			s := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			s := startServer(t, func(_ int, c *net.TCPConn, r *bufio.Reader) {
 				readRequest(r)
 				chunk := []byte(parts[0])
 				for {
--- a/edge/backendclient/listens_test.go
+++ b/edge/backendclient/listens_test.go
@@ -12,7 +12,7 @@
 // TestOnlyRefusedConnectionMeansThatServerEnded guards against servers that count as ended
 // because the network is broken or all connections are in use.
 func TestOnlyRefusedConnectionMeansThatServerEnded(t *testing.T) {
-	up := startServer(t, func(_ int, _ net.Conn, r *bufio.Reader) { readRequest(r) })
+	up := startServer(t, func(_ int, _ *net.TCPConn, r *bufio.Reader) { readRequest(r) })
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -30,9 +30,9 @@
 		maxConnections   int
 		listening, known bool
 	}{
-		{"up", NewClient(nil), up.address, 4, true, true},
+		{"up", NewClient(nil), up.server().Address, 4, true, true},
 		{"ended", NewClient(nil), endedAddress, 4, false, true},
-		{"silent", silent, up.address, 4, false, false},
+		{"silent", silent, up.server().Address, 4, false, false},
 		{"all connections in use", NewClient(nil), endedAddress, 0, false, false},
 	} {
 		listening, known := c.client.Listens(context.Background(), Server{Key: "s", Address: c.address, MaxConnections: c.maxConnections})
@@ -44,7 +44,7 @@
 
 // TestConnectionOfCheckIsUsed guards against new connections that only a check uses.
 func TestConnectionOfCheckIsUsed(t *testing.T) {
-	s := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+	s := startServer(t, func(_ int, c *net.TCPConn, r *bufio.Reader) {
 		for {
 			id := readRequest(r)
 			if id == "" {
@@ -70,7 +70,7 @@
 	}
 	check()
 	fetch(t, client, s.server(), "a")
-	if got := s.accepted.Load(); got != 2 {
+	if got := s.Accepted(); got != 2 {
 		t.Errorf("%d connections for three checks, and for one more with a request, want two", got)
 	}
 }
--- a/edge/backendclient/send_test.go
+++ b/edge/backendclient/send_test.go
@@ -7,9 +7,7 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,56 +15,23 @@
 
 	"bergamotpin.example/bergamotpin/engineclient"
 	"bergamotpin.example/bergamotpin/outcome"
+	"bergamotpin.example/bergamotpin/standin/rawserver"
 )
 
-// scriptedServer is a server on the loopback interface that runs a script on each
-// connection.
-type scriptedServer struct {
-	address  netip.AddrPort
-	accepted atomic.Int32
-}
+// scriptedServer is a server that runs a script on each connection.
+type scriptedServer struct{ *rawserver.Server }
 
-// startServer starts a server that calls script with each connection and its number,
-// counted from 1, and closes the connection when script returns.
-func startServer(t *testing.T, script func(n int, c net.Conn, r *bufio.Reader)) *scriptedServer {
+func startServer(t *testing.T, script func(n int, c *net.TCPConn, r *bufio.Reader)) scriptedServer {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	s := &scriptedServer{address: l.Addr().(*net.TCPAddr).AddrPort()}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			n := int(s.accepted.Add(1))
-			go func() {
-				defer c.Close()
-				script(n, c, bufio.NewReader(c))
-			}()
-		}
-	}()
-	return s
+	return scriptedServer{rawserver.Start(t, script)}
 }
 
-func (s *scriptedServer) server() Server {
-	return Server{Key: "s", Address: s.address, MaxConnections: 4}
+func (s scriptedServer) server() Server {
+	return Server{Key: "s", Address: s.Address.AddrPort(), MaxConnections: 4}
 }
 
 // readRequest reads one request and returns its ID, or "" if the connection ended.
-func readRequest(r *bufio.Reader) string {
-	req, err := http.ReadRequest(r)
-	if err != nil {
-		return ""
-	}
-	if _, err := io.Copy(io.Discard, req.Body); err != nil {
-		return ""
-	}
-	return req.Header.Get("X-Id")
-}
+func readRequest(r *bufio.Reader) string { return rawserver.ReadRequest(r).Get("X-Id") }
 
 // responseText returns a complete response with a request ID and a body.
 func responseText(id, body string) string {
@@ -99,7 +64,7 @@
 // TestConnectionIsReused sends three requests in sequence. All must use the same
 // connection.
 func TestConnectionIsReused(t *testing.T) {
-	s := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+	s := startServer(t, func(_ int, c *net.TCPConn, r *bufio.Reader) {
 		for id := readRequest(r); id != ""; id = readRequest(r) {
 			_, _ = io.WriteString(c, responseText(id, "of "+id))
 		}
@@ -110,7 +75,7 @@
 			t.Errorf("got the response %q, want the response to the request just sent", got)
 		}
 	}
-	if n := s.accepted.Load(); n != 1 {
+	if n := s.Accepted(); n != 1 {
 		t.Errorf("got %d connections for three sequential requests, want 1", n)
 	}
 }
@@ -121,7 +86,7 @@
 func TestExtraResponseIsNotUsedForOtherRequest(t *testing.T) {
 	for name, afterNextRequest := range map[string]bool{"at once": false, "late": true} {
 		t.Run(name, func(t *testing.T) {
-			s := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			s := startServer(t, func(_ int, c *net.TCPConn, r *bufio.Reader) {
 				extra := ""
 				for id := readRequest(r); id != ""; id = readRequest(r) {
 					if afterNextRequest {
@@ -158,7 +123,7 @@
 		"after an interim response":           {refusal, "HTTP/1.1 103 Early Hints\r\n\r\n" + refusal, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			s := startServer(t, func(_ int, c *net.TCPConn, r *bufio.Reader) {
 				readRequest(r)
 				_, _ = io.WriteString(c, test.refusal)
 				if id := readRequest(r); id != "" {
@@ -186,7 +151,7 @@
 			if got != test.want {
 				t.Errorf("got status %d, error %v; want %d (0: no response)", got, err, test.want)
 			}
-			if n := s.accepted.Load(); n != 1 {
+			if n := s.Accepted(); n != 1 {
 				t.Errorf("got %d connections, want 1: the test needs a kept one", n)
 			}
 		})
@@ -196,7 +161,7 @@
 // TestOnlyMismatchedResponsesAreAFailure has a server send only responses with another
 // request ID. The error must not claim that the request was not started.
 func TestOnlyMismatchedResponsesAreAFailure(t *testing.T) {
-	s := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+	s := startServer(t, func(_ int, c *net.TCPConn, r *bufio.Reader) {
 		readRequest(r)
 		_, _ = io.WriteString(c, strings.Repeat(responseText("other", "x"), 5))
 	})
@@ -215,7 +180,7 @@
 		"chunked": "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			s := startServer(t, func(_ int, c *net.TCPConn, r *bufio.Reader) {
 				readRequest(r)
 				_, _ = io.WriteString(c, text)
 			})
@@ -234,7 +199,7 @@
 // TestResponseWithoutLengthEndsWithConnection has a server mark the end of a response by
 // closing the connection. The next request must use a new connection.
 func TestResponseWithoutLengthEndsWithConnection(t *testing.T) {
-	s := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+	s := startServer(t, func(_ int, c *net.TCPConn, r *bufio.Reader) {
 		id := readRequest(r)
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+id+"\r\n\r\nall of it")
 	})
@@ -244,7 +209,7 @@
 			t.Errorf("got the response %q, want the whole body", got)
 		}
 	}
-	if n := s.accepted.Load(); n != 2 {
+	if n := s.Accepted(); n != 2 {
 		t.Errorf("got %d connections for two responses without a length, want 2", n)
 	}
 }
@@ -252,13 +217,13 @@
 // TestResetResponseWithoutLengthIsAnError has a server reset the connection in the middle
 // of a response without a length. The part that arrived must not look complete.
 func TestResetResponseWithoutLengthIsAnError(t *testing.T) {
-	s := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+	s := startServer(t, func(_ int, c *net.TCPConn, r *bufio.Reader) {
 		id := readRequest(r)
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+id+"\r\n\r\nhalf")
 		// Let the bytes arrive, since the reset would discard them otherwise. Without
 		// lingering, closing the connection resets it.
 		time.Sleep(50 * time.Millisecond)
-		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.SetLinger(0)
 	})
 	resp, err := NewClient(nil).Send(context.Background(), s.server(), newRequest("1"))
 	if err != nil {
@@ -273,7 +238,7 @@
 // TestEarlyResponseToLongBody has a server respond before it has read the body. The
 // rest of the body must not be read as the next request.
 func TestEarlyResponseToLongBody(t *testing.T) {
-	s := startServer(t, func(n int, c net.Conn, r *bufio.Reader) {
+	s := startServer(t, func(n int, c *net.TCPConn, r *bufio.Reader) {
 		if n > 1 {
 			for id := readRequest(r); id != ""; id = readRequest(r) {
 				_, _ = io.WriteString(c, responseText(id, "of "+id))
@@ -321,7 +286,7 @@
 // connection. The second request must fail without being sent.
 func TestConnectionsAreBounded(t *testing.T) {
 	release := make(chan struct{})
-	s := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+	s := startServer(t, func(_ int, c *net.TCPConn, r *bufio.Reader) {
 		id := readRequest(r)
 		<-release
 		_, _ = io.WriteString(c, responseText(id, "x"))
@@ -334,7 +299,7 @@
 		defer close(done)
 		fetch(t, c, server, "1")
 	}()
-	for s.accepted.Load() == 0 {
+	for s.Accepted() == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	_, err := c.Send(context.Background(), server, newRequest("2"))
@@ -350,7 +315,7 @@
 // on the request. The server must see the connection close.
 func TestCancelledContextClosesConnection(t *testing.T) {
 	closed := make(chan struct{})
-	s := startServer(t, func(_ int, _ net.Conn, r *bufio.Reader) {
+	s := startServer(t, func(_ int, _ *net.TCPConn, r *bufio.Reader) {
 		readRequest(r)
 		_, _ = r.ReadByte()
 		close(closed)
@@ -372,7 +337,7 @@
 // TestMissingHeaderTimesOut has a server read a request and send no response. The request
 // must fail at its HeaderDeadline.
 func TestMissingHeaderTimesOut(t *testing.T) {
-	s := startServer(t, func(_ int, _ net.Conn, r *bufio.Reader) {
+	s := startServer(t, func(_ int, _ *net.TCPConn, r *bufio.Reader) {
 		readRequest(r)
 		_, _ = r.ReadByte()
 	})
@@ -388,7 +353,7 @@
 // TestConnectionClosedByServerIsNotReused has a server close an idle connection before
 // the next request. That request must get its response over a new connection.
 func TestConnectionClosedByServerIsNotReused(t *testing.T) {
-	s := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+	s := startServer(t, func(_ int, c *net.TCPConn, r *bufio.Reader) {
 		id := readRequest(r)
 		_, _ = io.WriteString(c, responseText(id, "of "+id))
 	})
@@ -405,7 +370,7 @@
 // returns false. The idle connection must be closed.
 func TestIdleConnectionsOfRemovedServersAreClosed(t *testing.T) {
 	ended := make(chan struct{}, 1)
-	s := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+	s := startServer(t, func(_ int, c *net.TCPConn, r *bufio.Reader) {
 		id := readRequest(r)
 		_, _ = io.WriteString(c, responseText(id, "x"))
 		_, _ = r.ReadByte()
@@ -441,7 +406,7 @@
 // TestOnlyConnectionsThatStayOpenAreStatedAsKept guards against counting on the connection of a
 // response that was not read to its end.
 func TestOnlyConnectionsThatStayOpenAreStatedAsKept(t *testing.T) {
-	s := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+	s := startServer(t, func(_ int, c *net.TCPConn, r *bufio.Reader) {
 		_, _ = io.WriteString(c, responseText(readRequest(r), "x"))
 		_, _ = r.ReadByte()
 	})
--- a/edge/backendclient/silence_test.go
+++ b/edge/backendclient/silence_test.go
@@ -15,8 +15,8 @@
 // decides when keep-alive probes give up, whatever their count.
 func TestSilentSoundServerLosesItsConnections(t *testing.T) {
 	const soundSilence = 2 * time.Second
-	s := startServer(t, func(_ int, _ net.Conn, r *bufio.Reader) { readRequest(r) })
-	conn, err := dialTCP(context.Background(), "tcp", s.address.String())
+	s := startServer(t, func(_ int, _ *net.TCPConn, r *bufio.Reader) { readRequest(r) })
+	conn, err := dialTCP(context.Background(), "tcp", s.server().Address.String())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/edge/reverseproxy/connection_end_test.go
+++ b/edge/reverseproxy/connection_end_test.go
@@ -13,6 +13,7 @@
 	"bergamotpin.example/bergamotpin/edge/catalog"
 	"bergamotpin.example/bergamotpin/platform"
 	"bergamotpin.example/bergamotpin/platform/platformtest"
+	"bergamotpin.example/bergamotpin/standin/rawserver"
 )
 
 // addEndingServer adds a server to the fixture that answers each request with a header
@@ -20,35 +21,19 @@
 // connection, or resets it.
 func (f *fixture) addEndingServer(id, contentType, body string, reset bool) {
 	f.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	f.t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go answerAndEnd(c.(*net.TCPConn), id, contentType, body, reset)
-		}
-	}()
-	s := platformtest.BackendServer{ID: id, Service: "s", Address: l.Addr().String()}
+	server := rawserver.Start(f.t, func(_ int, c *net.TCPConn, r *bufio.Reader) {
+		answerAndEnd(c, rawserver.ReadRequest(r), id, contentType, body, reset)
+	})
+	s := platformtest.BackendServer{ID: id, Service: "s", Address: server.Address.String()}
 	f.putRecord(catalog.KindServer, id, s.Entry("ready"))
 }
 
-func answerAndEnd(c *net.TCPConn, id, contentType, body string, reset bool) {
-	defer c.Close()
-	r, err := http.ReadRequest(bufio.NewReader(c))
-	if err != nil {
-		return
-	}
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+func answerAndEnd(c *net.TCPConn, request http.Header, id, contentType, body string, reset bool) {
+	if request == nil {
 		return
 	}
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp-%s\r\nContent-Type: %s\r\n\r\n%s",
-		platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID), platform.HeaderServerStamp, id, contentType, body)
+		platform.HeaderRequestID, request.Get(platform.HeaderRequestID), platform.HeaderServerStamp, id, contentType, body)
 	if reset {
 		// Let the bytes arrive, since the reset would discard them otherwise.
 		time.Sleep(50 * time.Millisecond)
--- a/edge/reverseproxy/invalid_status_test.go
+++ b/edge/reverseproxy/invalid_status_test.go
@@ -14,6 +14,7 @@
 	"bergamotpin.example/bergamotpin/edge/gossip"
 	"bergamotpin.example/bergamotpin/platform"
 	"bergamotpin.example/bergamotpin/platform/platformtest"
+	"bergamotpin.example/bergamotpin/standin/rawserver"
 )
 
 // replyWith has a server that writes the given bytes in response to each request take the place of
@@ -39,29 +40,12 @@
 // its address.
 func startReplies(t testing.TB, reply string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				req, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, req.Body)
-				_, _ = conn.Write([]byte(strings.ReplaceAll(reply, "ID", req.Header.Get(platform.HeaderRequestID))))
-			}()
+	server := rawserver.Start(t, func(_ int, c *net.TCPConn, r *bufio.Reader) {
+		if header := rawserver.ReadRequest(r); header != nil {
+			_, _ = io.WriteString(c, strings.ReplaceAll(reply, "ID", header.Get(platform.HeaderRequestID)))
 		}
-	}()
-	return l.Addr().String()
+	})
+	return server.Address.String()
 }
 
 // TestStatusThatIsNoHTTPStatusGetsAnAnswer guards against a status such as 000 that a caller gets as an answer,
--- a/engineclient/early_response_test.go
+++ b/engineclient/early_response_test.go
@@ -6,27 +6,27 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
+
+	"bergamotpin.example/bergamotpin/standin/rawserver"
 )
 
 // TestResetDuringUploadIsAnError guards against a part of an answer that counts as a whole one: its
 // server resets the connection while the request is still being written, and the write, not the
 // read, gets the error.
 func TestResetDuringUploadIsAnError(t *testing.T) {
-	address := startScript(t, func(c net.Conn, r *bufio.Reader) {
-		for line, err := r.ReadString('\n'); err == nil && strings.TrimSpace(line) != ""; line, err = r.ReadString('\n') {
-		}
+	server := rawserver.Start(t, func(_ int, c *net.TCPConn, r *bufio.Reader) {
+		rawserver.ReadHead(r)
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart of the answer")
 		// Let the bytes arrive, since the reset would discard them otherwise.
 		time.Sleep(20 * time.Millisecond)
-		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.SetLinger(0)
 	})
 	client := NewClient(nil)
 	defer client.Close()
 	for n := range 60 {
-		resp, err := client.Do(context.Background(), Request{Method: http.MethodPost, Address: address, Path: "/", Body: make([]byte, 32<<20)})
+		resp, err := client.Do(context.Background(), Request{Method: http.MethodPost, Address: server.Address.String(), Path: "/", Body: make([]byte, 32<<20)})
 		if err != nil {
 			// The reset came before the head.
 			continue
@@ -45,14 +45,14 @@
 // TestAnswerWithoutLengthIsWhole guards against an answer that is lost because it has no length,
 // after a short request and after a long one that its server has read.
 func TestAnswerWithoutLengthIsWhole(t *testing.T) {
-	address := startScript(t, func(c net.Conn, r *bufio.Reader) {
+	server := rawserver.Start(t, func(_ int, c *net.TCPConn, r *bufio.Reader) {
 		readAttempt(r)
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nthe whole answer")
 	})
 	client := NewClient(nil)
 	defer client.Close()
 	for _, length := range []int{0, 2, 8 << 20} {
-		resp, err := client.Do(context.Background(), Request{Method: http.MethodPost, Address: address, Path: "/", Body: make([]byte, length)})
+		resp, err := client.Do(context.Background(), Request{Method: http.MethodPost, Address: server.Address.String(), Path: "/", Body: make([]byte, length)})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/engineclient/kept_connection_test.go
+++ b/engineclient/kept_connection_test.go
@@ -5,45 +5,17 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"testing"
 	"time"
 
 	"bergamotpin.example/bergamotpin/engineapi"
+	"bergamotpin.example/bergamotpin/standin/rawserver"
 )
 
-// startScript starts a server that calls script for each connection, and returns its address.
-func startScript(t *testing.T, script func(c net.Conn, r *bufio.Reader)) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				script(c, bufio.NewReader(c))
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // readAttempt reads one request with its body, and returns its attempt ID, or "" at the end of the
 // connection.
 func readAttempt(r *bufio.Reader) string {
-	req, err := http.ReadRequest(r)
-	if err != nil {
-		return ""
-	}
-	_, _ = io.Copy(io.Discard, req.Body)
-	return req.Header.Get(engineapi.HeaderAttempt)
+	return rawserver.ReadRequest(r).Get(engineapi.HeaderAttempt)
 }
 
 func responseText(status int, header, body string) string {
@@ -73,7 +45,7 @@
 		"stream":  responseText(200, "Content-Type: text/event-stream\r\n", "data: first\n\ndata: [DONE]\n\n"),
 	} {
 		t.Run(name, func(t *testing.T) {
-			address := startScript(t, func(c net.Conn, r *bufio.Reader) {
+			server := rawserver.Start(t, func(_ int, c *net.TCPConn, r *bufio.Reader) {
 				copied := ""
 				for attempt := readAttempt(r); attempt != ""; attempt = readAttempt(r) {
 					_, _ = io.WriteString(c, copied)
@@ -87,12 +59,12 @@
 			})
 			client := NewClient(nil)
 			defer client.Close()
-			if first, err := client.Complete(t.Context(), StreamRequest{Address: address, Attempt: "first"}); err == nil {
+			if first, err := client.Complete(t.Context(), StreamRequest{Address: server.Address.String(), Attempt: "first"}); err == nil {
 				_ = frames(t, first)
 			}
 			// The transport keeps a connection only once its response was read to the end.
 			time.Sleep(20 * time.Millisecond)
-			second, err := client.Complete(t.Context(), StreamRequest{Address: address, Attempt: "second"})
+			second, err := client.Complete(t.Context(), StreamRequest{Address: server.Address.String(), Attempt: "second"})
 			if err != nil {
 				t.Fatalf("got error %v, want the answer to the request that was sent", err)
 			}
--- a/proxy/odd_answers_test.go
+++ b/proxy/odd_answers_test.go
@@ -11,33 +11,20 @@
 
 	"bergamotpin.example/bergamotpin/engineapi"
 	"bergamotpin.example/bergamotpin/scheduler"
+	"bergamotpin.example/bergamotpin/standin/rawserver"
 )
 
 // answerFrom has a server of the fixture's configuration write the given bytes in response to each
 // request and close the connection.
 func (f *fixture) answerFrom(t *testing.T, name, reply string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			r, err := http.ReadRequest(bufio.NewReader(conn))
-			if err == nil {
-				_, _ = io.Copy(io.Discard, r.Body)
-				_, _ = io.WriteString(conn, reply)
-			}
-			_ = conn.Close()
+	server := rawserver.Start(t, func(_ int, c *net.TCPConn, r *bufio.Reader) {
+		if rawserver.ReadRequest(r) != nil {
+			_, _ = io.WriteString(c, reply)
 		}
-	}()
+	})
 	entry := f.snapshot.BackendServers[name]
-	entry.Spec.Address = l.Addr().String()
+	entry.Spec.Address = server.Address.String()
 	f.snapshot.BackendServers[name] = entry
 }
 
