--- a/edge/balancer/urgency_test.go
+++ b/edge/balancer/urgency_test.go
@@ -129,3 +129,52 @@
 		t.Errorf("while short urgent prompts are late: got reason %v for a less urgent one, want held_back", reason)
 	}
 }
+
+// TestShortLessUrgentLiftsNoLimit guards against queues in which nobody is on time: a less urgent prompt of
+// which little must be prefilled is admitted to any queue, and then the long prompts of more urgent requests
+// are too.
+func TestShortLessUrgentLiftsNoLimit(t *testing.T) {
+	for name, short := range map[string]Request{
+		"short prompt":  {PromptTokens: 1000},
+		"cached prompt": {PromptTokens: 17_000, PrefixBlocks: []PrefixBlock{{1, 16_000}, {2, 1000}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			balancer := newBalancer()
+			short.Service, short.LatencyTarget, short.Urgency = engineService, lessUrgentPrompt.LatencyTarget, lessUrgentPrompt.Urgency
+			if len(short.PrefixBlocks) > 0 {
+				cached := chooseAndBegin(t, balancer, short, startTime, newServer("a"))
+				balancer.RecordFirstEvent(cached, startTime.Add(cached.ExpectedDelay))
+				balancer.EndAttempt(cached, Succeeded, startTime.Add(cached.ExpectedDelay))
+			}
+			now := startTime.Add(10 * time.Second)
+			queue(balancer, map[string]int{"a": 200_000}, now)
+			if _, reason := chooseAndAdmit(balancer, short, now, "a"); reason != outcome.ReasonNone {
+				t.Fatalf("the less urgent request: got reason %v, want it admitted", reason)
+			}
+			queue(balancer, map[string]int{"a": 180_000}, now)
+			if _, reason := chooseAndAdmit(balancer, urgentPrompt, now, "a"); reason != outcome.Infeasible {
+				t.Errorf("a long urgent prompt before a queue of 3 s: got reason %v, want infeasible", reason)
+			}
+		})
+	}
+}
+
+// TestCachedLessUrgentIsHeldBack guards against long less urgent prompts that go on taking the slots and the memory
+// of late urgent ones, because little of them must be prefilled.
+func TestCachedLessUrgentIsHeldBack(t *testing.T) {
+	balancer := newBalancer()
+	r := lessUrgentPrompt
+	r.PrefixBlocks = []PrefixBlock{{1, 16_000}, {2, 1000}}
+	cached := chooseAndBegin(t, balancer, r, startTime, newServer("a"))
+	balancer.RecordFirstEvent(cached, startTime.Add(cached.ExpectedDelay))
+	balancer.EndAttempt(cached, Succeeded, startTime.Add(cached.ExpectedDelay))
+	now := startTime.Add(10 * time.Second)
+	queue(balancer, map[string]int{"a": 30_000}, now)
+	if _, reason := chooseAndAdmit(balancer, r, now, "a"); reason != outcome.ReasonNone {
+		t.Fatalf("before any request is late: got reason %v, want it admitted", reason)
+	}
+	reportLate(balancer, urgentPrompt, now)
+	if a, reason := chooseAndAdmit(balancer, r, now, "a"); reason != outcome.HeldBack || a.CachedTokens == 0 {
+		t.Errorf("while urgent requests are late: got reason %v for a prompt with %d tokens cached, want held_back", reason, a.CachedTokens)
+	}
+}
