Keep the wire's names of the tests' route changes in platform/

The changes of routes in edge/reverseproxy's tests named fields of the users' configuration. They are now values in platform/platformtest beside the configuration itself, as the two that were there before.

--- a/edge/reverseproxy/early_end_test.go
+++ b/edge/reverseproxy/early_end_test.go
@@ -102,7 +102,7 @@
 	})
 	entry := platformtest.BackendServer{ID: "i-9", Service: "s", Address: server.Listener.Addr().String()}
 	f.putRecord(catalog.KindServer, entry.ID, entry.Entry("ready"))
-	f.putRecord(catalog.KindConfiguration, "main", strings.Replace(platformtest.Configuration(2, streamTimeoutMs, "key"), `"max_conns":100`, `"max_conns":1`, 1))
+	f.putRecord(catalog.KindConfiguration, "main", platformtest.OneConnectionAServer(platformtest.Configuration(2, streamTimeoutMs, "key")))
 	if s.stop == stopAsRead {
 		f.takeMemory(t)
 	}
--- a/edge/reverseproxy/route_change_test.go
+++ b/edge/reverseproxy/route_change_test.go
@@ -1,10 +1,8 @@
 package reverseproxy
 
 import (
-	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -18,43 +16,29 @@
 	// path is the request's, and stream is set if the route was one of streams.
 	path   string
 	stream bool
-	// replace holds pairs of old and new parts of the configuration.
-	replace []string
-}
-
-const (
-	resumableRoute = `"type":"stream","timeout_ms":4000,"slo_ms":300,"service":"s","max_attempts":2,"resumable":true`
-	servicesBegin  = `"services":[`
-	serviceT       = servicesBegin + `{"name":"t","max_conns":100},`
-	routesBegin    = `"routes":[`
-)
-
-// longerRoute returns a pair for a routeChange that adds a route of service t with a longer path.
-func longerRoute(path, rest string) []string {
-	return []string{servicesBegin, serviceT, routesBegin,
-		routesBegin + fmt.Sprintf(`{"name":"longer","host":"h.example","path_prefix":%q,"timeout_ms":1500,"slo_ms":100,"service":"t",%s},`, path+"longer/", rest)}
+	change platformtest.Change
 }
 
 // endingChanges are the changes after which a request that may have run must not be sent again.
 var endingChanges = map[string]routeChange{
-	"safe, made unsafe":            {path: pathSafe, replace: []string{`"type":"safe"`, `"type":"unsafe"`}},
-	"safe, for one server only":    {path: pathSafe, replace: []string{`"service":"s","max_attempts":2}`, `"service":"s","max_attempts":1}`}},
-	"safe, removed":                {path: pathSafe, replace: []string{`"path_prefix":"/safe/"`, `"path_prefix":"/gone/"`}},
-	"safe, unsafe longer path":     {path: pathSafe, replace: longerRoute(pathSafe, `"type":"unsafe","max_attempts":1`)},
-	"safe, unsafe for three":       {path: pathSafe, replace: longerRoute(pathSafe, `"type":"unsafe","max_attempts":3`)},
-	"unsafe, made safe":            {path: pathUnsafe, replace: []string{`"type":"unsafe"`, `"type":"safe"`, `"service":"s","max_attempts":1}`, `"service":"s","max_attempts":2}`}},
-	"unsafe, safe longer path":     {path: pathUnsafe, replace: longerRoute(pathUnsafe, `"type":"safe","max_attempts":3`)},
-	"stream, made resumable":       {path: pathStream, stream: true, replace: []string{`"max_attempts":1,"gap_target_ms"`, `"max_attempts":2,"resumable":true,"gap_target_ms"`}},
-	"resumable, no longer so":      {path: pathResumable, stream: true, replace: []string{`"resumable":true,`, ""}},
-	"resumable, one server only":   {path: pathResumable, stream: true, replace: []string{resumableRoute, strings.Replace(resumableRoute, "2", "1", 1)}},
-	"resumable, made unsafe":       {path: pathResumable, stream: true, replace: []string{resumableRoute, strings.Replace(resumableRoute, "stream", "unsafe", 1)}},
-	"resumable, unsafe longer one": {path: pathResumable, stream: true, replace: longerRoute(pathResumable, `"type":"unsafe","max_attempts":2`)},
+	"safe, made unsafe":            {path: pathSafe, change: platformtest.SafeMadeUnsafe},
+	"safe, for one server only":    {path: pathSafe, change: platformtest.SafeAtOneServer},
+	"safe, removed":                {path: pathSafe, change: platformtest.SafeRemoved},
+	"safe, unsafe longer path":     {path: pathSafe, change: platformtest.WithLongerRoute(pathSafe, "unsafe", 1)},
+	"safe, unsafe for three":       {path: pathSafe, change: platformtest.WithLongerRoute(pathSafe, "unsafe", 3)},
+	"unsafe, made safe":            {path: pathUnsafe, change: platformtest.UnsafeMadeSafe},
+	"unsafe, safe longer path":     {path: pathUnsafe, change: platformtest.WithLongerRoute(pathUnsafe, "safe", 3)},
+	"stream, made resumable":       {path: pathStream, stream: true, change: platformtest.StreamMadeResumable},
+	"resumable, no longer so":      {path: pathResumable, stream: true, change: platformtest.WithoutResuming},
+	"resumable, one server only":   {path: pathResumable, stream: true, change: platformtest.WithOneServer},
+	"resumable, made unsafe":       {path: pathResumable, stream: true, change: platformtest.ResumableMadeUnsafe},
+	"resumable, unsafe longer one": {path: pathResumable, stream: true, change: platformtest.WithLongerRoute(pathResumable, "unsafe", 2)},
 }
 
-// replaceConfiguration puts the changed configuration in force, with a server of service t.
-func (f *fixture) replaceConfiguration(c routeChange) {
+// replaceConfiguration puts a changed configuration in force.
+func (f *fixture) replaceConfiguration(change platformtest.Change) {
 	f.t.Helper()
-	f.putRecord(catalog.KindConfiguration, "main", strings.NewReplacer(c.replace...).Replace(platformtest.Configuration(2, streamTimeoutMs, "key")))
+	f.putRecord(catalog.KindConfiguration, "main", change(platformtest.Configuration(2, streamTimeoutMs, "key")))
 }
 
 // addServiceT adds a server of the service t, which has requests under a changed configuration only.
@@ -94,7 +78,7 @@
 				}
 				f.addServiceT()
 				got, _ := f.doMeanwhile(f.request(c.path+"longer/x"), func(first int) {
-					f.replaceConfiguration(c)
+					f.replaceConfiguration(c.change)
 					f.setOthers(first, platformtest.Behaviour{})
 					if end.crash {
 						time.Sleep(50 * time.Millisecond)
@@ -115,16 +99,16 @@
 // TestRouteThatStillAllowsItGetsRetry guards against requests that are given up although the routes
 // of both sends allow a second run.
 func TestRouteThatStillAllowsItGetsRetry(t *testing.T) {
-	for name, c := range map[string]routeChange{
-		"other service": {path: pathSafe, replace: longerRoute(pathSafe, `"type":"safe","max_attempts":3`)},
-		"same service":  {path: pathSafe, replace: []string{`"timeout_ms":1500`, `"timeout_ms":1400`}},
+	for name, change := range map[string]platformtest.Change{
+		"other service": platformtest.WithLongerRoute(pathSafe, "safe", 3),
+		"same service":  platformtest.SafeWithLessTime,
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, 2)
 			f.setBehaviour(platformtest.Behaviour{Hang: true})
 			f.addServiceT()
-			got, _ := f.doMeanwhile(f.request(c.path+"longer/x"), func(first int) {
-				f.replaceConfiguration(c)
+			got, _ := f.doMeanwhile(f.request(pathSafe+"longer/x"), func(first int) {
+				f.replaceConfiguration(change)
 				f.setOthers(first, platformtest.Behaviour{})
 				f.servers[first].Crash()
 			})
@@ -146,7 +130,7 @@
 	}
 	got, _ := f.doMeanwhile(f.request(pathSafe+"longer/x"), func(first int) {
 		other.SetBehaviour(platformtest.Behaviour{})
-		f.replaceConfiguration(routeChange{replace: longerRoute(pathSafe, `"type":"safe","max_attempts":3`)})
+		f.replaceConfiguration(platformtest.WithLongerRoute(pathSafe, "safe", 3))
 		f.servers[first].Crash()
 	})
 	f.expectStatus(got, 502)
@@ -164,11 +148,11 @@
 		want   func(id string) string
 	}{
 		"whole answer, made a stream": {
-			routeChange{path: pathSafe, replace: []string{`"type":"safe"`, `"type":"stream","resumable":true`}},
+			routeChange{path: pathSafe, change: platformtest.SafeMadeResumable},
 			slowWhole, func(id string) string { return "body of request-1 by " + id },
 		},
 		"stream, made safe": {
-			routeChange{path: pathResumable, replace: []string{resumableRoute, strings.Replace(resumableRoute, "stream", "safe", 1)}},
+			routeChange{path: pathResumable, change: platformtest.ResumableMadeSafe},
 			platformtest.Behaviour{Events: 3, Delay: time.Second, EventPause: 10 * time.Millisecond}, func(id string) string { return streamBody(id, id, id) },
 		},
 	} {
@@ -176,7 +160,7 @@
 			f := newFixture(t, 2)
 			f.setBehaviour(c.answer)
 			got, first := f.doMeanwhile(f.request(c.path), func(first int) {
-				f.replaceConfiguration(c.routeChange)
+				f.replaceConfiguration(c.change)
 				f.setOthers(first, platformtest.Behaviour{Hang: true})
 			})
 			f.expectStatus(got, 200)
@@ -206,7 +190,7 @@
 	go func() { got <- f.do(r) }()
 	_, _ = io.WriteString(write, "half of the body")
 	time.Sleep(200 * time.Millisecond)
-	f.replaceConfiguration(endingChanges["stream, made resumable"])
+	f.replaceConfiguration(platformtest.StreamMadeResumable)
 	_ = write.Close()
 	answer := <-got
 	f.expectStatus(answer, 503)
@@ -226,7 +210,7 @@
 			f := newFixture(t, 1)
 			f.setBehaviour(platformtest.Behaviour{Refuse: true, Delay: 100 * time.Millisecond})
 			f.addServiceT()
-			got, _ := f.doMeanwhile(f.request(c.path+"longer/x"), func(int) { f.replaceConfiguration(c) })
+			got, _ := f.doMeanwhile(f.request(c.path+"longer/x"), func(int) { f.replaceConfiguration(c.change) })
 			f.expectStatus(got, 200)
 			if ran := f.serversThatRan(); len(ran) != 1 || ran[0] != "t-0" {
 				t.Errorf("the request ran at %v, want t-0", ran)
@@ -238,19 +222,18 @@
 // TestRequestHandedOnKeepsRouteOfItsSend guards against a request that is handed on and runs twice, or
 // whose answer is lost, because the other instance has another configuration.
 func TestRequestHandedOnKeepsRouteOfItsSend(t *testing.T) {
-	toSafe := routeChange{replace: []string{resumableRoute, strings.Replace(resumableRoute, "stream", "safe", 1)}}
 	for name, c := range map[string]struct {
 		path   string
-		change routeChange
+		change platformtest.Change
 		b      platformtest.Behaviour
 		status int
 		body   string
 	}{
-		"safe here, unsafe there":   {pathSafe, endingChanges["safe, made unsafe"], platformtest.Behaviour{Status: 500}, 500, "body of request-1 by i-0"},
-		"unsafe here, safe there":   {pathUnsafe, endingChanges["unsafe, made safe"], platformtest.Behaviour{}, 200, "body of request-1 by i-0"},
-		"stream here, whole there":  {pathResumable, toSafe, platformtest.Behaviour{}, 200, "body of request-1 by i-0"},
-		"whole here, stream there":  {pathSafe, routeChange{replace: []string{`"type":"safe"`, `"type":"stream"`}}, platformtest.Behaviour{Events: 3}, 200, streamBody("i-0", "i-0", "i-0")},
-		"stream here, events there": {pathResumable, toSafe, platformtest.Behaviour{Events: 3}, 200, streamBody("i-0", "i-0", "i-0")},
+		"safe here, unsafe there":   {pathSafe, platformtest.SafeMadeUnsafe, platformtest.Behaviour{Status: 500}, 500, "body of request-1 by i-0"},
+		"unsafe here, safe there":   {pathUnsafe, platformtest.UnsafeMadeSafe, platformtest.Behaviour{}, 200, "body of request-1 by i-0"},
+		"stream here, whole there":  {pathResumable, platformtest.ResumableMadeSafe, platformtest.Behaviour{}, 200, "body of request-1 by i-0"},
+		"whole here, stream there":  {pathSafe, platformtest.SafeMadeStream, platformtest.Behaviour{Events: 3}, 200, streamBody("i-0", "i-0", "i-0")},
+		"stream here, events there": {pathResumable, platformtest.ResumableMadeSafe, platformtest.Behaviour{Events: 3}, 200, streamBody("i-0", "i-0", "i-0")},
 	} {
 		t.Run(name, func(t *testing.T) {
 			cut, peer := newRelayPair(t, c.b)
@@ -270,16 +253,13 @@
 // TestStreamGoesOnAtItsOwnServiceOnly guards against a stream that is joined from two services, because
 // a new configuration leads its path elsewhere.
 func TestStreamGoesOnAtItsOwnServiceOnly(t *testing.T) {
-	for name, rest := range map[string]string{
-		"resumable there": `"type":"stream","resumable":true,"max_attempts":3`,
-		"safe there":      `"type":"safe","max_attempts":3`,
-	} {
-		t.Run(name, func(t *testing.T) {
+	for _, kind := range []string{"resumable", "safe"} {
+		t.Run(kind+" there", func(t *testing.T) {
 			f := newFixture(t, 2)
 			f.setBehaviour(platformtest.Behaviour{Events: 9, EventPause: 100 * time.Millisecond, CutAfterEvents: 2})
 			f.addServiceT().SetBehaviour(platformtest.Behaviour{Events: 9})
 			got, _ := f.doMeanwhile(f.request(pathResumable+"longer/x"), func(int) {
-				f.replaceConfiguration(routeChange{replace: longerRoute(pathResumable, rest)})
+				f.replaceConfiguration(platformtest.WithLongerRoute(pathResumable, kind, 3))
 			})
 			if ran := f.serversThatRan(); len(ran) != 1 || got.err == nil {
 				t.Errorf("the stream ran at %v, and the caller got %+v; want one server, and an end that shows that it broke off", ran, got)
