Look at the upload first when a response and its read deadline end at once

Read again as a newcomer: if the read deadline had passed and the request was written, the select between both could pick the deadline and fail a whole answer. No trial showed it. It now fails only if the request is not written. Tests of edge/backendclient pass three times.

--- a/edge/backendclient/send.go
+++ b/edge/backendclient/send.go
@@ -277,13 +277,15 @@
 	defer timeout.Stop()
 	select {
 	case <-r.written:
-		if r.writeErr == nil {
-			return nil
-		}
-		return errors.Wrap(r.writeErr, "the connection ended while the request was being written")
 	case <-timeout.C:
-		return errors.Wrap(os.ErrDeadlineExceeded, "the response ended while the request was being written")
+		if !r.isWritten() {
+			return errors.Wrap(os.ErrDeadlineExceeded, "the response ended while the request was being written")
+		}
+	}
+	if r.writeErr == nil {
+		return nil
 	}
+	return errors.Wrap(r.writeErr, "the connection ended while the request was being written")
 }
 
 // Close ends the use of the connection. The connection is pooled if the response was
