--- a/edge/balancer/admission.go
+++ b/edge/balancer/admission.go
@@ -66,9 +66,7 @@
 	limits := b.delayLimitsFor(r, now)
 	b.recordUrgency(r, limits.own.makesLate(a), now)
 	if !limits.refuse(r, a) || limits.moveToAdmittingServer(r, a) {
-		if limits.own.appliesTo(r, a) {
-			b.recordAdmittedDelay(r, a.delay(), now)
-		}
+		b.recordAdmittedDelay(r, a.delay(), now)
 		return outcome.ReasonNone, 0
 	}
 	a.HeldBackFor, a.AdmittedDelay = limits.heldBackFor, limits.admittedDelay
@@ -93,11 +91,7 @@
 // queueLimit is the longest queue to which a long prompt is admitted. A queue exceeds it
 // if both the request's expected delay and the prefill of the prompts ahead of it are too
 // long. The zero value is no limit.
-type queueLimit struct {
-	delay, backlog time.Duration
-	// countsCached is set if tokens that need not be prefilled make a prompt long too.
-	countsCached bool
-}
+type queueLimit struct{ delay, backlog time.Duration }
 
 // makesLate reports whether the queue at the attempt's server exceeds the limit, whatever
 // the size of the prompt.
@@ -107,24 +101,13 @@
 
 // exceededBy reports whether the prompt is long and the queue exceeds the limit.
 func (l queueLimit) exceededBy(r Request, a *Attempt) bool {
-	return l.appliesTo(r, a) && l.makesLate(a)
-}
-
-// appliesTo reports whether the prompt is long. A shorter one is admitted to any queue, so that its
-// admission says nothing of the queue.
-func (l queueLimit) appliesTo(r Request, a *Attempt) bool {
-	tokens := r.PromptTokens
-	if !l.countsCached {
-		tokens -= a.CachedTokens
-	}
-	return prefillMillis(tokens) >= minRefusalPrefillMillis
+	return prefillMillis(r.PromptTokens-a.CachedTokens) >= minRefusalPrefillMillis && l.makesLate(a)
 }
 
 // delayLimits are the limits that apply to one request.
 type delayLimits struct {
 	// own follows from the request's latency target, heldBack from that of more urgent
-	// requests that are late. A request that is held back for others counts with its whole
-	// prompt: what is cached takes a slot and memory from them all the same.
+	// requests that are late.
 	own, heldBack queueLimit
 	// No request is refused at a delay up to admittedDelay of the rules.
 	urgencyRules
@@ -133,13 +116,11 @@
 // delayLimitsFor returns the limits for a request.
 func (b *Balancer) delayLimitsFor(r Request, now time.Time) delayLimits {
 	rules := b.urgencyRulesFor(r, now)
-	limits := delayLimits{
+	return delayLimits{
 		own:          newQueueLimit(r.LatencyTarget, refusalDelayFraction, refusalBacklogFraction),
 		heldBack:     newQueueLimit(rules.heldBackFor, heldBackDelayFraction, heldBackBacklogFraction),
 		urgencyRules: rules,
 	}
-	limits.heldBack.countsCached = true
-	return limits
 }
 
 // newQueueLimit returns a limit at the given fractions of a latency target.
--- a/edge/balancer/urgency.go
+++ b/edge/balancer/urgency.go
@@ -7,10 +7,9 @@
 // the less urgent ones would take their place. So two rules apply across urgencies:
 //
 //   - A request is not refused at an expected delay at which a less urgent one was
-//     admitted a short time ago that could have been refused.
+//     admitted a short time ago.
 //   - While urgent requests are late, less urgent ones are admitted only to queues in
-//     which the urgent ones would be on time. That holds for all long prompts, also those
-//     of which little must be prefilled.
+//     which the urgent ones would be on time.
 //
 // Each instance sees only few of the urgent requests. So the instances report to each
 // other how many they had, how many of these were late, and to which delays they
@@ -76,7 +75,7 @@
 	requests, late float64
 	// target is the latency target of the last request.
 	target time.Duration
-	// longestDelay is the longest expected delay to which a long prompt was admitted
+	// longestDelay is the longest expected delay to which a request was admitted
 	// since periodStart, longestBefore that of the period before.
 	longestDelay, longestBefore time.Duration
 	periodStart                 time.Time
@@ -184,7 +183,7 @@
 	}
 }
 
-// recordAdmittedDelay records the expected delay of a long prompt that was admitted.
+// recordAdmittedDelay records the expected delay of a request that was admitted.
 func (b *Balancer) recordAdmittedDelay(r Request, delay time.Duration, now time.Time) {
 	stats := b.urgencyStatsOf(r, now)
 	stats.longestDelay = max(stats.longestDelay, delay)
