--- a/review/stand3/replica.go
+++ b/review/stand3/replica.go
@@ -35,7 +35,7 @@
 
 // troubles are the chances of what a replica does wrong, as the pages allow it.
 type troubles struct {
-	shed, shedNoID, resetBefore, loseAnswer, truncate, extra, extraLate, extraNoID, unframed, fail, hang, early, closeAfter float64
+	shed, shedNoID, resetBefore, loseAnswer, truncate, extra, extraLate, extraNoID, unframed, fail, hang, early, closeAfter, own503 float64
 }
 
 // replica is a stand-in of a backend server. It speaks over raw connections.
@@ -206,6 +206,9 @@
 	case chance(t.loseAnswer):
 		reset(c)
 		return false
+	case chance(t.own503):
+		fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%sContent-Length: 8\r\n\r\nno store", headerID, id, stamp)
+		return true
 	case chance(t.fail):
 		fmt.Fprintf(c, "HTTP/1.1 500 Internal Server Error\r\n%s: %s\r\n%sContent-Length: 5\r\n\r\nerror", headerID, id, stamp)
 		return true
--- a/review/stand3/stress.go
+++ b/review/stand3/stress.go
@@ -62,6 +62,19 @@
 		s.target = fmt.Sprintf("/stream-%s/x?thing=%s&events=%d", kind, s.id, events)
 		s.body = strings.Repeat("p", 1000)
 	}
+	s.send(ctx, client, front, key, method, deadlineMs, after)
+	return s
+}
+
+// attemptWith sends one unsafe request with the given body.
+func attemptWith(ctx context.Context, client *http.Client, front, key, body string) *sent {
+	s := &sent{id: newID(), kind: "unsafe", target: "/unsafe/x", body: body, at: time.Now()}
+	s.send(ctx, client, front, key, http.MethodPost, 1500, "")
+	return s
+}
+
+// send sends the request and reads its answer.
+func (s *sent) send(ctx context.Context, client *http.Client, front, key, method string, deadlineMs int, after string) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+front+s.target, strings.NewReader(s.body))
 	if err != nil {
 		panic(err)
@@ -76,7 +89,7 @@
 	resp, err := client.Do(req)
 	if err != nil {
 		s.why, s.gaveUp = err.Error(), ctx.Err() != nil
-		return s
+		return
 	}
 	defer resp.Body.Close()
 	s.status, s.stamp = resp.StatusCode, resp.Header.Get(headerStamp)
@@ -88,7 +101,6 @@
 	if id := resp.Header.Get(headerID); id != s.id && id != "" {
 		s.why = "ANOTHER ID " + id
 	}
-	return s
 }
 
 // check returns what breaks a rule.
