review: case 14, an event of 2,048 bytes is joined with the next one

If its server then crashes and the stream goes on at another one, the client reads two events as one.

--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -18,7 +18,7 @@
 		fmt.Fprintln(os.Stderr, "usage: stand3 CASE FOLDER")
 		os.Exit(invalid)
 	}
-	cases := map[string]func(folder string, trouble bool) (int, error){"stress": stress, "comment": comment, "followers": followers, "takeup": takeUp, "ownfailure": ownFailure}
+	cases := map[string]func(folder string, trouble bool) (int, error){"stress": stress, "comment": comment, "followers": followers, "takeup": takeUp, "ownfailure": ownFailure, "longlines": longLines}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
--- a/review/stand3/replica.go
+++ b/review/stand3/replica.go
@@ -52,9 +52,13 @@
 	beforeFirst func(comment func()) time.Duration
 	// beforeResumed is the same for a stream that is resumed.
 	beforeResumed func(comment func()) time.Duration
+	// eventText, if set, returns the text of the event n of a stream whose last one is last.
+	eventText func(thing string, n, last int) string
 
 	mu       sync.Mutex
 	troubles troubles
+	// conns are the open connections. It is nil once the replica has crashed.
+	conns map[net.Conn]bool
 }
 
 func newReplica(id, service, zone string, record func(run)) (*replica, error) {
@@ -62,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &replica{id: id, service: service, version: "v1", zone: zone, slots: 64, listener: l, address: l.Addr().String(), record: record, firstEvent: 1}
+	r := &replica{id: id, service: service, version: "v1", zone: zone, slots: 64, listener: l, address: l.Addr().String(), record: record, firstEvent: 1, conns: map[net.Conn]bool{}}
 	r.work = func() time.Duration { return time.Duration(2+rand.IntN(20)) * time.Millisecond }
 	go r.accept()
 	return r, nil
@@ -79,8 +83,40 @@
 		if err != nil {
 			return
 		}
-		go r.serve(c)
+		if r.track(c) {
+			go r.serve(c)
+		}
+	}
+}
+
+// track notes an open connection. It returns false if the replica has crashed.
+func (r *replica) track(c net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.conns == nil {
+		reset(c)
+		return false
+	}
+	r.conns[c] = true
+	return true
+}
+
+// crash ends the replica: its connections are reset, and it accepts no more.
+func (r *replica) crash() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		reset(c)
 	}
+	r.conns = nil
+}
+
+// forget takes a connection off the open ones.
+func (r *replica) forget(c net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.conns, c)
 }
 
 func (r *replica) setTroubles(t troubles) {
@@ -100,6 +136,7 @@
 // serve answers the requests of one connection, one at a time.
 func (r *replica) serve(c net.Conn) {
 	defer c.Close()
+	defer r.forget(c)
 	in := bufio.NewReader(c)
 	for {
 		req, err := http.ReadRequest(in)
@@ -297,6 +334,9 @@
 			return false
 		}
 		event := fmt.Sprintf("id: %d\ndata: %s event %d of %d to %d\n\n", n, thing, n, r.firstEvent, r.firstEvent+count-1)
+		if r.eventText != nil {
+			event = r.eventText(thing, n, r.firstEvent+count-1)
+		}
 		switch {
 		case chance(t.hang / 5):
 			<-ctx.Done()
