--- a/edge/reverseproxy/peer_relay.go
+++ b/edge/reverseproxy/peer_relay.go
@@ -1,7 +1,6 @@
 package reverseproxy
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"time"
@@ -127,22 +126,22 @@
 
 // passStreamOn passes a stream on event by event.
 func (f *forwarder) passStreamOn(response *backendclient.Response) (failure, bool) {
-	reader := bufio.NewReaderSize(response, eventBufferBytes)
 	buffered := f.newReservation()
 	defer buffered.release()
+	reader := f.newReader(response, &buffered)
 	for {
 		buffered.release()
-		event, err := readEvent(reader, &buffered)
+		event, err := readEvent(reader)
 		switch {
-		case err == io.EOF && len(event) == 0 && f.stream.started:
+		case err == io.EOF && f.stream.started:
 			f.recordCompleted(peerServer, response.StatusCode)
 			return failure{}, true
-		case err == io.EOF && len(event) == 0:
+		case err == io.EOF:
 			return failure{reason: outcome.StreamCut, mayHaveRun: true, err: errors.New("the stream ended without an event")}, false
 		case err != nil:
 			return failure{reason: readErrorReason(err), mayHaveRun: true, err: err}, false
 		}
-		if failed, ok := f.passEvent(response, event); !ok {
+		if failed, ok := f.passEvent(response, event.Raw); !ok {
 			return failed, false
 		}
 	}
--- a/edge/reverseproxy/stream_relay.go
+++ b/edge/reverseproxy/stream_relay.go
@@ -1,8 +1,6 @@
 package reverseproxy
 
 import (
-	"bufio"
-	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -13,16 +11,13 @@
 
 	"bergamotpin.example/bergamotpin/edge/backendclient"
 	"bergamotpin.example/bergamotpin/edge/balancer"
+	"bergamotpin.example/bergamotpin/eventstream"
 	"bergamotpin.example/bergamotpin/outcome"
 	"bergamotpin.example/bergamotpin/platform"
 )
 
-const (
-	// eventBufferBytes is the size of the read buffer of one stream.
-	eventBufferBytes = 2 << 10
-	// maxEventBytes limits the size of one event.
-	maxEventBytes = 1 << 20
-)
+// maxEventBytes limits the size of one event.
+const maxEventBytes = 1 << 20
 
 // errEventsSkipped reports that a server left out event numbers.
 var errEventsSkipped = errors.New("event numbers were skipped")
@@ -103,20 +98,20 @@
 // relayStream passes a stream on event by event. An event is written after the
 // whole event has arrived.
 func (f *forwarder) relayStream(s *sending) (bool, failure) {
-	reader := bufio.NewReaderSize(s.response, eventBufferBytes)
 	buffered := f.newReservation()
 	defer buffered.release()
+	reader := f.newReader(s.response, &buffered)
 	progress := streamProgress{continues: f.stream.started, before: f.stream.lastNumber}
 	for {
 		buffered.release()
 		f.others.watch(s, eventPatience, 0)
-		event, err := readEvent(reader, &buffered)
-		ended := err == io.EOF && len(event) == 0
+		event, err := readEvent(reader)
+		ended := err == io.EOF
 		switch {
 		case ended && !f.stream.started:
 			return false, failure{reason: outcome.StreamCut, mayHaveRun: true, err: errors.New("the stream ended without an event")}
 		case err != nil && !ended:
-			f.stream.brokeInside = len(event) > 0
+			_, f.stream.brokeInside = reader.Cut()
 			return false, failure{reason: readErrorReason(err), mayHaveRun: true, err: err}
 		}
 		if f.goesOn = f.others.spoke(); f.goesOn != nil {
@@ -166,23 +161,33 @@
 
 // isForeign reports whether an event can't be one of a stream that goes on: it has no number, and
 // more than comments. A stream without numbers does not go on.
-func isForeign(event []byte) bool {
-	if _, numbered := eventNumber(event); numbered {
-		return false
-	}
-	for line := range bytes.Lines(event) {
-		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
-			return true
-		}
+func isForeign(event eventstream.Block) bool {
+	_, numbered := event.Number()
+	return !numbered && event.HasFields
+}
+
+// readEvent reads one event, or what stands between two of them.
+func readEvent(r *eventstream.Reader) (eventstream.Block, error) {
+	event, err := r.Next()
+	if err == nil && !event.Ends {
+		err = errors.New("an event exceeds the size limit")
 	}
-	return false
+	return event, err
+}
+
+// newReader returns a reader of a response's events, which reserves the memory for them.
+func (f *forwarder) newReader(response *backendclient.Response, buffered *reservation) *eventstream.Reader {
+	return eventstream.NewReader(response, eventstream.Options{
+		MaxBlock: maxEventBytes, Continues: f.stream.started, EndIsStated: isDelimited(response.Response),
+		Grow: buffered.growEvent,
+	})
 }
 
 // writeEvent passes one event on to the caller. It returns false if the attempt
 // is over.
-func (f *forwarder) writeEvent(response *backendclient.Response, a *balancer.Attempt, event []byte) (failure, bool) {
+func (f *forwarder) writeEvent(response *backendclient.Response, a *balancer.Attempt, event eventstream.Block) (failure, bool) {
 	s := &f.stream
-	number, numbered := eventNumber(event)
+	number, numbered := event.Number()
 	if numbered && s.eventCount > 0 {
 		if number <= s.lastNumber {
 			// The server resumed the stream at an earlier event than requested.
@@ -204,7 +209,7 @@
 	if numbered {
 		s.lastNumber, s.numbered = number, true
 	}
-	return f.passEvent(response, event)
+	return f.passEvent(response, event.Raw)
 }
 
 // passEvent writes an event to the caller, with the response's header before the first one. It
@@ -236,42 +241,3 @@
 	}
 	return failure{}, true
 }
-
-// readEvent reads one event and the empty line that ends it, and reserves memory for it.
-// If the connection ends within an event, the error is io.ErrUnexpectedEOF.
-func readEvent(r *bufio.Reader, buffered *reservation) ([]byte, error) {
-	var event []byte
-	for {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
-		switch {
-		case err == io.EOF && len(event) > 0:
-			return event, io.ErrUnexpectedEOF
-		case err == bufio.ErrBufferFull:
-		case err != nil:
-			return event, err
-		case len(bytes.TrimRight(line, "\r\n")) == 0 && len(event) > len(line):
-			return event, nil
-		}
-		if len(event) > maxEventBytes {
-			return nil, errors.New("an event exceeds the size limit")
-		}
-		if err := buffered.growEvent(cap(event)); err != nil {
-			return nil, err
-		}
-	}
-}
-
-var idField = []byte("id:")
-
-// eventNumber returns the event's ID if it is a number.
-func eventNumber(event []byte) (int64, bool) {
-	for line := range bytes.Lines(event) {
-		if !bytes.HasPrefix(line, idField) {
-			continue
-		}
-		n, err := strconv.ParseInt(string(bytes.TrimSpace(line[len(idField):])), 10, 64)
-		return n, err == nil
-	}
-	return 0, false
-}
