--- a/edge/reverseproxy/peer_relay.go
+++ b/edge/reverseproxy/peer_relay.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"bergamotpin.example/bergamotpin/edge/backendclient"
 	"bergamotpin.example/bergamotpin/edge/gossip"
 	"bergamotpin.example/bergamotpin/edge/reachability"
@@ -126,23 +123,20 @@
 
 // passStreamOn passes a stream on event by event.
 func (f *forwarder) passStreamOn(response *backendclient.Response) (failure, bool) {
-	buffered := f.newReservation()
-	defer buffered.release()
-	reader := f.newReader(response, &buffered)
+	in := f.readStream(response)
+	defer in.buffered.release()
 	for {
-		buffered.release()
-		event, err := readEvent(reader)
+		block, ended, failed := f.nextBlock(in)
 		switch {
-		case err == io.EOF && f.stream.started:
+		case failed != nil:
+			return *failed, false
+		case ended:
+			f.beginResponse(response)
 			f.recordCompleted(peerServer, response.StatusCode)
 			return failure{}, true
-		case err == io.EOF:
-			return failure{reason: outcome.StreamCut, mayHaveRun: true, err: errors.New("the stream ended without an event")}, false
-		case err != nil:
-			return failure{reason: readErrorReason(err), mayHaveRun: true, err: err}, false
 		}
-		if failed, ok := f.passEvent(response, event.Raw); !ok {
-			return failed, false
+		if _, failed := f.passBlock(in, block); failed != nil {
+			return *failed, false
 		}
 	}
 }
@@ -164,7 +158,7 @@
 func (f *forwarder) logRelayed(to gossip.Relay, status int) {
 	req := f.request
 	f.handler.Successes.Info("relayed", "request", req.id, "peer", to.Name, "status", status, "sends", req.sends,
-		"events", f.stream.eventCount, "elapsed_ms", time.Since(req.arrived).Milliseconds())
+		"events", f.stream.position.Events(), "elapsed_ms", time.Since(req.arrived).Milliseconds())
 }
 
 func (f *forwarder) logRelayFailed(to gossip.Relay, failed failure) {
@@ -173,5 +167,5 @@
 		detail = failed.err.Error()
 	}
 	f.handler.Failures.Warn("relay failed", "request", f.request.id, "peer", to.Name, "reason", failed.reason.String(),
-		"may_have_run", failed.mayHaveRun, "detail", detail, "events", f.stream.eventCount, "elapsed_ms", time.Since(f.request.arrived).Milliseconds())
+		"may_have_run", failed.mayHaveRun, "detail", detail, "events", f.stream.position.Events(), "elapsed_ms", time.Since(f.request.arrived).Milliseconds())
 }
--- a/edge/reverseproxy/retry.go
+++ b/edge/reverseproxy/retry.go
@@ -14,6 +14,7 @@
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/catalog"
 	"bergamotpin.example/bergamotpin/engineclient"
+	"bergamotpin.example/bergamotpin/eventstream"
 	"bergamotpin.example/bergamotpin/metrics"
 	"bergamotpin.example/bergamotpin/outcome"
 	"bergamotpin.example/bergamotpin/platform"
@@ -67,6 +68,9 @@
 // is silent, further ones are tried beside it.
 func (f *forwarder) run(ctx context.Context) {
 	f.request.tried = make(map[string]bool)
+	if f.request.route.IsResumable() {
+		f.stream.position = eventstream.After(f.request.lastEventID)
+	}
 	f.wholeBody = f.newReservation()
 	defer f.wholeBody.release()
 	if f.relayAtOnce() {
@@ -191,7 +195,7 @@
 func (f *forwarder) abortResponse() {
 	req := f.request
 	f.class.CountFinal(outcome.Unknown)
-	f.handler.Failures.Warn("broken off", "request", req.id, "reason", f.lastFailure.reason.String(), "events", f.stream.eventCount,
+	f.handler.Failures.Warn("broken off", "request", req.id, "reason", f.lastFailure.reason.String(), "events", f.stream.position.Events(),
 		"sends", req.sends, "elapsed_ms", time.Since(req.arrived).Milliseconds())
 	// With this panic net/http closes the connection without completing the
 	// response.
@@ -207,18 +211,18 @@
 	end := connectionEnd(f.w, f.writeErr, req.writeDeadline())
 	f.handler.Metrics.CountUndelivered(end)
 	f.handler.Failures.Log(context.Background(), undeliveredLevel(end), "caller left", "request", req.id, "connection", end.String(), "sends", req.sends,
-		"events", f.stream.eventCount, "elapsed_ms", time.Since(req.arrived).Milliseconds())
+		"events", f.stream.position.Events(), "elapsed_ms", time.Since(req.arrived).Milliseconds())
 	panic(http.ErrAbortHandler)
 }
 
 // logSent logs which server a request goes to and the values that led to this
 // choice. It is called before the send, so that the line exists even if the
 // instance is killed during the send.
-func (f *forwarder) logSent(a *balancer.Attempt) {
+func (f *forwarder) logSent(a *balancer.Attempt, lastEventID string) {
 	req := f.request
 	f.handler.Successes.Info("sent",
 		"request", req.id, "route", req.route.Name, "server", a.Server.ID, "data_centre", a.Server.DataCentre, "version", a.Server.Version, "send", req.sends,
-		"after_event", f.stream.lastEventID(req), "resumes", req.resumes, "rank", req.enginePriority(), "route_rank", req.route.Priority, "left_ms", time.Until(req.deadline).Milliseconds(), "prompt", req.prompt.Tokens, "kept", a.CachedTokens,
+		"after_event", lastEventID, "resumes", req.resumes, "rank", req.enginePriority(), "route_rank", req.route.Priority, "left_ms", time.Until(req.deadline).Milliseconds(), "prompt", req.prompt.Tokens, "kept", a.CachedTokens,
 		"expected_ms", a.ExpectedDelay.Milliseconds(), "cost", a.Cost, "slowness", a.Slowness, "pause_probability", a.PauseProbability,
 		"running", a.Load.Running, "unread", a.Load.PrefillTokens, "candidates", a.Candidates)
 }
@@ -231,13 +235,13 @@
 		detail = failed.err.Error()
 	}
 	sinceLastEvent := time.Duration(0)
-	if f.stream.started {
+	if !f.stream.lastAt.IsZero() {
 		sinceLastEvent = time.Since(f.stream.lastAt)
 	}
 	f.handler.Failures.Warn("attempt failed",
 		"request", f.request.id, "server", a.Server.ID, "data_centre", a.Server.DataCentre, "reason", failed.reason.String(),
 		"may_have_run", failed.mayHaveRun, "detail", detail, "route", f.request.route.Name,
-		"events", f.stream.eventCount, "silent_ms", sinceLastEvent.Milliseconds(),
+		"events", f.stream.position.Events(), "silent_ms", sinceLastEvent.Milliseconds(),
 		"elapsed_ms", time.Since(f.request.arrived).Milliseconds(), "expected_ms", a.ExpectedDelay.Milliseconds(),
 		"key", strconv.FormatUint(f.request.key, 16), "blocks", blockNames(f.request.sharedBlocks))
 }
--- a/edge/reverseproxy/sending.go
+++ b/edge/reverseproxy/sending.go
@@ -55,7 +55,8 @@
 // request like beginAttempt.
 func (f *forwarder) newSending(ctx context.Context, begin beginFunc, open []*sending) (*sending, *refusal) {
 	req := f.request
-	if f.stream.started && !f.stream.numbered {
+	lastEventID, known := f.stream.position.LastEventID()
+	if !known {
 		// No server can be told where to go on.
 		return nil, refuseNotRun(outcome.NoBackendServer, retrySoon)
 	}
@@ -65,10 +66,10 @@
 	}
 	req.tried[a.Server.ID] = true
 	req.sends++
-	f.logSent(&a)
+	f.logSent(&a, lastEventID)
 	s := &sending{
 		attempt: a, binding: req.binding, target: f.handler.connectionTarget(req, &a),
-		request: req.backendRequest(&a, f.stream.lastEventID(req)), ctx: ctx, cancel: func() {},
+		request: req.backendRequest(&a, lastEventID), ctx: ctx, cancel: func() {},
 	}
 	if req.mayRunBeside(s) {
 		s.ctx, s.cancel = context.WithCancel(ctx)
--- a/edge/reverseproxy/stream_forms_test.go
+++ b/edge/reverseproxy/stream_forms_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,8 +32,8 @@
 	event  func(id int) string
 }
 
-// formIDs are the ids of the events of all forms.
-var formIDs = []int{1, 2, 3, 4}
+// formIDs are the ids of the events of all forms. They increase, with gaps, from 0.
+var formIDs = []int{0, 1, 4, 9}
 
 // lineData is data whose line fills the read buffer of a stream.
 var lineData = strings.Repeat("x", 2048-len("data: "))
@@ -40,11 +41,20 @@
 // streamForms are the forms that the event-stream standard allows, each with one peculiarity.
 var streamForms = map[string]streamForm{
 	"plain":               {"", eventText("id: %d\ndata: event %[1]d\n\n")},
+	"a comment before":    {": the prompt is being read\n\n", eventText("id: %d\ndata: event %[1]d\n\n")},
+	"a comment line":      {": the prompt is being read\n", eventText("id: %d\ndata: event %[1]d\n\n")},
+	"comments between":    {"", eventText(": c\n\n:\nid: %d\n: c\ndata: event %[1]d\n\n: c\n")},
+	"retry":               {"retry: 20\n\n", eventText("retry: 20\nid: %d\ndata: event %[1]d\n\nretry: 20\n\n")},
+	"byte order mark":     {"\xEF\xBB\xBF", eventText("id: %d\ndata: event %[1]d\n\n")},
 	"id last":             {"", eventText("data: event %[1]d\nid: %[1]d\n\n")},
 	"no space":            {"", eventText("id:%d\ndata:event %[1]d\n\n")},
+	"two ids":             {"", eventText("id: 0\nid: %d\ndata: event %[1]d\n\n")},
+	"other fields":        {"event: begin\nfield: 1\n\n", eventText("x-bergamotpin-weight-versions: 3\nevent: e\nid: %d\ndata: event %[1]d\nid_: 0\n\n")},
 	"lines of data":       {"", eventText("id: %d\ndata: event\ndata\ndata: %[1]d\n\n")},
-	"carriage returns":    {"", eventText("id: %d\rdata: event %[1]d\r\r")},
-	"mixed line ends":     {"", eventText("id: %d\ndata: event %[1]d\r\n\n")},
+	"empty lines":         {"\n\n", eventText("id: %d\ndata: event %[1]d\n\n\n\n")},
+	"carriage returns":    {": c\r\r", eventText("id: %d\rdata: event %[1]d\r\r")},
+	"both line ends":      {": c\r\n\r\n", eventText("id: %d\r\ndata: event %[1]d\r\n\r\n")},
+	"mixed line ends":     {": c\r\n\n", eventText("id: %d\ndata: event %[1]d\r\n\n")},
 	"line of the buffer":  {"", eventText("id: %d\ndata: " + lineData + "\n\n")},
 	"line of two buffers": {"", eventText("id: %d\ndata: " + strings.Repeat("x", 2048) + lineData + "\r\n\r\n")},
 }
@@ -199,10 +209,85 @@
 // at their ends.
 func cutsOf(text string) []int {
 	var cuts []int
-	for n := range len(text) {
+	for n := range len(text) + 1 {
 		if n < 2 || n >= len(text) || text[n-2] != text[n-1] || text[n-1] != text[n] || text[n] != 'x' {
 			cuts = append(cuts, n)
 		}
 	}
 	return cuts
 }
+
+// TestEachStreamFormIsTakenUp guards against a stream that its caller takes up and that is cut, or goes on at
+// another event, in particular after a comment, and against one that never ends because its caller has
+// all events.
+func TestEachStreamFormIsTakenUp(t *testing.T) {
+	forEachForm(t, func(t *testing.T, form streamForm, relayed bool) {
+		f := newFormFixture(t, form, relayed)
+		first := f.request(pathResumable)
+		f.expectStatus(f.do(first), http.StatusOK)
+		for n, id := range formIDs {
+			r := f.request(pathResumable)
+			r.Header.Set(platform.HeaderLastEvent, strconv.Itoa(id))
+			r.Header.Set(platform.HeaderResumes, first.Header.Get(platform.HeaderRequestID))
+			got := f.do(r)
+			f.expectStatus(got, http.StatusOK)
+			want := eventsOf(t, streamForm{event: form.event}.text(strconv.Itoa(id)))
+			if diff := cmp.Diff(want, eventsOf(t, got.body)); diff != "" || len(want) < len(formIDs)-n-1 {
+				t.Errorf("taken up after %d: events (-want +got):\n%s", id, diff)
+			}
+		}
+	})
+}
+
+// TestLargeEventsArePassedOn guards against events that are refused because of their size, and against
+// streams of them that can't go on between two events.
+func TestLargeEventsArePassedOn(t *testing.T) {
+	large := strings.Repeat("x", maxEventBytes+5000)
+	for name, form := range map[string]streamForm{
+		"id first": {": c\n\n", eventText("id: %d\ndata: " + large + "\n\n")},
+		"id last":  {": c\n\n", eventText("data: " + large + "\nid: %d\n\n")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFormFixture(t, form, false)
+			text := form.text("")
+			ends := slices.Clone(formIDs)
+			for n := range ends {
+				ends[n] = strings.Index(text, form.event(formIDs[n])) + len(form.event(formIDs[n]))
+			}
+			for n, cut := range ends {
+				r := f.request(pathResumable)
+				r.Header.Set(headerCut, strconv.Itoa(cut))
+				got := f.do(r)
+				if got.status != http.StatusOK || got.err != nil {
+					t.Errorf("cut after event %d: got status %d and the error %v, want a complete stream", n, got.status, got.err)
+				}
+				if diff := cmp.Diff(eventsOf(t, text), eventsOf(t, got.body)); diff != "" {
+					t.Errorf("cut after event %d: the events are not those of the server", n)
+				}
+			}
+			r := f.request(pathResumable)
+			r.Header.Set(headerCut, strconv.Itoa(len(text)-5000))
+			if got := f.do(r); got.err == nil {
+				t.Error("a stream that broke off in a large event looks complete, or went on inside it")
+			}
+		})
+	}
+}
+
+// TestCommentIsNoEvent guards against a comment that counts as the first token of a request: for the
+// usage of its organisation, and as the answer of a server that then sent nothing.
+func TestCommentIsNoEvent(t *testing.T) {
+	form := streamForms["a comment before"]
+	f := newFormFixture(t, form, false)
+	counted := 0
+	f.handler.CountUsage = func(string) { counted++ }
+	r := f.request(pathStream)
+	r.Header.Set(headerCut, strconv.Itoa(len(form.before)))
+	if got := f.do(r); got.err == nil || got.body != form.before || counted != 0 {
+		t.Errorf("got %+v and %d requests counted, want the comment, a visible cut and none counted", got, counted)
+	}
+	f.expectStatus(f.do(f.request(pathStream)), http.StatusOK)
+	if counted != 1 {
+		t.Errorf("%d requests counted, want the one with events", counted)
+	}
+}
--- a/edge/reverseproxy/stream_relay.go
+++ b/edge/reverseproxy/stream_relay.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -16,26 +15,27 @@
 	"bergamotpin.example/bergamotpin/platform"
 )
 
-// maxEventBytes limits the size of one event.
+// maxEventBytes is the size of an event from which on it is passed on in parts. A stream that breaks
+// off inside such an event can't go on.
 const maxEventBytes = 1 << 20
 
-// errEventsSkipped reports that a server left out event numbers.
-var errEventsSkipped = errors.New("event numbers were skipped")
-
-// errNotContinued reports that a server that was asked to go on with a stream answered with
-// something else.
-var errNotContinued = errors.New("the response does not go on with the stream")
+var (
+	// errNotContinued reports that a server that was asked to go on with a stream answered with
+	// something else.
+	errNotContinued = errors.New("the response does not go on with the stream")
+	// errEventsSkipped reports that a server left out an event.
+	errEventsSkipped = errors.New("an event was skipped")
+	// errNoEvent reports a stream that ended before its first event.
+	errNoEvent = errors.New("the stream ended without an event")
+)
 
 // streamState is the state of a stream over all the servers that contributed to
 // it.
 type streamState struct {
 	// started is set once the response header was written to the caller.
-	started    bool
-	eventCount int
-	// lastNumber is the number of the last event that was written to the caller and had one.
-	// numbered is set if there was one.
-	lastNumber int64
-	numbered   bool
+	started bool
+	// position is what the caller has of the stream, with what it had before the request.
+	position eventstream.Position
 	// mediaType is that of the response that began the stream.
 	mediaType string
 	// brokeInside is set if the stream broke off inside the event after the last one, which
@@ -63,10 +63,6 @@
 	// began.
 	steps     int
 	stepBegan time.Time
-	// continues is set if another attempt began the stream. before is the number of its last
-	// event when this attempt's response came.
-	continues bool
-	before    int64
 }
 
 // isSound takes in the arrival of an event. It returns true once, when the stream has
@@ -86,71 +82,104 @@
 	return p.steps == soundSteps
 }
 
-// lastEventID returns the ID of the event after which a server must resume the
-// stream, or "" if the server must start at the beginning.
-func (s *streamState) lastEventID(req *request) string {
-	if s.eventCount == 0 {
-		return req.lastEventID
+// streamReading is one response that is read as a stream.
+type streamReading struct {
+	response *backendclient.Response
+	reader   *eventstream.Reader
+	follower *eventstream.Follower
+	// buffered is the memory of the block that is being read.
+	buffered reservation
+}
+
+// readStream begins to read a response as a stream. It must be released.
+func (f *forwarder) readStream(response *backendclient.Response) *streamReading {
+	in := &streamReading{response: response, follower: f.stream.position.Follow(), buffered: f.newReservation()}
+	in.reader = eventstream.NewReader(response, eventstream.Options{
+		MaxBlock: maxEventBytes, Continues: f.stream.started, EndIsStated: isDelimited(response.Response),
+		Grow: func(size int) error { return in.buffered.growEvent(size) },
+	})
+	return in
+}
+
+// nextBlock returns the next block of a stream. At the end of the response it returns ended, if that is
+// the end of the stream, and a failure otherwise.
+func (f *forwarder) nextBlock(in *streamReading) (block eventstream.Block, ended bool, failed *failure) {
+	in.buffered.release()
+	block, err := in.reader.Next()
+	switch {
+	case err == io.EOF && f.endsStream(in):
+		return block, true, nil
+	case err == io.EOF && f.stream.position.IsBegin():
+		return block, false, &failure{reason: outcome.StreamCut, mayHaveRun: true, err: errNoEvent}
+	case err == io.EOF:
+		return block, false, &failure{reason: outcome.ResponseMismatch, mayHaveRun: true, err: errNotContinued}
+	case err != nil:
+		f.brokeOff(in)
+		return block, false, &failure{reason: readErrorReason(err), mayHaveRun: true, err: err}
 	}
-	return strconv.FormatInt(s.lastNumber, 10)
+	return block, false, nil
+}
+
+// brokeOff takes in where a response broke off.
+func (f *forwarder) brokeOff(in *streamReading) {
+	cut, inside := in.reader.Cut()
+	f.stream.brokeInside = f.stream.brokeInside || inside
+	f.stream.position.BrokeOff(cut)
 }
 
 // relayStream passes a stream on event by event. An event is written after the
-// whole event has arrived.
+// whole event has arrived, unless it is very large.
 func (f *forwarder) relayStream(s *sending) (bool, failure) {
-	buffered := f.newReservation()
-	defer buffered.release()
-	reader := f.newReader(s.response, &buffered)
-	progress := streamProgress{continues: f.stream.started, before: f.stream.lastNumber}
+	in := f.readStream(s.response)
+	defer in.buffered.release()
+	var progress streamProgress
 	for {
-		buffered.release()
 		f.others.watch(s, eventPatience, 0)
-		event, err := readEvent(reader)
-		ended := err == io.EOF
-		switch {
-		case ended && !f.stream.started:
-			return false, failure{reason: outcome.StreamCut, mayHaveRun: true, err: errors.New("the stream ended without an event")}
-		case err != nil && !ended:
-			_, f.stream.brokeInside = reader.Cut()
-			return false, failure{reason: readErrorReason(err), mayHaveRun: true, err: err}
+		block, ended, failed := f.nextBlock(in)
+		if failed != nil {
+			return false, *failed
 		}
 		if f.goesOn = f.others.spoke(); f.goesOn != nil {
 			return false, failure{mayHaveRun: true}
 		}
-		if ended && !f.endsStream(s.response, &progress) {
-			return false, failure{reason: outcome.ResponseMismatch, mayHaveRun: true, err: errNotContinued}
-		}
 		if ended {
-			f.recordAnswered(&s.attempt, isDelimited(s.response.Response))
-			f.recordCompleted(s.attempt.Server.ID, http.StatusOK)
-			return true, failure{}
+			return f.endStream(in, &s.attempt)
 		}
-		if progress.continues && isForeign(event) {
-			return false, failure{reason: outcome.ResponseMismatch, mayHaveRun: true, err: errNotContinued}
+		isEvent, failed := f.passBlock(in, block)
+		if failed != nil {
+			return false, *failed
 		}
-		if failed, ok := f.writeEvent(s.response, &s.attempt, event); !ok {
-			return false, failed
+		if isEvent {
+			f.recordEvent(&s.attempt)
 		}
-		if progress.isSound(f.stream.lastAt) {
+		if isEvent && progress.isSound(f.stream.lastAt) {
 			f.recordAnswered(&s.attempt, true)
 		}
 	}
 }
 
+// endStream ends the caller's response, as a server has ended the stream.
+func (f *forwarder) endStream(in *streamReading, a *balancer.Attempt) (bool, failure) {
+	f.beginResponse(in.response)
+	f.recordAnswered(a, isDelimited(in.response.Response))
+	f.recordCompleted(a.Server.ID, http.StatusOK)
+	return true, failure{}
+}
+
 // continuesStream reports whether a successful response may go on with the stream that another
 // response began, as far as its head shows.
 func (f *forwarder) continuesStream(response *backendclient.Response) bool {
 	return response.StatusCode == http.StatusOK && mediaType(response.Header) == f.stream.mediaType
 }
 
-// endsStream reports whether the regular end of an attempt's response is the end of the stream. A
-// response that brings no event ends a stream that another one began only if it states its own end,
-// and nothing shows that there is one more event.
-func (f *forwarder) endsStream(response *backendclient.Response, p *streamProgress) bool {
-	if !p.continues || f.stream.lastNumber > p.before {
+// endsStream reports whether the regular end of a response is the end of the stream. A response
+// that brings no event ends a stream of which the caller has events only if it states its own end, and
+// nothing shows that there is one more event.
+func (f *forwarder) endsStream(in *streamReading) bool {
+	if in.follower.Took() {
 		return true
 	}
-	return isDelimited(response.Response) && !f.stream.brokeInside
+	return !f.stream.position.IsBegin() && isDelimited(in.response.Response) && !f.stream.brokeInside
 }
 
 // mediaType returns the media type that a header states, without its parameters.
@@ -159,85 +188,74 @@
 	return strings.ToLower(strings.TrimSpace(text))
 }
 
-// isForeign reports whether an event can't be one of a stream that goes on: it has no number, and
-// more than comments. A stream without numbers does not go on.
-func isForeign(event eventstream.Block) bool {
-	_, numbered := event.Number()
-	return !numbered && event.HasFields
-}
-
-// readEvent reads one event, or what stands between two of them.
-func readEvent(r *eventstream.Reader) (eventstream.Block, error) {
-	event, err := r.Next()
-	if err == nil && !event.Ends {
-		err = errors.New("an event exceeds the size limit")
-	}
-	return event, err
-}
-
-// newReader returns a reader of a response's events, which reserves the memory for them.
-func (f *forwarder) newReader(response *backendclient.Response, buffered *reservation) *eventstream.Reader {
-	return eventstream.NewReader(response, eventstream.Options{
-		MaxBlock: maxEventBytes, Continues: f.stream.started, EndIsStated: isDelimited(response.Response),
-		Grow: buffered.growEvent,
-	})
-}
-
-// writeEvent passes one event on to the caller. It returns false if the attempt
-// is over.
-func (f *forwarder) writeEvent(response *backendclient.Response, a *balancer.Attempt, event eventstream.Block) (failure, bool) {
-	s := &f.stream
-	number, numbered := event.Number()
-	if numbered && s.eventCount > 0 {
-		if number <= s.lastNumber {
-			// The server resumed the stream at an earlier event than requested.
-			// The caller already has this event.
-			return failure{}, true
-		}
-		if number != s.lastNumber+1 {
-			return failure{reason: outcome.ResponseMismatch, mayHaveRun: true, err: errEventsSkipped}, false
-		}
-	}
+// recordEvent records that a server's event was passed on.
+func (f *forwarder) recordEvent(a *balancer.Attempt) {
 	if f.handler.Selector.RecordFirstEvent(a) {
 		f.countUsage()
 	}
-	if s.started {
+	if f.stream.position.Events() > 1 {
 		f.handler.Selector.RecordEvent(a)
 	} else {
 		f.handler.recordOrigin(f.request, a)
 	}
-	if numbered {
-		s.lastNumber, s.numbered = number, true
+}
+
+// passBlock passes a block on, unless the caller has it. It reports whether an event is now complete
+// that the caller did not have. It fails if the block can't be one of the stream, or the
+// caller has left.
+func (f *forwarder) passBlock(in *streamReading, block eventstream.Block) (isEvent bool, failed *failure) {
+	verdict := in.follower.Take(block)
+	switch verdict {
+	case eventstream.Unneeded:
+		return false, nil
+	case eventstream.Skips:
+		return false, &failure{reason: outcome.ResponseMismatch, mayHaveRun: true, err: errEventsSkipped}
+	case eventstream.Foreign:
+		return false, &failure{reason: outcome.ResponseMismatch, mayHaveRun: true, err: errNotContinued}
+	}
+	isEvent = verdict == eventstream.New && block.Ends && block.IsEvent()
+	if isEvent {
+		f.observeEvent()
 	}
-	return f.passEvent(response, event.Raw)
+	f.beginResponse(in.response)
+	return isEvent, f.writeToCaller(block.Raw)
 }
 
-// passEvent writes an event to the caller, with the response's header before the first one. It
-// returns false if the caller has left.
-func (f *forwarder) passEvent(response *backendclient.Response, event []byte) (failure, bool) {
+// observeEvent measures the time of an event that has just arrived.
+func (f *forwarder) observeEvent() {
 	s := &f.stream
-	if !s.started {
-		s.started = true
-		s.mediaType = mediaType(response.Header)
-		s.firstAfter = time.Since(f.request.arrived)
+	now := time.Now()
+	if s.lastAt.IsZero() {
+		s.firstAfter = now.Sub(f.request.arrived)
 		f.class.ObserveFirstToken(s.firstAfter)
-		copyHeader(f.w, platform.ForwardedResponseHeader(response.Header))
-		f.w.WriteHeader(response.StatusCode)
 	} else {
-		gap := time.Since(s.lastAt)
+		gap := now.Sub(s.lastAt)
 		s.longestGap = max(s.longestGap, gap)
 		f.class.ObserveGap(gap)
 	}
-	s.lastAt = time.Now()
-	s.eventCount++
+	s.lastAt = now
 	s.brokeInside = false
-	if _, err := f.w.Write(event); err != nil {
-		f.writeErr = err
-		return failure{reason: outcome.CallerLeft, mayHaveRun: true, err: err}, false
+}
+
+// beginResponse writes the header of a stream's response, unless that was done before.
+func (f *forwarder) beginResponse(response *backendclient.Response) {
+	s := &f.stream
+	if s.started {
+		return
+	}
+	s.started = true
+	s.mediaType = mediaType(response.Header)
+	copyHeader(f.w, platform.ForwardedResponseHeader(response.Header))
+	f.w.WriteHeader(response.StatusCode)
+}
+
+// writeToCaller sends bytes to the caller at once. It fails if the caller has left.
+func (f *forwarder) writeToCaller(text []byte) *failure {
+	if _, f.writeErr = f.w.Write(text); f.writeErr == nil {
+		f.writeErr = http.NewResponseController(f.w).Flush()
 	}
-	if err := http.NewResponseController(f.w).Flush(); err != nil {
-		f.writeErr = err
-		return failure{reason: outcome.CallerLeft, mayHaveRun: true, err: err}, false
+	if f.writeErr != nil {
+		return &failure{reason: outcome.CallerLeft, mayHaveRun: true, err: f.writeErr}
 	}
-	return failure{}, true
+	return nil
 }
--- a/edge/reverseproxy/whole_relay.go
+++ b/edge/reverseproxy/whole_relay.go
@@ -124,6 +124,6 @@
 	f.class.ObserveWholeAnswer(untilComplete)
 	f.handler.Successes.Info("answered",
 		"request", req.id, "route", req.route.Name, "server", server, "status", status, "sends", req.sends,
-		"events", f.stream.eventCount, "first_ms", f.stream.firstAfter.Milliseconds(), "pause_ms", f.stream.longestGap.Milliseconds(),
+		"events", f.stream.position.Events(), "first_ms", f.stream.firstAfter.Milliseconds(), "pause_ms", f.stream.longestGap.Milliseconds(),
 		"elapsed_ms", untilComplete.Milliseconds(), "objective_ms", req.route.LatencyTarget.Milliseconds())
 }
