Read frames in serve with the reader and the position of edge

An engine's error frame without a number, after numbered frames, was dropped, and the stream counted as cut. A stream without numbers that was cut was resumed at its begin: its frames came twice. A frame of over 1 MiB was asked for four times.

Cause: the number of a frame was the library's LastEventID, which is the last id that any event had. So a frame without an id looked like a copy of the one before. What was received was one number, and 0 stood for "nothing" and for "no numbers".

Evidence, on the code untouched: TestFrameWithoutNumberIsYielded, TestStreamWithoutNumbersIsNotResumed and TestTooLargeFrameIsTold fail. TestEachFrameFormIsResumed (ten forms, cut at each byte) and TestMissingFrameIsACut pass there too: comments, ids in any place, each line end and long lines were read well.

Ruled out: the relay behind it (proxy passes on what Frames yields).

Why this works: one reader and one position for both systems. A frame is judged by its own id; a stream whose last frame has none can't be resumed. Frames are numbered from 1 without gaps by engineapi, so the check for missing frames stays.

After: all tests of engineclient and proxy pass.

--- a/engineclient/stream.go
+++ b/engineclient/stream.go
@@ -1,21 +1,27 @@
 package engineclient
 
 import (
+	"cmp"
 	"context"
+	"io"
 	"iter"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/tmaxmax/go-sse"
 
 	"bergamotpin.example/bergamotpin/engineapi"
+	"bergamotpin.example/bergamotpin/eventstream"
 )
 
-// maxFrameBytes is the largest size of one frame of a stream.
+// maxFrameBytes is the largest size of one frame of a stream. A frame is decoded, so that it must be
+// held whole.
 const maxFrameBytes = 1 << 20
 
+// beforeFirstFrame is the id after which a stream is resumed of which no frame has come.
+const beforeFirstFrame = "0"
+
 // doneData is the data of the frame that ends a stream.
 const doneData = "[DONE]"
 
@@ -23,11 +29,14 @@
 // frame is missing.
 var ErrStreamCut = errors.New("engineclient: the stream was cut")
 
+// ErrFrameTooLarge reports a frame that is too large to be held.
+var ErrFrameTooLarge = errors.New("engineclient: a frame exceeds the size limit")
+
+// ErrNoPosition reports a stream that can't be resumed, because its last frame has no number.
+var ErrNoPosition = errors.New("engineclient: the last frame has no number")
+
 // Frame is one frame of a streamed response.
 type Frame struct {
-	// Seq is the frame's number, counted from 1, or 0 if the server does not
-	// number its frames.
-	Seq  uint64
 	Data string
 }
 
@@ -49,8 +58,9 @@
 // Stream is a streamed response that is being read. It is not safe for
 // concurrent use.
 type Stream struct {
-	resp    *http.Response
-	lastSeq uint64
+	resp *http.Response
+	// position is what was received, also over earlier connections.
+	position eventstream.Position
 }
 
 // Complete sends a request for a streamed completion. It returns the stream when
@@ -67,25 +77,30 @@
 	}
 	return c.open(ctx, Request{
 		Method: http.MethodPost, Address: r.Address, Path: engineapi.PathCompletions, Header: header, Body: r.Body,
-	}, 0)
+	}, eventstream.Position{})
 }
 
 // Resume reopens a stream whose connection broke. The server sends the frames
-// with numbers above lastSeq. It does not start the request again. Errors are
-// *SendError and *ResponseError.
-func (c *Client) Resume(ctx context.Context, address, attempt string, lastSeq uint64) (*Stream, error) {
+// after the given position, which is that of the broken stream. It does not start the request again.
+// Errors are *SendError, *ResponseError and ErrNoPosition.
+func (c *Client) Resume(ctx context.Context, address, attempt string, after eventstream.Position) (*Stream, error) {
+	last, known := after.LastEventID()
+	if !known {
+		return nil, ErrNoPosition
+	}
 	header := http.Header{
 		"Accept":        {"text/event-stream"},
-		"Last-Event-Id": {strconv.FormatUint(lastSeq, 10)},
+		"Last-Event-Id": {cmp.Or(last, beforeFirstFrame)},
 	}
+	// The same attempt goes on, so that its frames need no number to be told from another one's.
 	return c.open(ctx, Request{
 		Method: http.MethodGet, Address: address, Path: engineapi.PathStreams + attempt, Header: header,
-	}, lastSeq)
+	}, eventstream.After(last))
 }
 
-// open sends the request and returns the stream in the response. lastSeq is the
-// number of the last frame received over an earlier connection, or 0.
-func (c *Client) open(ctx context.Context, r Request, lastSeq uint64) (*Stream, error) {
+// open sends the request and returns the stream in the response. after is what was received over
+// earlier connections.
+func (c *Client) open(ctx context.Context, r Request, after eventstream.Position) (*Stream, error) {
 	resp, err := c.Do(ctx, r)
 	if err != nil {
 		return nil, err
@@ -93,16 +108,16 @@
 	if err := checkStatus(resp); err != nil {
 		return nil, err
 	}
-	return &Stream{resp: resp, lastSeq: lastSeq}, nil
+	return &Stream{resp: resp, position: after}, nil
 }
 
 // Close closes the response. If the stream was not read to its end, Close also
 // closes the connection.
 func (s *Stream) Close() error { return s.resp.Body.Close() }
 
-// LastSeq returns the number of the last frame that Frames yielded. If Frames has
-// not yielded a frame yet, LastSeq returns the number given to Resume, or 0.
-func (s *Stream) LastSeq() uint64 { return s.lastSeq }
+// Position returns what Frames has yielded, together with what was received over earlier
+// connections.
+func (s *Stream) Position() eventstream.Position { return s.position }
 
 // Frames yields the frames in order. It yields each frame once and drops
 // duplicate and late frames. The iteration ends without an error after the last
@@ -110,50 +125,43 @@
 // the iteration ends with ErrStreamCut.
 func (s *Stream) Frames() iter.Seq2[Frame, error] {
 	return func(yield func(Frame, error) bool) {
-		cfg := &sse.ReadConfig{MaxEventSize: maxFrameBytes}
-		for event, err := range sse.Read(s.resp.Body, cfg) {
-			if err != nil {
+		reader := eventstream.NewReader(s.resp.Body, eventstream.Options{MaxBlock: maxFrameBytes})
+		follower := s.position.Follow()
+		for {
+			block, err := reader.Next()
+			switch {
+			case err == io.EOF:
+				yield(Frame{}, ErrStreamCut)
+				return
+			case err != nil:
 				yield(Frame{}, errors.Wrap(ErrStreamCut, err.Error()))
 				return
+			case !block.Begins || !block.Ends:
+				yield(Frame{}, ErrFrameTooLarge)
+				return
 			}
-			if event.Data == doneData {
+			data := block.Data()
+			if data == doneData {
 				return
 			}
-			frame, status := s.nextFrame(event)
-			if status == frameMissing {
-				yield(Frame{}, errors.Wrap(ErrStreamCut, "a frame is missing"))
+			if err := s.checkNext(block); err != nil {
+				yield(Frame{}, err)
 				return
 			}
-			if status == frameNew && !yield(frame, nil) {
+			if follower.Take(block) == eventstream.New && block.HasData && !yield(Frame{Data: data}, nil) {
 				return
 			}
 		}
-		yield(Frame{}, ErrStreamCut)
 	}
 }
 
-// frameStatus says whether a received frame is the next one in order.
-type frameStatus uint8
-
-const (
-	frameNew       frameStatus = iota // the next frame, or a frame without a number
-	frameDuplicate                    // the frame was received before
-	frameMissing                      // at least one frame before it is missing
-)
-
-// nextFrame converts an event to a frame. If the frame is new, nextFrame records
-// its number.
-func (s *Stream) nextFrame(event sse.Event) (Frame, frameStatus) {
-	seq, err := strconv.ParseUint(event.LastEventID, 10, 64)
-	if err != nil {
-		return Frame{Data: event.Data}, frameNew
-	}
-	if seq <= s.lastSeq {
-		return Frame{}, frameDuplicate
-	}
-	if seq > s.lastSeq+1 {
-		return Frame{}, frameMissing
+// checkNext returns an error if a frame before the given one is missing. Engines number their frames
+// without gaps, from 1 (package engineapi).
+func (s *Stream) checkNext(block eventstream.Block) error {
+	number, numbered := block.Number()
+	last, _ := s.position.Number()
+	if numbered && number > last+1 {
+		return errors.Wrap(ErrStreamCut, "a frame is missing")
 	}
-	s.lastSeq = seq
-	return Frame{Seq: seq, Data: event.Data}, frameNew
+	return nil
 }
--- a/proxy/completion_relay.go
+++ b/proxy/completion_relay.go
@@ -132,7 +132,7 @@
 func (cr *completionRelay) relayStream(ctx context.Context, a *attempt, stream *engineclient.Stream, stall *time.Timer) error {
 	for resumes := 0; ; resumes++ {
 		err := cr.relayFrames(a, stream, stall)
-		lastSeq := stream.LastSeq()
+		received := stream.Position()
 		_ = stream.Close()
 		if !errors.Is(err, engineclient.ErrStreamCut) || resumes == maxResumes {
 			return err
@@ -140,7 +140,7 @@
 		if !wait(ctx, resumeDelay) {
 			return err
 		}
-		resumed, resumeErr := cr.proxy.Engine.Resume(ctx, a.server, a.id, lastSeq)
+		resumed, resumeErr := cr.proxy.Engine.Resume(ctx, a.server, a.id, received)
 		if resumeErr != nil {
 			return err
 		}
