--- a/edge/reverseproxy/peer_relay.go
+++ b/edge/reverseproxy/peer_relay.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"bergamotpin.example/bergamotpin/edge/backendclient"
 	"bergamotpin.example/bergamotpin/edge/gossip"
 	"bergamotpin.example/bergamotpin/edge/reachability"
@@ -100,6 +103,9 @@
 	if response.StatusCode/100 == 2 && !isFromBackendServer(response.Header) {
 		return failure{reason: outcome.ResponseMismatch, mayHaveRun: true}, false
 	}
+	if outcome.PromisesNotRun(response.StatusCode) && !f.isInstanceRefusal(response) {
+		return failure{reason: outcome.ServerError, mayHaveRun: true, err: errors.Errorf("status %d that is no instance's own", response.StatusCode)}, false
+	}
 	if response.StatusCode/100 == 2 && response.ContentLength < 0 && !hasNoBody(f.request.method, response.StatusCode) {
 		return f.passStreamOn(response)
 	}
@@ -121,6 +127,14 @@
 	return failure{}, true
 }
 
+// isInstanceRefusal reports whether a response is another instance's own refusal, whose promise holds: it
+// names the request, bears no server's stamp, and says when to come back, unless the body came too slowly.
+func (f *forwarder) isInstanceRefusal(response *backendclient.Response) bool {
+	h := response.Header
+	return h.Get(platform.HeaderRequestID) == f.request.id && h.Get(platform.HeaderServerStamp) == "" &&
+		(h.Get(platform.HeaderRetryAfter) != "" || response.StatusCode == http.StatusRequestTimeout)
+}
+
 // passStreamOn passes a stream on event by event.
 func (f *forwarder) passStreamOn(response *backendclient.Response) (failure, bool) {
 	in := f.readStream(response)
--- a/edge/reverseproxy/retry.go
+++ b/edge/reverseproxy/retry.go
@@ -340,6 +340,9 @@
 	if s.response.StatusCode/100 == 2 && !isFromBackendServer(s.response.Header) {
 		return failure{reason: outcome.ResponseMismatch, mayHaveRun: true}
 	}
+	if outcome.PromisesNotRun(s.response.StatusCode) {
+		return f.unstated(s)
+	}
 	if f.stream.started {
 		return failure{reason: outcome.ServerError, mayHaveRun: true, err: errors.Errorf("status %d", s.response.StatusCode)}
 	}
@@ -347,6 +350,17 @@
 	return failed
 }
 
+// unstated returns the failure of a server that answered with a status which promises that the request did
+// not run, but did not state so: it may have run. The answer is not kept for the caller, to whom it would be
+// that promise.
+func (f *forwarder) unstated(s *sending) failure {
+	if f.handler.Selector.RecordFirstEvent(&s.attempt) {
+		f.countUsage()
+	}
+	discardRefusal(s.response)
+	return failure{reason: outcome.ServerError, mayHaveRun: true, err: errors.Errorf("status %d without a statement that it did not run", s.response.StatusCode)}
+}
+
 // discardRefusal reads the rest of a refusal, so that its connection can be reused. It
 // does not wait for long: if the rest does not come at once, the connection is closed.
 func discardRefusal(response *backendclient.Response) {
--- a/edge/reverseproxy/sending.go
+++ b/edge/reverseproxy/sending.go
@@ -147,7 +147,8 @@
 }
 
 // isUsable reports whether the attempt's response goes to the caller unless its body
-// fails. Refusals, server errors and responses that are not a backend server's do not.
+// fails. Refusals, server errors, failures with the status of a refusal and responses that are not a
+// backend server's do not.
 func (f *forwarder) isUsable(s *sending) bool {
 	if s.err != nil || platform.StatesNotExecuted(s.response.Response) {
 		return false
@@ -155,5 +156,5 @@
 	if s.response.StatusCode/100 == 2 {
 		return isFromBackendServer(s.response.Header)
 	}
-	return !f.stream.started && s.response.StatusCode < http.StatusInternalServerError
+	return !f.stream.started && s.response.StatusCode < http.StatusInternalServerError && !outcome.PromisesNotRun(s.response.StatusCode)
 }
--- a/engineclient/client.go
+++ b/engineclient/client.go
@@ -188,7 +188,7 @@
 // isRequestError reports whether a status blames the request itself and not the
 // server.
 func isRequestError(status int) bool {
-	return status >= 400 && status < 500 && status != http.StatusTooManyRequests && status != http.StatusRequestTimeout
+	return status >= 400 && status < 500 && !outcome.PromisesNotRun(status)
 }
 
 // Cancel asks the server at the address to cancel an attempt. If the call fails,
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -72,6 +72,11 @@
 		return result{failure: f.failure(decision, outcome.ServerRefused, true)}
 	}
 	session.FirstToken(decision.Attempt, time.Since(sent))
+	if outcome.PromisesNotRun(resp.StatusCode) {
+		// The server did not state that it did not start the request. To the caller its status would
+		// say so.
+		return result{failure: f.failure(decision, outcome.ServerError, false)}
+	}
 	responseBody, err := io.ReadAll(io.LimitReader(resp.Body, f.proxy.Limits.ResponseBytes+1))
 	if err != nil {
 		return result{failure: f.failure(decision, failureReason(ctx, err), false)}
--- a/proxy/idempotency_claim.go
+++ b/proxy/idempotency_claim.go
@@ -113,6 +113,13 @@
 // same key.
 func (p *Proxy) replay(w http.ResponseWriter, req *request, o *idempotency.Outcome, stream bool) {
 	w.Header().Set(HeaderReplayed, "true")
+	if outcome.PromisesNotRun(o.Status) {
+		// Earlier versions stored a server's own failure with such a status.
+		refusal := &Refusal{Final: outcome.Unknown, Reason: outcome.ServerError, mayHaveStarted: true}
+		p.countRefusal(req, refusal)
+		refusal.write(w)
+		return
+	}
 	p.Metrics.ForClass(req.class.Name).CountFinal(outcome.Completed)
 	if stream && o.Status == http.StatusOK {
 		p.replayStream(w, o.Body)
