--- a/edge/balancer/retry_budget.go
+++ b/edge/balancer/retry_budget.go
@@ -22,9 +22,10 @@
 // sliding window.
 type RetryBudget struct {
 	window time.Duration
-	// bucket is the number of the current time bucket, counted from the Unix
-	// epoch. The counts of bucket n are in the elements n modulo budgetBuckets
-	// of requests and retries.
+	// begun is when the first request or retry was counted. bucket is the number of the current
+	// time bucket, counted from then by the steady clock, since the time of day may jump. The
+	// counts of bucket n are in the elements n modulo budgetBuckets of requests and retries.
+	begun    time.Time
 	bucket   int64
 	requests [budgetBuckets]int
 	retries  [budgetBuckets]int
@@ -37,13 +38,16 @@
 // advance clears the buckets that have left the window and returns the array
 // index of the current bucket.
 func (b *RetryBudget) advance(now time.Time) int {
-	bucket := now.UnixNano() / (int64(b.window) / budgetBuckets)
+	if b.begun.IsZero() {
+		b.begun = now
+	}
+	bucket := max(int64(now.Sub(b.begun))/(int64(b.window)/budgetBuckets), b.bucket)
 	elapsed := min(bucket-b.bucket, budgetBuckets)
 	for i := range elapsed {
 		index := (bucket - i) % budgetBuckets
 		b.requests[index], b.retries[index] = 0, 0
 	}
-	b.bucket = max(b.bucket, bucket)
+	b.bucket = bucket
 	return int(b.bucket % budgetBuckets)
 }
 
--- a/edge/balancer/retry_budget_test.go
+++ b/edge/balancer/retry_budget_test.go
@@ -70,3 +70,20 @@
 		t.Error("after the window: no retry is allowed, want at least one")
 	}
 }
+
+// TestRetryBudgetCountsByTheSteadyClock guards against retries that are forgotten, and so made again, because
+// the time of day jumped.
+func TestRetryBudgetCountsByTheSteadyClock(t *testing.T) {
+	const allowance = 10 / usableBudgetFraction
+	b := NewRetryBudget(10 * time.Second)
+	now := time.Now()
+	for b.AllowRetry(0, allowance, 1, now) {
+	}
+	later := now.Add(5 * time.Second)
+	if b.AllowRetry(0, allowance, 1, later) {
+		t.Error("a retry beyond the budget was allowed within the window")
+	}
+	if b.bucket != 5 {
+		t.Errorf("after 5 s the bucket is %d, want 5, counted by the steady clock from the first use", b.bucket)
+	}
+}
--- a/edge/catalog/watcher.go
+++ b/edge/catalog/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -59,7 +60,10 @@
 	OnChange func(source string, changes []Change)
 	// OnCall is called after each call with its name and result, as used in metrics.
 	OnCall func(call, result string)
-	Log    *slog.Logger
+	// Suspended returns for how long the machine has been suspended so far, which the steady clock
+	// doesn't count. It may be nil.
+	Suspended func() time.Duration
+	Log       *slog.Logger
 
 	// configurationRevision and serversRevision are the revisions up to which each
 	// kind is known, or 0 if the kind must be listed. sourceRevision is the highest
@@ -70,8 +74,8 @@
 	sourceRevision        int64
 	retryDelay            time.Duration
 	unreachable           bool
-	// lastResponse is when the source last responded, in Unix nanoseconds.
-	lastResponse atomic.Int64
+	// lastResponse is the source's last response, or nil if there was none.
+	lastResponse atomic.Pointer[response]
 	// moves is the number of the source's moves after which its records were listed.
 	moves int
 }
@@ -91,8 +95,29 @@
 	return w.SourceMoves()
 }
 
-// LastResponse returns when the source last responded.
-func (w *Watcher) LastResponse() time.Time { return time.Unix(0, w.lastResponse.Load()) }
+// response is when the source responded. The time of day may jump, so that at is only compared
+// by its steady clock, and suspended is for how long the machine had been suspended by then.
+type response struct {
+	at        time.Time
+	suspended time.Duration
+}
+
+// ResponseAge returns how long ago the source last responded, or the longest duration if it never did. The
+// parameter now must come from time.Now.
+func (w *Watcher) ResponseAge(now time.Time) time.Duration {
+	last := w.lastResponse.Load()
+	if last == nil {
+		return math.MaxInt64
+	}
+	return now.Sub(last.at) + w.suspended() - last.suspended
+}
+
+func (w *Watcher) suspended() time.Duration {
+	if w.Suspended == nil {
+		return 0
+	}
+	return w.Suspended()
+}
 
 // Run watches the source until ctx ends. It lists all records at the start, and again
 // if the source has compacted its history, or came back from an older copy, and can
@@ -260,7 +285,7 @@
 			w.Log.Info("store is reachable again", "revision", w.sourceRevision)
 		}
 		w.unreachable, w.retryDelay = false, 0
-		w.lastResponse.Store(time.Now().UnixNano())
+		w.lastResponse.Store(&response{at: time.Now(), suspended: w.suspended()})
 		return
 	}
 	if !w.unreachable {
--- a/edge/catalog/watcher_era_test.go
+++ b/edge/catalog/watcher_era_test.go
@@ -106,7 +106,7 @@
 		source.put(configurationRecord(0, 9))
 		calls := source.countCalls(func() { time.Sleep(20 * time.Second) })
 		expectEqual(t, "version", c.Snapshot().Version, "1")
-		if age := time.Since(w.LastResponse()); age < 18*time.Second {
+		if age := w.ResponseAge(time.Now()); age < 18*time.Second {
 			t.Errorf("the last response counts as %v old, want at least 18 s", age)
 		}
 		if calls["watch configuration"] > 40 || calls["list server"] > 0 || calls["list configuration"] > 0 {
--- a/edge/catalog/watcher_test.go
+++ b/edge/catalog/watcher_test.go
@@ -225,7 +225,7 @@
 		if calls > 40 {
 			t.Errorf("got %d calls in 20 s to an unavailable source, want at most 40", calls)
 		}
-		if age := time.Since(w.LastResponse()); age < 18*time.Second {
+		if age := w.ResponseAge(time.Now()); age < 18*time.Second {
 			t.Errorf("got the last response %v ago, want at least 18 s ago", age)
 		}
 		source.setError(nil)
@@ -234,3 +234,21 @@
 		expectEqual(t, "version", catalog.Snapshot().Version, "2")
 	})
 }
+
+// TestAgeOfResponseDoesNotFollowTheTimeOfDay guards against an instance that counts as one which gets
+// responses of the store for seconds after it got none, because its time of day jumped back, or because its
+// machine was suspended.
+func TestAgeOfResponseDoesNotFollowTheTimeOfDay(t *testing.T) {
+	suspended := time.Duration(0)
+	w := &Watcher{Suspended: func() time.Duration { return suspended }, Log: slog.New(slog.DiscardHandler)}
+	w.recordResult(nil)
+	if at := w.lastResponse.Load().at; at == at.Round(0) {
+		t.Error("the time of the last response has no reading of the steady clock")
+	}
+	now := time.Now()
+	before := w.ResponseAge(now)
+	suspended = 5 * time.Second
+	if age := w.ResponseAge(now); age != before+suspended {
+		t.Errorf("got the age %v after a suspension of 5 s, want %v", age, before+suspended)
+	}
+}
--- a/edge/gossip/members.go
+++ b/edge/gossip/members.go
@@ -93,7 +93,7 @@
 	}
 	m.add(msg.Address, now)
 	peer = m.all[msg.Address]
-	if msg.Started < peer.Started || msg.Started == peer.Started && msg.Sequence <= peer.Sequence {
+	if peer.sentBefore(msg) {
 		return peer, false, false
 	}
 	becameLive = !peer.Live
@@ -115,6 +115,16 @@
 	return peer, true, becameLive
 }
 
+// sentBefore reports whether a message was sent before the last one from the same instance. A process that
+// starts while its time of day is behind states an earlier start than the one before it, from which nothing
+// comes any more.
+func (peer *member) sentBefore(msg message) bool {
+	if msg.Started == peer.Started {
+		return msg.Sequence <= peer.Sequence
+	}
+	return msg.Started < peer.Started && peer.Live
+}
+
 // expire returns the instances that fell silent since the last call. It removes the
 // instances whose last message is older than silentRetention.
 func (m *members) expire(now time.Time) []*member {
--- a/edge/gossip/node.go
+++ b/edge/gossip/node.go
@@ -85,7 +85,10 @@
 	opts Options
 	// nameHash is the hash of the instance's name.
 	nameHash uint64
+	// started tells the instance's runs apart: it is the time of day of the start, in Unix nanoseconds.
+	// begun is the same moment by the steady clock.
 	started  int64
+	begun    time.Time
 	socket   *net.UDPConn
 	listener net.Listener
 	client   *http.Client
@@ -117,8 +120,9 @@
 		_ = socket.Close()
 		return nil, errors.Wrap(err, "beacon")
 	}
+	now := time.Now()
 	n := &Node{
-		opts: o, nameHash: xxhash.Sum64String(o.Name), started: time.Now().UnixNano(), socket: socket, listener: listener,
+		opts: o, nameHash: xxhash.Sum64String(o.Name), started: now.UnixNano(), begun: now, socket: socket, listener: listener,
 		client:  newFetchClient(),
 		cluster: cluster{first: o.Cluster},
 		members: newMembers(o.Address, o.DataCentre),
--- a/edge/gossip/node_test.go
+++ b/edge/gossip/node_test.go
@@ -277,6 +277,29 @@
 	}
 }
 
+// TestInstanceThatStartsWithItsClockBehindIsHeard guards against an instance that nobody hears for minutes, because
+// its time of day jumped back between two starts.
+func TestInstanceThatStartsWithItsClockBehindIsHeard(t *testing.T) {
+	m := newMembers(netip.MustParseAddrPort("10.0.0.1:1"), "dc")
+	now := time.Now()
+	before := message{Name: "b", Address: netip.MustParseAddrPort("10.0.0.2:1"), Started: 100, Sequence: 50}
+	after := before
+	after.Started, after.Sequence = 98, 1
+	m.receive(before, catalog.Digest{}, now)
+	if _, isNew, _ := m.receive(after, catalog.Digest{}, now.Add(LiveTimeout/2)); isNew {
+		t.Error("a message of an earlier start was accepted from a live instance")
+	}
+	now = now.Add(LiveTimeout + time.Millisecond)
+	m.expire(now)
+	if _, isNew, becameLive := m.receive(after, catalog.Digest{}, now); !isNew || !becameLive {
+		t.Error("an instance that started anew with its clock behind is not heard once its last run is silent")
+	}
+	after.Sequence++
+	if _, isNew, _ := m.receive(after, catalog.Digest{}, now); !isNew {
+		t.Error("its second message is not heard")
+	}
+}
+
 // TestMessageFitsIntoDatagram encodes a message with too many reports for one datagram.
 // Some reports must be dropped.
 func TestMessageFitsIntoDatagram(t *testing.T) {
--- a/edge/gossip/store_watchers.go
+++ b/edge/gossip/store_watchers.go
@@ -23,7 +23,7 @@
 // store, or if this instance has lacked another instance's records for more than
 // maxBehindTime. Directly after the start it should not, unless there are no seeds.
 func (n *Node) ShouldWatchStore(now time.Time) bool {
-	if len(n.opts.Seeds) > 0 && now.UnixNano()-n.started < int64(discoveryTime) {
+	if len(n.opts.Seeds) > 0 && now.Sub(n.begun) < discoveryTime {
 		return false
 	}
 	n.mu.Lock()
--- a/edge/gossip/store_watchers_test.go
+++ b/edge/gossip/store_watchers_test.go
@@ -13,7 +13,7 @@
 	n := simulatedNode(200)
 	now := time.Now()
 	n.opts.Seeds = []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1")}
-	n.started = now.UnixNano()
+	n.begun = now
 	if n.ShouldWatchStore(now.Add(discoveryTime / 2)) {
 		t.Error("an instance that has just started watches the store, want it to wait for word of others that do")
 	}
@@ -34,7 +34,7 @@
 	}
 	n.opts.Seeds = nil
 	n.members.all = nil
-	n.started = now.UnixNano()
+	n.begun = now
 	if !n.ShouldWatchStore(now) {
 		t.Error("the only instance doesn't watch the store at once, want it to")
 	}
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -28,6 +28,7 @@
 	"bergamotpin.example/bergamotpin/edge/streamorigin"
 	"bergamotpin.example/bergamotpin/engineclient"
 	"bergamotpin.example/bergamotpin/eventlog"
+	"bergamotpin.example/bergamotpin/lease"
 	"bergamotpin.example/bergamotpin/memoryaccount"
 	"bergamotpin.example/bergamotpin/metrics"
 	"bergamotpin.example/bergamotpin/objects"
@@ -259,7 +260,8 @@
 func (i *Instance) newWatcher(store netip.AddrPort) *catalog.Watcher {
 	source := i.newStore(store)
 	return &catalog.Watcher{
-		Catalog: i.catalog, OnChange: i.catalogChanged, OnCall: i.storeCalls.add, Log: i.log.StateChanges,
+		Suspended: lease.SuspendedTime,
+		Catalog:   i.catalog, OnChange: i.catalogChanged, OnCall: i.storeCalls.add, Log: i.log.StateChanges,
 		ShouldWatch: func() bool { return i.gossip.ShouldWatchStore(time.Now()) },
 		Source:      source, SourceMoves: source.Moves,
 	}
@@ -278,7 +280,7 @@
 func storeURL(address netip.AddrPort) string { return "http://" + address.String() }
 
 // storeAge returns how long ago the metadata store last responded to this instance.
-func (i *Instance) storeAge(now time.Time) time.Duration { return now.Sub(i.watcher.LastResponse()) }
+func (i *Instance) storeAge(now time.Time) time.Duration { return i.watcher.ResponseAge(now) }
 
 // catalogChanged logs changes of the catalog and has the gossip node send datagrams at
 // once, so that other instances learn that there are new records.
