Have an instance that takes over ask the store at once

What callers saw: with both instances that watch the store killed just after a server began to drain, requests went to that server for 2.0 to 2.16 s; drain_ms is 2 s.

Cause: the next instances notice after 1.3 s, and began with a watch of the configuration that the store holds open for 0.7 s, since only servers had changed.

TestInstanceThatTakesOverAsksAtOnce fails: the server is known 0.7 s later.

--- a/edge/catalog/watcher.go
+++ b/edge/catalog/watcher.go
@@ -76,6 +76,8 @@
 	unreachable           bool
 	// lastResponse is the source's last response, or nil if there was none.
 	lastResponse atomic.Pointer[response]
+	// rested is set if this instance did not watch the source before the next call.
+	rested bool
 	// moves is the number of the source's moves after which its records were listed.
 	moves int
 }
@@ -125,6 +127,7 @@
 func (w *Watcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if w.listed() && !w.ShouldWatch() {
+			w.rested = true
 			sleep(ctx, dutyPollInterval)
 			continue
 		}
@@ -168,7 +171,18 @@
 		}
 		return err
 	}
-	return w.watch(ctx, KindConfiguration, watchWait)
+	return w.watchConfiguration(ctx)
+}
+
+// watchConfiguration watches the configuration. An instance that takes over from others that were lost
+// asks at once for what has changed meanwhile: the store would hold the call open if only servers have.
+func (w *Watcher) watchConfiguration(ctx context.Context) error {
+	if !w.rested {
+		return w.watch(ctx, KindConfiguration, watchWait)
+	}
+	err := w.watch(ctx, KindConfiguration, 0)
+	w.rested = err != nil
+	return err
 }
 
 // Names of the calls to a source in logs and metrics.
--- a/edge/catalog/watcher_test.go
+++ b/edge/catalog/watcher_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -252,3 +253,25 @@
 		t.Errorf("got the age %v after a suspension of 5 s, want %v", age, before+suspended)
 	}
 }
+
+// TestInstanceThatTakesOverAsksAtOnce guards against a server that leaves while both instances that watch
+// the store are lost, and that is used for as long as a watch may last after another instance took over.
+func TestInstanceThatTakesOverAsksAtOnce(t *testing.T) {
+	source := newFakeSource()
+	source.put(configurationRecord(0, 1))
+	source.put(serverRecord("a", 0, BackendServer{}))
+	var lost atomic.Bool
+	runFakeWatcher(t, source, lost.Load, func(catalog *Catalog, _ *Watcher) {
+		time.Sleep(time.Second)
+		source.put(serverRecord("b", 0, BackendServer{}))
+		lost.Store(true)
+		time.Sleep(dutyPollInterval + 10*time.Millisecond)
+		expectEqual(t, "usable", availableIDs(catalog, start), "[a b]")
+		time.Sleep(10 * watchWait)
+		source.mu.Lock()
+		defer source.mu.Unlock()
+		if n := source.calls["watch configuration"]; n > 12 {
+			t.Errorf("got %d watches within ten times their length, want at most 12", n)
+		}
+	})
+}
