Let the model of duties pardon a call at the end of each pause

Cause: the model, not the product. It pardons a call that is sent as soon as its process goes on after a pause, since no check could come in between, but remembered the end of the last pause only: the second one, 0.7 s after the call was sent. A real process that is paused does not go on in one goroutine and stay paused in another.

Ruled out: a wrong term in the product: the check before the send was made before the pause, as the trace says.

Why this works: the ends of all pauses are kept, and a call sent at one of them is pardoned, as the check always said.

--- a/edge/usage/model_link_test.go
+++ b/edge/usage/model_link_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"reflect"
+	"slices"
 	"time"
 
 	"bergamotpin.example/bergamotpin/api"
@@ -29,7 +30,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.note("machine %d was paused from %s", l.host.machine, begin.Format("05.000"))
-	l.host.thawedAt = time.Now()
+	l.host.thaws = append(l.host.thaws, time.Now())
 }
 
 func (l *link) Term(now time.Time) (duty.Term, bool) {
@@ -150,6 +151,11 @@
 	return nil
 }
 
+// thawed reports whether a call was sent at the end of a pause, or arrived shortly after one.
+func (h *host) thawed(sentAt, now time.Time) bool {
+	return slices.ContainsFunc(h.thaws, sentAt.Equal) || len(h.thaws) > 0 && now.Sub(h.thaws[len(h.thaws)-1]) <= thawTime
+}
+
 // check checks the rules on a call that arrives. One that was sent as soon as its process went on
 // after a pause is pardoned, since no check could come in between, and so is one that arrives
 // shortly after.
@@ -165,7 +171,7 @@
 		w.t.Errorf("machines %d and %d both send the token %d", machine, h.machine, token)
 	}
 	w.byToken[token] = h.machine
-	if now.Sub(h.thawedAt) <= thawTime || sentAt.Equal(h.thawedAt) {
+	if h.thawed(sentAt, now) {
 		return
 	}
 	if token < w.newest {
--- a/edge/usage/model_test.go
+++ b/edge/usage/model_test.go
@@ -70,9 +70,10 @@
 	world   *world
 	machine int
 	// cut is set if the store turns this machine away. step is how wrong its time of day is.
-	cut      bool
-	step     time.Duration
-	thawedAt time.Time
+	cut  bool
+	step time.Duration
+	// thaws are the ends of the process's pauses. Pauses of its goroutines may overlap.
+	thaws []time.Time
 	*instance
 }
 
