Record an event before it is passed on, as before

Cause: recordEvent was called after passBlock had written.

Ruled out: events that come in parts (the caller has none until the last part).

Why this works: a block is judged first, then recorded, then written. The test looks at the ledger from inside the write.

--- a/edge/reverseproxy/peer_relay.go
+++ b/edge/reverseproxy/peer_relay.go
@@ -149,7 +149,11 @@
 			f.recordCompleted(peerServer, response.StatusCode)
 			return failure{}, true
 		}
-		if _, failed := f.passBlock(in, block); failed != nil {
+		pass, _, failed := f.judge(in, block)
+		if failed == nil && pass {
+			failed = f.passBlock(response, block)
+		}
+		if failed != nil {
 			return *failed, false
 		}
 	}
--- a/edge/reverseproxy/stream_forms_test.go
+++ b/edge/reverseproxy/stream_forms_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strconv"
 	"strings"
@@ -16,6 +17,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"bergamotpin.example/bergamotpin/edge/catalog"
+	"bergamotpin.example/bergamotpin/edge/streamorigin"
 	"bergamotpin.example/bergamotpin/platform"
 	"bergamotpin.example/bergamotpin/platform/platformtest"
 	"bergamotpin.example/bergamotpin/standin/rawserver"
@@ -291,3 +293,34 @@
 		t.Errorf("%d requests counted, want the one with events", counted)
 	}
 }
+
+// writeWatcher is a response writer that calls a function before the first bytes of a body.
+type writeWatcher struct {
+	*httptest.ResponseRecorder
+	before func()
+}
+
+func (w *writeWatcher) Write(b []byte) (int, error) {
+	w.before()
+	return w.ResponseRecorder.Write(b)
+}
+
+// TestEventIsRecordedBeforeItIsPassedOn guards against a caller that has a stream's first event and takes the stream
+// up at another instance before this one has recorded where it began.
+func TestEventIsRecordedBeforeItIsPassedOn(t *testing.T) {
+	f := newFormFixture(t, streamForms["plain"], false)
+	counted, written := 0, 0
+	f.handler.CountUsage = func(string) { counted++ }
+	r := f.request(pathResumable)
+	r.RequestURI = pathResumable
+	f.handler.ServeHTTP(&writeWatcher{httptest.NewRecorder(), func() {
+		written++
+		found := f.handler.Origins.Find(t.Context(), "s", r.Header.Get(platform.HeaderRequestID))
+		if counted != 1 || found.Source != streamorigin.OwnMemory {
+			t.Errorf("before write %d: %d requests counted, origin known by %v; want both recorded", written, counted, found.Source)
+		}
+	}}, r)
+	if written == 0 {
+		t.Error("nothing was written")
+	}
+}
--- a/edge/reverseproxy/stream_relay.go
+++ b/edge/reverseproxy/stream_relay.go
@@ -120,7 +120,8 @@
 	return block, false, nil
 }
 
-// brokeOff takes in where a response broke off.
+// brokeOff takes in where a response broke off. Further attempts may still begin, which read nothing of
+// what this changes.
 func (f *forwarder) brokeOff(in *streamReading) {
 	cut, inside := in.reader.Cut()
 	f.stream.brokeInside = f.stream.brokeInside || inside
@@ -145,13 +146,19 @@
 		if ended {
 			return f.endStream(in, &s.attempt)
 		}
-		isEvent, failed := f.passBlock(in, block)
+		pass, isEvent, failed := f.judge(in, block)
 		if failed != nil {
 			return false, *failed
 		}
 		if isEvent {
 			f.recordEvent(&s.attempt)
 		}
+		if !pass {
+			continue
+		}
+		if failed := f.passBlock(in.response, block); failed != nil {
+			return false, *failed
+		}
 		if isEvent && progress.isSound(f.stream.lastAt) {
 			f.recordAnswered(&s.attempt, true)
 		}
@@ -188,7 +195,8 @@
 	return strings.ToLower(strings.TrimSpace(text))
 }
 
-// recordEvent records that a server's event was passed on.
+// recordEvent records an event before it is passed on: once the caller has it, it may take the stream up
+// at another instance.
 func (f *forwarder) recordEvent(a *balancer.Attempt) {
 	if f.handler.Selector.RecordFirstEvent(a) {
 		f.countUsage()
@@ -200,25 +208,30 @@
 	}
 }
 
-// passBlock passes a block on, unless the caller has it. It reports whether an event is now complete
-// that the caller did not have. It fails if the block can't be one of the stream, or the
-// caller has left.
-func (f *forwarder) passBlock(in *streamReading, block eventstream.Block) (isEvent bool, failed *failure) {
+// judge reports whether a block must be passed on, and whether an event is complete with it that the
+// caller did not have. It fails if the block can't be one of the stream.
+func (f *forwarder) judge(in *streamReading, block eventstream.Block) (pass, isEvent bool, failed *failure) {
 	verdict := in.follower.Take(block)
 	switch verdict {
 	case eventstream.Unneeded:
-		return false, nil
+		return false, false, nil
 	case eventstream.Skips:
-		return false, &failure{reason: outcome.ResponseMismatch, mayHaveRun: true, err: errEventsSkipped}
+		return false, false, &failure{reason: outcome.ResponseMismatch, mayHaveRun: true, err: errEventsSkipped}
 	case eventstream.Foreign:
-		return false, &failure{reason: outcome.ResponseMismatch, mayHaveRun: true, err: errNotContinued}
+		return false, false, &failure{reason: outcome.ResponseMismatch, mayHaveRun: true, err: errNotContinued}
 	}
 	isEvent = verdict == eventstream.New && block.Ends && block.IsEvent()
 	if isEvent {
 		f.observeEvent()
 	}
-	f.beginResponse(in.response)
-	return isEvent, f.writeToCaller(block.Raw)
+	return true, isEvent, nil
+}
+
+// passBlock passes a block on, with the response's header before the first one. It fails if the caller
+// has left.
+func (f *forwarder) passBlock(response *backendclient.Response, block eventstream.Block) *failure {
+	f.beginResponse(response)
+	return f.writeToCaller(block.Raw)
 }
 
 // observeEvent measures the time of an event that has just arrived.
