Give what a server's answer is to a request a file of its own

retry.go held how a request goes from server to server, and also what an answer is to it; sending.go held the other half of that. Both are in unusable.go now: whether an answer may go to the caller, and if not, whether its server may have run the request. Tests of the package's streams, relays and promises pass as before.

--- a/edge/reverseproxy/sending.go
+++ b/edge/reverseproxy/sending.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -12,7 +11,6 @@
 	"bergamotpin.example/bergamotpin/edge/balancer"
 	"bergamotpin.example/bergamotpin/edge/hedging"
 	"bergamotpin.example/bergamotpin/outcome"
-	"bergamotpin.example/bergamotpin/platform"
 )
 
 // errLeftForSilence reports that an attempt was ended because another server responded
@@ -138,23 +136,3 @@
 	}
 	f.handler.Failures.Info("not needed", "request", f.request.id, "server", s.attempt.Server.ID, "may_have_run", s.mayHaveRun())
 }
-
-func (s *sending) mayHaveRun() bool {
-	if s.err != nil {
-		return sendFailure(s.err).mayHaveRun
-	}
-	return !platform.StatesNotExecuted(s.response.Response)
-}
-
-// isUsable reports whether the attempt's response goes to the caller unless its body
-// fails. Refusals, server errors, failures with the status of a refusal and responses that are not a
-// backend server's do not.
-func (f *forwarder) isUsable(s *sending) bool {
-	if s.err != nil || platform.StatesNotExecuted(s.response.Response) {
-		return false
-	}
-	if s.response.StatusCode/100 == 2 {
-		return isFromBackendServer(s.response.Header)
-	}
-	return !f.stream.started && s.response.StatusCode < http.StatusInternalServerError && !outcome.PromisesNotRun(s.response.StatusCode)
-}
--- a/eventstream/reader.go
+++ b/eventstream/reader.go
@@ -279,7 +279,7 @@
 	return true, r.grow(available[:next])
 }
 
-// grow appends bytes to the buffer, and asks for the memory first.
+// grow appends bytes to the buffer, and asks for memory if the buffer got larger.
 func (r *Reader) grow(read []byte) error {
 	before := cap(r.buffer)
 	r.append(read)
